--- /dev/null
+++ b/postspring/client/program.py
@@ -0,0 +1,202 @@
+"""One program, seen from its caller."""
+
+import dataclasses
+import secrets
+from collections.abc import Callable
+from typing import Any
+
+from postspring.client import connection
+
+__all__ = ["CallResult", "ProgramClient"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallResult:
+    """The outcome of a call.
+
+    Parameters
+    ==========
+
+    answer : any JSON
+        A model's message, or a tool's or service's body.
+    status : str
+        ``answered``, or ``unknown`` if nobody knows the outcome.
+    cost : int
+        Micro-units.
+    """
+
+    step: int
+    answer: Any
+    status: str
+    status_code: int
+    cost: int
+    held: bool
+    upstream: str
+    usage: dict[str, int]
+
+
+class ProgramClient:
+    """Issues the calls of one program, in order.
+
+    Explanation
+    ===========
+
+    It counts the steps, passes each answer's digest on with the next call,
+    and keeps held turns as receipts until a later answer is in the log.
+    Every call has an idempotency key, so asking again is safe.
+
+    Parameters
+    ==========
+
+    client : EntryClient
+        The entry VMs.
+    program : str
+        The program's id.
+
+    Examples
+    ========
+
+    ::
+
+        client = EntryClient(["10.0.0.1:8080", "10.0.0.2:8080"])
+        program = ProgramClient.create(client, "agent-models")
+        print(program.ask("advisor", "The belt is torn.").answer["content"])
+        program.use_tool("parts", {"part": "belt"})
+        program.end()
+    """
+
+    def __init__(self, client: connection.EntryClient, program: str):
+        self._client = client
+        self.program = program
+        self.step = 0
+        self.digest = ""
+        self._receipts: list[str] = []
+
+    @classmethod
+    def create(
+        cls,
+        client: connection.EntryClient,
+        service: str,
+        budget: int | None = None,
+        priority: int | None = None,
+        parent: str | None = None,
+    ) -> "ProgramClient":
+        """Create a program; see ``POST /v1/programs``."""
+        body = {"service": service, "key": secrets.token_hex(8)}
+        for name, value in (
+            ("budget", budget),
+            ("priority", priority),
+            ("parent", parent),
+        ):
+            if value is not None:
+                body[name] = value
+        answer = client.request("POST", "/v1/programs", body)
+        return cls(client, answer.body["program"])
+
+    @classmethod
+    def resume(
+        cls, client: connection.EntryClient, program: str
+    ) -> "ProgramClient":
+        """Go on with a program that another client began."""
+        resumed = cls(client, program)
+        view = resumed.view()
+        resumed.step = view["step"]
+        resumed.digest = view["digest"]
+        return resumed
+
+    def spawn(self, service: str, **options: Any) -> "ProgramClient":
+        """Create a sub-agent."""
+        return self.create(
+            self._client, service, parent=self.program, **options
+        )
+
+    def ask(
+        self,
+        model: str,
+        text: str,
+        on_text: Callable[[str], None] | None = None,
+        max_tokens: int | None = None,
+        patience: float = 20.0,
+    ) -> CallResult:
+        """Call a model with a user's message; the answer is streamed."""
+        body: dict[str, Any] = {
+            "kind": "model",
+            "target": model,
+            "messages": [{"role": "user", "content": text}],
+            "stream": True,
+        }
+        if max_tokens is not None:
+            body["max_tokens"] = max_tokens
+        path = self._path("/calls")
+        turn = self._client.stream(
+            path, self._numbered(body), on_text, patience
+        )
+        return self._took(turn)
+
+    def use_tool(
+        self, tool: str, arguments: Any, patience: float = 20.0
+    ) -> CallResult:
+        """Call a tool; it runs at most once, however often we ask."""
+        body = {
+            "kind": "tool",
+            "target": tool,
+            "arguments": arguments,
+            "repeatable": False,
+        }
+        answer = self._client.request(
+            "POST", self._path("/calls"), self._numbered(body), patience
+        )
+        return self._took(answer.body)
+
+    def view(self) -> dict[str, Any]:
+        """Return the program's state."""
+        return self._client.request("GET", self._path("")).body
+
+    def history(self) -> list[dict[str, Any]]:
+        """Return all turns, page by page."""
+        turns: list[dict[str, Any]] = []
+        while True:
+            path = f"/history?from={len(turns) + 1}&limit=100"
+            page = self._client.request("GET", self._path(path)).body["turns"]
+            turns.extend(page)
+            if len(page) < 100:
+                return turns
+
+    def end(self) -> int:
+        """End the program and return what it spent, in micro-units."""
+        answer = self._client.request("POST", self._path("/end"), {})
+        return answer.body["spent"]
+
+    def cancel(self) -> int:
+        """Cancel the program and return what it spent."""
+        answer = self._client.request("POST", self._path("/cancel"), {})
+        return answer.body["spent"]
+
+    def _path(self, rest: str) -> str:
+        return f"/v1/programs/{self.program}{rest}"
+
+    def _numbered(self, body: dict[str, Any]) -> dict[str, Any]:
+        return body | {
+            "step": self.step + 1,
+            "parent": self.digest,
+            "key": secrets.token_hex(8),
+            "receipts": self._receipts,
+        }
+
+    def _took(self, turn: dict[str, Any]) -> CallResult:
+        self.step = turn["step"]
+        self.digest = turn["digest"]
+        if turn["held"]:
+            self._receipts.append(turn["receipt"])
+        else:
+            self._receipts.clear()
+        return CallResult(
+            step=turn["step"],
+            answer=turn.get("answer", {"content": turn.get("text", "")}),
+            status=turn["status"],
+            status_code=turn["status_code"],
+            cost=turn["cost"],
+            held=turn["held"],
+            upstream=turn["upstream"],
+            usage=turn["usage"],
+        )
--- /dev/null
+++ b/postspring/coordination/pricing.py
@@ -0,0 +1,71 @@
+"""What a call may cost at most, and what it did cost.
+
+Money is in whole micro-units, prices of models in micro-units per 1000
+tokens.  Costs are rounded up.
+"""
+
+from postspring import configuration
+from postspring import ownership
+from postspring import programs
+from postspring.coordination import messages
+
+__all__ = ["attempt_cost", "model_cost", "prompt_token_bound"]
+
+TOKENS_PER_PRICE = 1000
+TOKENS_PER_MESSAGE_FRAME = 16
+
+
+def model_cost(
+    prompt_tokens: int,
+    completion_tokens: int,
+    prompt_price: int,
+    completion_price: int,
+) -> int:
+    """Return the price of a model call, rounded up.
+
+    Examples
+    --------
+    >>> model_cost(1500, 10, prompt_price=2, completion_price=100)
+    4
+    """
+    thousandths = (
+        prompt_tokens * prompt_price + completion_tokens * completion_price
+    )
+    return -(-thousandths // TOKENS_PER_PRICE)
+
+
+def prompt_token_bound(turns: list[ownership.Turn], request: bytes) -> int:
+    """Return an upper bound of the prompt's tokens.
+
+    What the engine counted up to the program's latest model turn is known;
+    beyond it, a token takes at least one byte.
+    """
+    bound = len(request) + TOKENS_PER_MESSAGE_FRAME
+    for turn in reversed(turns):
+        if turn.kind is programs.CallKind.MODEL and turn.usage.prompt_tokens:
+            usage = turn.usage
+            return bound + usage.prompt_tokens + usage.completion_tokens
+        bound += len(turn.request) + len(turn.answer)
+        bound += 2 * TOKENS_PER_MESSAGE_FRAME
+    return bound
+
+
+def worst_case(
+    model: configuration.Model, prompt_tokens: int, max_tokens: int
+) -> int:
+    """Return the most that one attempt of a model call can cost."""
+    return model_cost(
+        prompt_tokens, max_tokens, model.prompt_price, model.completion_price
+    )
+
+
+def attempt_cost(grant: messages.Grant, usage: programs.Usage) -> int:
+    """Return what a finished attempt costs."""
+    if grant.kind is not programs.CallKind.MODEL:
+        return grant.call_price
+    return model_cost(
+        usage.prompt_tokens,
+        usage.completion_tokens,
+        grant.prompt_price,
+        grant.completion_price,
+    )
--- /dev/null
+++ b/postspring/coordination/turns.py
@@ -0,0 +1,140 @@
+"""Building turns and prompts from grants and history."""
+
+import json
+
+from postspring import ownership
+from postspring import programs
+from postspring.coordination import messages
+from postspring.coordination import pricing
+
+__all__ = ["UNKNOWN_ANSWER", "answered_turn", "build_prompt", "unknown_turn"]
+
+UNKNOWN_ANSWER = b'{"outcome":"unknown"}'
+
+
+def answered_turn(
+    grant: messages.Grant,
+    answer: bytes,
+    status_code: int,
+    usage: programs.Usage = programs.Usage(),
+) -> ownership.Turn:
+    """Return the turn of an attempt that got its whole answer."""
+    return _turn(
+        grant,
+        answer,
+        programs.TurnStatus.ANSWERED,
+        status_code,
+        usage,
+        pricing.attempt_cost(grant, usage),
+    )
+
+
+def unknown_turn(grant: messages.Grant) -> ownership.Turn:
+    """Return the turn of a dispatched attempt whose outcome is lost."""
+    return _turn(
+        grant,
+        UNKNOWN_ANSWER,
+        programs.TurnStatus.UNKNOWN,
+        0,
+        programs.Usage(),
+        grant.cost_bound,
+    )
+
+
+def abandoned_intent_turn(
+    slot: ownership.SlotState, program: programs.Program, request: bytes
+) -> ownership.Turn:
+    """Return the turn that closes a former owner's open intent.
+
+    Parameters
+    ----------
+    request : bytes
+        The request if the caller has told it again, else ``{}``.
+    """
+    intent = program.open_intent
+    head = program.head
+    digest = programs.chain_digest(
+        head.digest, intent.step, intent.request_digest, UNKNOWN_ANSWER
+    )
+    return ownership.Turn(
+        slot=slot.number,
+        epoch=slot.epoch,
+        program=program.id,
+        step=intent.step,
+        parent=head.digest,
+        digest=digest,
+        kind=programs.CallKind.TOOL,
+        target="",
+        key=intent.key,
+        request_digest=intent.request_digest,
+        request=request,
+        answer=UNKNOWN_ANSWER,
+        status=programs.TurnStatus.UNKNOWN,
+        status_code=0,
+        cost=intent.amount,
+        intent_epoch=intent.epoch,
+        intent_sequence=intent.sequence,
+    )
+
+
+def build_prompt(turns: list[ownership.Turn], request: bytes) -> bytes:
+    """Return the JSON array of all messages of a program and a new call.
+
+    Requests and answers of model turns are JSON already and are joined as
+    they are; answers of tools become messages with the role ``tool``.
+    """
+    parts = []
+    for turn in turns:
+        parts.extend(_messages_of(turn))
+    parts.append(_inner(request))
+    return b"[" + b",".join(part for part in parts if part) + b"]"
+
+
+def _messages_of(turn: ownership.Turn) -> list[bytes]:
+    if turn.kind is programs.CallKind.MODEL:
+        return [_inner(turn.request), turn.answer]
+    content = turn.answer.decode(errors="replace")
+    message = {"role": "tool", "name": turn.target, "content": content}
+    return [json.dumps(message).encode()]
+
+
+def _inner(array: bytes) -> bytes:
+    """Return the inside of a JSON array."""
+    return array.strip()[1:-1].strip()
+
+
+def _turn(
+    grant: messages.Grant,
+    answer: bytes,
+    status: programs.TurnStatus,
+    status_code: int,
+    usage: programs.Usage,
+    cost: int,
+) -> ownership.Turn:
+    request_digest = programs.request_digest(
+        grant.kind, grant.target, grant.request
+    )
+    digest = programs.chain_digest(
+        grant.parent, grant.step, request_digest, answer
+    )
+    return ownership.Turn(
+        slot=grant.slot,
+        epoch=grant.epoch,
+        program=grant.program,
+        step=grant.step,
+        parent=grant.parent,
+        digest=digest,
+        kind=grant.kind,
+        target=grant.target,
+        key=grant.key,
+        request_digest=request_digest,
+        request=grant.request,
+        answer=answer,
+        status=status,
+        status_code=status_code,
+        usage=usage,
+        cost=min(cost, grant.cost_bound),
+        intent_epoch=grant.intent_epoch,
+        intent_sequence=grant.intent_sequence,
+        upstream=grant.upstream,
+    )
--- /dev/null
+++ b/postspring/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""Daemons: thin mains, settings and logs."""
--- /dev/null
+++ b/postspring/entry/__init__.py
@@ -0,0 +1,5 @@
+"""Entry: what runs on an entry VM, round the pure core."""
+
+from postspring.entry.node import EntryNode
+
+__all__ = ["EntryNode"]
--- /dev/null
+++ b/postspring/entry/configuration_host.py
@@ -0,0 +1,113 @@
+"""The host of the configuration stream, and its spread from VM to VM."""
+
+import logging
+from collections.abc import Callable
+
+from postspring import configuration
+from postspring import errors
+from postspring import peers
+from postspring import platform
+from postspring import transport
+
+__all__ = ["CONFIGURATION_STREAM", "ConfigurationHost"]
+
+LOG = logging.getLogger(__name__)
+CONFIGURATION_STREAM = "configuration"
+
+
+class ConfigurationHost:
+    """Keeps the configuration in force on this VM.
+
+    Parameters
+    ==========
+
+    client : LogClient
+        The platform's log.
+    timers : Timers
+        For the tail's retries.
+    on_change : callable
+        Called with no argument after another document came in force.
+    """
+
+    def __init__(
+        self,
+        client: platform.LogClient,
+        timers: transport.Timers,
+        on_change: Callable[[], None],
+    ):
+        self._on_change = on_change
+        self.fold = configuration.ConfigurationFold()
+        self.record = b""
+        self.tail = platform.StreamTail(
+            client,
+            CONFIGURATION_STREAM,
+            timers,
+            self._apply_page,
+            lambda up: None,
+            lambda: self.fold.next_offset,
+        )
+
+    def start(self) -> None:
+        """Begin to follow the stream."""
+        self.tail.start()
+
+    def close(self) -> None:
+        """Stop following it."""
+        self.tail.close()
+
+    @property
+    def state(self) -> configuration.ConfigurationState:
+        """The configuration in force."""
+        return self.fold.state
+
+    def offer(self) -> peers.ConfigurationOffer:
+        """Return the record in force, for another VM."""
+        return peers.ConfigurationOffer(
+            offset=self.state.offset, record=self.record
+        )
+
+    def take(self, offer: peers.ConfigurationOffer) -> None:
+        """Take a record that another VM has read from the log.
+
+        Only an offset beyond what was applied here is taken, so the
+        configuration never goes back.
+        """
+        if offer.offset < self.fold.next_offset:
+            return
+        self._apply(offer.offset, offer.record, from_peer=True)
+
+    def _apply_page(self, page: platform.LogPage) -> None:
+        if page.first > self.fold.next_offset:
+            self.fold.skip_to(page.first)
+        for offset, data in page.records:
+            if offset >= self.fold.next_offset:
+                self._apply(offset, data, from_peer=False)
+
+    def _apply(self, offset: int, data: bytes, from_peer: bool) -> None:
+        try:
+            record = configuration.configuration_records.decode(data)
+        except errors.CodecError as error:
+            LOG.error("bad configuration record at %d: %s", offset, error)
+            self.fold.skip_record(offset)
+            return
+        before = self.state
+        if from_peer:
+            verdict = self.fold.adopt(offset, record)
+        else:
+            verdict = self.fold.apply(offset, record)
+        if self.state is before:
+            LOG.warning(
+                "configuration record does not count: %s", verdict.value
+            )
+            return
+        self.record = data
+        if self.state.version != before.version:
+            LOG.info(
+                "configuration in force",
+                extra={
+                    "version": self.state.version,
+                    "offset": offset,
+                    "from_peer": from_peer,
+                },
+            )
+            self._on_change()
--- /dev/null
+++ b/postspring/errors.py
@@ -0,0 +1,64 @@
+"""Root of the exception tree.
+
+Each layer derives its own branch from :class:`PostspringError` and turns
+the errors of the layer below into its own before they leave it.
+"""
+
+__all__ = [
+    "CodecError",
+    "ConfigurationError",
+    "IdentifierError",
+    "PeerError",
+    "PlatformError",
+    "PostspringError",
+    "SettingsError",
+    "TransportError",
+    "UpstreamError",
+]
+
+
+class PostspringError(Exception):
+    """Any error that postspring raises itself."""
+
+
+class IdentifierError(PostspringError):
+    """An id does not have the form that its kind requires."""
+
+
+class CodecError(PostspringError):
+    """Bytes that are not a message of the expected registry."""
+
+
+class SettingsError(PostspringError):
+    """The settings of a process are wrong; the text names every fault."""
+
+
+class ConfigurationError(PostspringError):
+    """A configuration document is wrong; the text names every fault."""
+
+
+class TransportError(PostspringError):
+    """A connection could not be made, or broke.
+
+    Parameters
+    ----------
+    sent : bool
+        Whether any byte of the request may have left this process.  A
+        request with ``sent=False`` certainly did not run.
+    """
+
+    def __init__(self, message: str, sent: bool = True):
+        super().__init__(message)
+        self.sent = sent
+
+
+class PlatformError(PostspringError):
+    """The platform's log or VM list did not answer as its API says."""
+
+
+class PeerError(PostspringError):
+    """Another VM could not be reached, or broke the peer protocol."""
+
+
+class UpstreamError(PostspringError):
+    """An engine, tool or plain service gave no usable answer."""
--- /dev/null
+++ b/postspring/metrics.py
@@ -0,0 +1,72 @@
+"""Metrics by OpenTelemetry, read by a scraper."""
+
+from typing import Any
+
+import prometheus_client
+from opentelemetry.exporter import prometheus
+from opentelemetry.sdk import metrics as sdk_metrics
+
+__all__ = ["Metrics"]
+
+
+class Metrics:
+    """The instruments of one process.
+
+    Explanation
+    ===========
+
+    The reader is pulled by ``GET /metrics``, so it needs no thread.  Each
+    reason for a refusal or a retry is an attribute of its counter.
+    """
+
+    def __init__(self):
+        self._registry = prometheus_client.CollectorRegistry()
+        reader = prometheus.PrometheusMetricReader(registry=self._registry)
+        self._provider = sdk_metrics.MeterProvider(metric_readers=[reader])
+        self._meter = self._provider.get_meter("postspring")
+        self.refusals = self._counter(
+            "refusals", "Requests refused, by reason and whether they ran"
+        )
+        self.retries = self._counter("retries", "Attempts retried, by reason")
+        self.calls = self._counter("calls", "Calls answered, by kind")
+        self.held = self._counter(
+            "held_answers", "Answers given before they were in the log"
+        )
+        self.appends = self._counter("log_appends", "Batches appended")
+        self.records = self._counter(
+            "log_records", "Records folded, by verdict"
+        )
+        self.claims = self._counter("claims", "Slots claimed by this VM")
+        self.peers_lost = self._counter("peers_lost", "Peer links lost")
+        self.relayed_bytes = self._counter(
+            "relayed_bytes", "Bytes of streams relayed to callers"
+        )
+        self.stalled_callers = self._counter(
+            "stalled_callers", "Streams paused for a slow caller"
+        )
+        self.call_seconds = self._meter.create_histogram(
+            "postspring_call_seconds", unit="s", description="Call latency"
+        )
+
+    def observe(self, name: str, description: str, function: Any) -> None:
+        """Add a gauge; ``function()`` returns its value when scraped."""
+        from opentelemetry import metrics as api
+
+        self._meter.create_observable_gauge(
+            f"postspring_{name}",
+            callbacks=[lambda options: [api.Observation(function())]],
+            description=description,
+        )
+
+    def scrape(self) -> bytes:
+        """Return all metrics in the text format of the scraper."""
+        return prometheus_client.generate_latest(self._registry)
+
+    def close(self) -> None:
+        """Shut the provider down."""
+        self._provider.shutdown()
+
+    def _counter(self, name: str, description: str):
+        return self._meter.create_counter(
+            f"postspring_{name}", description=description
+        )
--- /dev/null
+++ b/postspring/ownership/__init__.py
@@ -0,0 +1,35 @@
+"""Ownership: slots, epochs, and the fold that decides by log order."""
+
+from postspring.ownership.assignment import SlotPlan
+from postspring.ownership.assignment import plan_slots
+from postspring.ownership.assignment import preferred_owner
+from postspring.ownership.fold import SlotState
+from postspring.ownership.fold import StreamFold
+from postspring.ownership.records import Abort
+from postspring.ownership.records import Claim
+from postspring.ownership.records import Create
+from postspring.ownership.records import End
+from postspring.ownership.records import Intent
+from postspring.ownership.records import Release
+from postspring.ownership.records import Reserve
+from postspring.ownership.records import Turn
+from postspring.ownership.records import slot_records
+from postspring.ownership.verdicts import Verdict
+
+__all__ = [
+    "Abort",
+    "Claim",
+    "Create",
+    "End",
+    "Intent",
+    "Release",
+    "Reserve",
+    "SlotPlan",
+    "SlotState",
+    "StreamFold",
+    "Turn",
+    "Verdict",
+    "plan_slots",
+    "preferred_owner",
+    "slot_records",
+]
--- /dev/null
+++ b/postspring/ownership/fold.py
@@ -0,0 +1,322 @@
+"""The fold of a slot stream: which records count, in the log's order.
+
+Every VM of a data centre folds the same stream and reaches the same
+verdicts.  There are no clocks here and no I/O.
+"""
+
+from collections.abc import Callable
+from typing import Any
+
+from postspring import budgets
+from postspring import programs
+from postspring.ownership import records
+from postspring.ownership import verdicts
+
+__all__ = ["SlotState", "StreamFold"]
+
+Verdict = verdicts.Verdict
+_RULE_BY_TYPE: dict[type, Callable] = {}
+
+
+def _rule(record_type: type) -> Callable:
+    """Register the function that judges and applies a record type."""
+
+    def add(function: Callable) -> Callable:
+        _RULE_BY_TYPE[record_type] = function
+        return function
+
+    return add
+
+
+class SlotState:
+    """One slot: its owner and epoch, and the programs that live in it."""
+
+    __slots__ = (
+        "number",
+        "epoch",
+        "owner",
+        "incarnation",
+        "sequence",
+        "released",
+        "successor",
+        "program_by_id",
+        "program_by_create_key",
+    )
+
+    def __init__(self, number: int):
+        self.number = number
+        self.epoch = 0
+        self.owner: str | None = None
+        self.incarnation: str | None = None
+        self.sequence = 0
+        self.released = False
+        self.successor: str | None = None
+        self.program_by_id: dict[str, programs.Program] = {}
+        self.program_by_create_key: dict[str, str] = {}
+
+    def owned_by(self, incarnation: str) -> bool:
+        """Return whether that VM incarnation is the owner in force."""
+        return not self.released and self.incarnation == incarnation
+
+    def tree(self, program_id: str):
+        """Yield the program and all the sub-agents below it."""
+        program = self.program_by_id[program_id]
+        yield program
+        for child in program.children:
+            yield from self.tree(child)
+
+
+class StreamFold:
+    """The state of all slots of a data centre, as its stream tells it.
+
+    Parameters
+    ==========
+
+    slots : int
+        How many slots the data centre has.
+
+    Examples
+    ========
+
+    >>> fold = StreamFold(slots=4)
+    >>> claim = records.Claim(slot=1, epoch=1, owner="vm-a", incarnation="a1")
+    >>> fold.apply(0, claim).value
+    'counted'
+    >>> late = records.Claim(slot=1, epoch=1, owner="vm-b", incarnation="b1")
+    >>> fold.apply(1, late).value
+    'stale_epoch'
+    >>> fold.slot_by_number[1].owner
+    'vm-a'
+    """
+
+    def __init__(self, slots: int):
+        self.next_offset = 0
+        self.slot_by_number = {
+            number: SlotState(number) for number in range(slots)
+        }
+
+    def apply(self, offset: int, record: Any) -> verdicts.Verdict:
+        """Judge the record at ``offset`` and apply it if it counts.
+
+        Records must come in the order of their offsets; a record of None
+        stands for bytes that are not a record of this protocol.
+        """
+        if offset < self.next_offset:
+            raise ValueError(f"offset {offset} was applied before")
+        self.next_offset = offset + 1
+        rule = _RULE_BY_TYPE.get(type(record))
+        slot = self.slot_by_number.get(getattr(record, "slot", None))
+        if rule is None or slot is None:
+            return Verdict.NOT_A_RECORD
+        return rule(slot, record)
+
+    def program(self, program_id: str, slot: int) -> programs.Program | None:
+        """Return a program's state, or None if the slot has no such one."""
+        state = self.slot_by_number.get(slot)
+        return None if state is None else state.program_by_id.get(program_id)
+
+
+def _fenced(slot: SlotState, record: Any) -> Verdict | None:
+    """Return why a sequenced record is fenced off, or None if it isn't.
+
+    A record that passes raises the slot's sequence even if it is refused
+    for another reason, so that a later copy of it can't count either.
+    """
+    if record.epoch != slot.epoch or slot.released:
+        return Verdict.STALE_EPOCH
+    if record.sequence <= slot.sequence:
+        return Verdict.STALE_SEQUENCE
+    slot.sequence = record.sequence
+    return None
+
+
+def _live_program(
+    slot: SlotState, program_id: str
+) -> tuple[programs.Program | None, Verdict]:
+    program = slot.program_by_id.get(program_id)
+    if program is None:
+        return None, Verdict.UNKNOWN_PROGRAM
+    if not program.live:
+        return None, Verdict.PROGRAM_ENDED
+    return program, Verdict.COUNTED
+
+
+@_rule(records.Claim)
+def _apply_claim(slot: SlotState, record: records.Claim) -> Verdict:
+    if record.epoch != slot.epoch + 1:
+        return Verdict.STALE_EPOCH
+    slot.epoch = record.epoch
+    slot.owner = record.owner
+    slot.incarnation = record.incarnation
+    slot.sequence = 0
+    slot.released = False
+    slot.successor = None
+    for program in slot.program_by_id.values():
+        # The former owner may have spent all of it without our knowing.
+        program.close_allowance(charge=program.allowance)
+    return Verdict.COUNTED
+
+
+@_rule(records.Release)
+def _apply_release(slot: SlotState, record: records.Release) -> Verdict:
+    fenced = _fenced(slot, record)
+    if fenced is not None:
+        return fenced
+    slot.released = True
+    slot.successor = record.successor
+    for program in slot.program_by_id.values():
+        charge = record.charge_by_program.get(program.id, 0)
+        program.close_allowance(charge=charge)
+    return Verdict.COUNTED
+
+
+@_rule(records.Create)
+def _apply_create(slot: SlotState, record: records.Create) -> Verdict:
+    fenced = _fenced(slot, record)
+    if fenced is not None:
+        return fenced
+    if record.program in slot.program_by_id:
+        return Verdict.PROGRAM_EXISTS
+    if record.key and record.key in slot.program_by_create_key:
+        return Verdict.KEY_USED
+    parent_account = None
+    if record.parent is not None:
+        parent, verdict = _live_program(slot, record.parent)
+        if parent is None:
+            return verdict
+        parent.children.append(record.program)
+        parent_account = parent.account
+    slot.program_by_id[record.program] = programs.Program(
+        record.program,
+        record.service,
+        record.priority,
+        record.parent,
+        budgets.Account(record.budget, parent_account),
+    )
+    if record.key:
+        slot.program_by_create_key[record.key] = record.program
+    return Verdict.COUNTED
+
+
+@_rule(records.Reserve)
+def _apply_reserve(slot: SlotState, record: records.Reserve) -> Verdict:
+    fenced = _fenced(slot, record)
+    if fenced is not None:
+        return fenced
+    program, verdict = _live_program(slot, record.program)
+    if program is None:
+        return verdict
+    if not program.add_allowance(record.amount):
+        return Verdict.OVER_BUDGET
+    return Verdict.COUNTED
+
+
+@_rule(records.Intent)
+def _apply_intent(slot: SlotState, record: records.Intent) -> Verdict:
+    fenced = _fenced(slot, record)
+    if fenced is not None:
+        return fenced
+    program, verdict = _live_program(slot, record.program)
+    if program is None:
+        return verdict
+    if program.open_intent is not None:
+        return Verdict.INTENT_OPEN
+    if record.step != program.head.step + 1:
+        return Verdict.NOT_NEXT_STEP
+    if record.key in program.step_by_key:
+        return Verdict.KEY_USED
+    intent = programs.OpenIntent(
+        record.epoch,
+        record.sequence,
+        record.step,
+        record.key,
+        record.request_digest,
+        record.amount,
+    )
+    return Verdict.COUNTED if program.open(intent) else Verdict.OVER_BUDGET
+
+
+@_rule(records.Abort)
+def _apply_abort(slot: SlotState, record: records.Abort) -> Verdict:
+    fenced = _fenced(slot, record)
+    if fenced is not None:
+        return fenced
+    program, verdict = _live_program(slot, record.program)
+    if program is None:
+        return verdict
+    intent = program.open_intent
+    if intent is None or (intent.epoch, intent.sequence) != (
+        record.epoch,
+        record.intent_sequence,
+    ):
+        return Verdict.NO_INTENT
+    program.settle_intent(0)
+    return Verdict.COUNTED
+
+
+@_rule(records.Turn)
+def _apply_turn(slot: SlotState, record: records.Turn) -> Verdict:
+    program = slot.program_by_id.get(record.program)
+    if program is None:
+        return Verdict.UNKNOWN_PROGRAM
+    known = program.turn_at(record.step)
+    if known is not None and known.digest == record.digest:
+        return Verdict.DUPLICATE
+    if not program.live:
+        return Verdict.PROGRAM_ENDED
+    if record.step != program.head.step + 1:
+        return Verdict.NOT_NEXT_STEP
+    if record.parent != program.head.digest or not record.intact:
+        return Verdict.WRONG_PARENT
+    if record.key and record.key in program.step_by_key:
+        return Verdict.KEY_USED
+    if not _intent_matches(program, record):
+        return Verdict.NO_INTENT
+    _charge_turn(slot, program, record)
+    program.add_turn(record)
+    return Verdict.COUNTED
+
+
+def _intent_matches(program: programs.Program, turn: records.Turn) -> bool:
+    """Return whether the turn closes just the intent that is open.
+
+    While an intent is open only its outcome may follow; and a call that
+    may not be repeated can't be recorded without its intent.
+    """
+    intent = program.open_intent
+    if intent is None:
+        return turn.intent_sequence is None
+    return (turn.intent_epoch, turn.intent_sequence) == (
+        intent.epoch,
+        intent.sequence,
+    )
+
+
+def _charge_turn(
+    slot: SlotState, program: programs.Program, turn: records.Turn
+) -> None:
+    if turn.intent_sequence is not None:
+        program.settle_intent(turn.cost)
+    elif turn.epoch == slot.epoch:
+        program.spend_allowance(turn.cost)
+    # The allowance of an earlier epoch was charged whole by the claim.
+    if turn.top_up and turn.epoch == slot.epoch and not slot.released:
+        program.add_allowance(turn.top_up)
+
+
+@_rule(records.End)
+def _apply_end(slot: SlotState, record: records.End) -> Verdict:
+    fenced = _fenced(slot, record)
+    if fenced is not None:
+        return fenced
+    program, verdict = _live_program(slot, record.program)
+    if program is None:
+        return verdict
+    for member in slot.tree(record.program):
+        if not member.live:
+            continue
+        if member is program:
+            member.end(record.reason, record.charge)
+        else:
+            member.end(programs.EndReason.PARENT_ENDED, member.allowance)
+    return Verdict.COUNTED
--- /dev/null
+++ b/postspring/ownership/records.py
@@ -0,0 +1,182 @@
+"""The records of a slot stream.
+
+Sequenced records are written by the owner of a slot alone.  They carry the
+owner's epoch and a sequence number that grows within the epoch, like the
+producer epoch and sequence of an idempotent producer: a second copy, or a
+late copy that arrives after a later record, never counts.
+"""
+
+import dataclasses
+
+from postspring import codec
+from postspring import programs
+
+__all__ = [
+    "Abort",
+    "Claim",
+    "Create",
+    "End",
+    "Intent",
+    "Release",
+    "Reserve",
+    "Turn",
+    "slot_records",
+]
+
+slot_records = codec.MessageRegistry("slot record")
+
+
+@slot_records.register("claim")
+@codec.message()
+class Claim:
+    """A VM takes a slot over, under the next epoch."""
+
+    slot: int
+    epoch: int
+    owner: str
+    incarnation: str
+
+    @property
+    def identity(self) -> tuple:
+        """What copies of this record have in common."""
+        return ("claim", self.slot, self.epoch, self.incarnation)
+
+
+@codec.message()
+class _Sequenced:
+    """Fields of every record that only the owner in force may write."""
+
+    slot: int
+    epoch: int
+    sequence: int
+
+    @property
+    def identity(self) -> tuple:
+        """What copies of this record have in common."""
+        return ("sequenced", self.slot, self.epoch, self.sequence)
+
+
+@slot_records.register("release")
+@codec.message()
+class Release(_Sequenced):
+    """The owner gives the slot up; nothing of it is in flight.
+
+    ``charge_by_program`` is the worst case, in micro-units, of attempts
+    whose usage the owner never learnt.
+    """
+
+    successor: str | None = None
+    charge_by_program: dict[str, int] = dataclasses.field(default_factory=dict)
+
+
+@slot_records.register("create")
+@codec.message()
+class Create(_Sequenced):
+    """A program begins.  ``budget`` is in micro-units."""
+
+    program: str
+    service: str
+    priority: int
+    budget: int | None
+    parent: str | None = None
+    key: str = ""
+
+
+@slot_records.register("reserve")
+@codec.message()
+class Reserve(_Sequenced):
+    """Money set aside for calls that may be repeated, in micro-units."""
+
+    program: str
+    amount: int
+
+
+@slot_records.register("intent")
+@codec.message()
+class Intent(_Sequenced):
+    """The owner is about to dispatch a call that may not be repeated."""
+
+    program: str
+    step: int
+    key: str
+    request_digest: bytes
+    amount: int
+
+
+@slot_records.register("abort")
+@codec.message()
+class Abort(_Sequenced):
+    """The author of an intent has not dispatched it and never will."""
+
+    program: str
+    intent_sequence: int
+
+
+@slot_records.register("end")
+@codec.message()
+class End(_Sequenced):
+    """A program ends.  ``charge`` is what calls in flight may cost."""
+
+    program: str
+    reason: programs.EndReason
+    charge: int = 0
+
+
+@slot_records.register("turn")
+@codec.message()
+class Turn:
+    """A call and its answer.
+
+    A turn is not fenced by epoch: it counts if it follows the program's
+    head, whoever appends it and however often.
+
+    Parameters
+    ==========
+
+    epoch : int
+        The epoch under which the call was dispatched; cost is charged to
+        the allowance of that epoch.
+    intent_sequence : int or None
+        Sequence of the intent that this turn closes; None for a call that
+        may be repeated.
+    request, answer : bytes
+        JSON of the call's new messages or body, and of the answer.
+    status_code : int
+        The upstream's HTTP status; 0 if there was none.
+    cost, top_up : int
+        Micro-units: what the call cost, and what to reserve ahead.
+    """
+
+    slot: int
+    epoch: int
+    program: str
+    step: int
+    parent: bytes
+    digest: bytes
+    kind: programs.CallKind
+    target: str
+    key: str
+    request_digest: bytes
+    request: bytes
+    answer: bytes
+    status: programs.TurnStatus = programs.TurnStatus.ANSWERED
+    status_code: int = 200
+    usage: programs.Usage = programs.Usage()
+    cost: int = 0
+    top_up: int = 0
+    intent_epoch: int | None = None
+    intent_sequence: int | None = None
+    upstream: str = ""
+
+    @property
+    def identity(self) -> tuple:
+        """What copies of this record have in common."""
+        return ("turn", self.program, self.step, self.digest)
+
+    @property
+    def intact(self) -> bool:
+        """Whether the digest is that of the turn's own content."""
+        expected = programs.chain_digest(
+            self.parent, self.step, self.request_digest, self.answer
+        )
+        return self.digest == expected
--- /dev/null
+++ b/postspring/peers/__init__.py
@@ -0,0 +1,21 @@
+"""Peers: links between the system's own VMs, by websockets with CBOR."""
+
+from postspring.peers.hub import PeerHub
+from postspring.peers.messages import ConfigurationOffer
+from postspring.peers.messages import ConfigurationRequest
+from postspring.peers.messages import Heartbeat
+from postspring.peers.messages import HoldTurns
+from postspring.peers.messages import StopAttempt
+from postspring.peers.messages import TurnsHeld
+from postspring.peers.messages import peer_messages
+
+__all__ = [
+    "ConfigurationOffer",
+    "ConfigurationRequest",
+    "Heartbeat",
+    "HoldTurns",
+    "PeerHub",
+    "StopAttempt",
+    "TurnsHeld",
+    "peer_messages",
+]
--- /dev/null
+++ b/postspring/peers/link.py
@@ -0,0 +1,189 @@
+"""One websocket to or from another VM, sans-I/O on the hub's sockets."""
+
+import hmac
+import socket
+from collections.abc import Callable
+from typing import Any
+
+import cbor2
+from websockets import client
+from websockets import exceptions
+from websockets import frames
+from websockets import http11
+from websockets import server
+from websockets import uri
+
+from postspring import errors
+from postspring import transport
+from postspring.peers import messages
+
+__all__ = ["MAX_MESSAGE_BYTES", "PeerLink"]
+
+MAX_MESSAGE_BYTES = 16 * 1024 * 1024
+MAX_UNSENT_BYTES = 32 * 1024 * 1024
+KEY_HEADER = "X-Postspring-Key"
+VM_HEADER = "X-Postspring-Vm"
+
+
+class PeerLink(transport.ConnectionHandler):
+    """A websocket that carries numbered requests and their replies.
+
+    Explanation
+    ===========
+
+    A frame is a CBOR array ``[version, number, is reply, kind, fields]``.
+    A frame of another version closes the link, with a counter at the hub.
+
+    Parameters
+    ==========
+
+    hub : SocketHub
+        The sockets.
+    sock : socket
+        The connection.
+    key : str
+        The key that both sides must know; empty for none.
+    on_message : callable
+        Called with ``(link, number, is_reply, message)``.
+    on_open, on_closed : callable
+        Called with the link.
+    dialled : bool
+        Whether this side opened the connection.
+    vm : str
+        This VM's id, told by the side that dialled.
+    """
+
+    def __init__(
+        self,
+        hub: transport.SocketHub,
+        sock: socket.socket,
+        key: str,
+        on_message: Callable[["PeerLink", int, bool, Any], None],
+        on_open: Callable[["PeerLink"], None],
+        on_closed: Callable[["PeerLink"], None],
+        dialled: bool,
+        vm: str = "",
+    ):
+        self._hub = hub
+        self._socket = sock
+        self._key = key
+        self._on_message = on_message
+        self._on_open = on_open
+        self._on_closed = on_closed
+        self._vm = vm
+        self.peer_vm = ""
+        self.open = False
+        self.error = ""
+        if dialled:
+            target = uri.parse_uri("ws://peer/")
+            self._protocol = client.ClientProtocol(
+                target, max_size=MAX_MESSAGE_BYTES
+            )
+        else:
+            self._protocol = server.ServerProtocol(max_size=MAX_MESSAGE_BYTES)
+
+    def begin(self) -> None:
+        """Send the handshake, on the side that dialled."""
+        request = self._protocol.connect()
+        request.headers[KEY_HEADER] = self._key
+        request.headers[VM_HEADER] = self._vm
+        self._protocol.send_request(request)
+        self._flush()
+
+    def send(self, number: int, is_reply: bool, message: Any) -> None:
+        """Send a message.
+
+        Raises
+        ------
+        PeerError
+            If the link is not open, or the other side does not take what
+            it was sent.
+        """
+        if not self.open:
+            raise errors.PeerError("link is not open")
+        if self._hub.unsent_bytes(self._socket) > MAX_UNSENT_BYTES:
+            self.shut()
+            raise errors.PeerError("peer does not read")
+        packed = messages.peer_messages.pack(message)
+        frame = cbor2.dumps(
+            [messages.PROTOCOL_VERSION, number, is_reply, *packed]
+        )
+        self._protocol.send_binary(frame)
+        self._flush()
+
+    def shut(self) -> None:
+        """Close the link."""
+        self._hub.shut(self._socket)
+
+    # -- from the hub ---------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        """Parse what came and hand on whole messages."""
+        self._protocol.receive_data(data)
+        self._flush()
+        for event in self._protocol.events_received():
+            self._handle(event)
+        if self._protocol.close_expected():
+            self.shut()
+
+    def closed(self) -> None:
+        """Take note that the connection is gone."""
+        self.open = False
+        self._on_closed(self)
+
+    # -- own ------------------------------------------------------------------
+
+    def _handle(self, event: Any) -> None:
+        if isinstance(event, http11.Request):
+            self._accept(event)
+        elif isinstance(event, http11.Response):
+            self.open = self._protocol.state.name == "OPEN"
+            if self.open:
+                self._on_open(self)
+        elif isinstance(event, frames.Frame):
+            if event.opcode is frames.Opcode.BINARY:
+                self._decode(bytes(event.data))
+
+    def _accept(self, request: http11.Request) -> None:
+        given = request.headers.get(KEY_HEADER, "")
+        if not hmac.compare_digest(given.encode(), self._key.encode()):
+            response = self._protocol.reject(403, "wrong key\n")
+            self._protocol.send_response(response)
+            self._flush()
+            self.error = "wrong key"
+            self.shut()
+            return
+        try:
+            response = self._protocol.accept(request)
+        except exceptions.InvalidHandshake:
+            self.shut()
+            return
+        self.peer_vm = request.headers.get(VM_HEADER, "")
+        self._protocol.send_response(response)
+        self._flush()
+        self.open = self._protocol.state.name == "OPEN"
+        if self.open:
+            self._on_open(self)
+
+    def _decode(self, data: bytes) -> None:
+        try:
+            version, number, is_reply, *packed = cbor2.loads(data)
+            if version != messages.PROTOCOL_VERSION:
+                raise errors.CodecError(f"protocol version {version}")
+            message = messages.peer_messages.unpack(packed)
+        except (
+            cbor2.CBORDecodeError,
+            errors.CodecError,
+            ValueError,
+            TypeError,
+            RecursionError,
+        ) as error:
+            self.error = str(error)[:200]
+            self.shut()
+            return
+        self._on_message(self, int(number), bool(is_reply), message)
+
+    def _flush(self) -> None:
+        for data in self._protocol.data_to_send():
+            if data:
+                self._hub.send(self._socket, data)
--- /dev/null
+++ b/postspring/programs/calls.py
@@ -0,0 +1,85 @@
+"""What a call is: its kind, its digests, its usage."""
+
+import enum
+import hashlib
+
+from postspring import codec
+
+__all__ = [
+    "CallKind",
+    "DIGEST_BYTES",
+    "TurnStatus",
+    "Usage",
+    "chain_digest",
+    "request_digest",
+]
+
+DIGEST_BYTES = 16
+
+
+class CallKind(enum.StrEnum):
+    """Which sort of upstream a call goes to."""
+
+    MODEL = "model"
+    TOOL = "tool"
+    SERVICE = "service"
+
+
+class TurnStatus(enum.StrEnum):
+    """How a turn came out.
+
+    ``UNKNOWN`` stands for a call that may not be repeated, was dispatched,
+    and whose outcome nobody living has seen.
+    """
+
+    ANSWERED = "answered"
+    UNKNOWN = "unknown"
+
+
+@codec.message()
+class Usage:
+    """Tokens that an engine counted for one call."""
+
+    prompt_tokens: int = 0
+    completion_tokens: int = 0
+    cached_tokens: int = 0
+
+
+def request_digest(kind: CallKind, target: str, request: bytes) -> bytes:
+    """Return the digest that identifies what a call asks for.
+
+    Parameters
+    ----------
+    kind, target
+        The call's kind and the model, tool or service it names.
+    request : bytes
+        The request's JSON, in the form that the caller's VM built.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (kind.value.encode(), target.encode(), request):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
+
+
+def chain_digest(
+    parent: bytes, step: int, request: bytes, answer: bytes
+) -> bytes:
+    """Return the digest of a turn, chained to the turn it follows.
+
+    Parameters
+    ----------
+    parent : bytes
+        Digest of the preceding turn; empty for the first.
+    step : int
+        The turn's number, from 1.
+    request : bytes
+        The call's :func:`request_digest`.
+    answer : bytes
+        The answer's JSON.
+    """
+    digest = hashlib.blake2b(digest_size=DIGEST_BYTES)
+    for part in (parent, step.to_bytes(8, "big"), request, answer):
+        digest.update(len(part).to_bytes(8, "big"))
+        digest.update(part)
+    return digest.digest()
--- /dev/null
+++ b/postspring/programs/program.py
@@ -0,0 +1,191 @@
+"""The program aggregate: one program's state as the log tells it."""
+
+import dataclasses
+import enum
+from typing import Any
+
+from postspring import budgets
+from postspring import identifiers
+
+__all__ = [
+    "EMPTY_DIGEST",
+    "EndReason",
+    "Head",
+    "OpenIntent",
+    "Program",
+    "ProgramStatus",
+]
+
+EMPTY_DIGEST = identifiers.Digest(b"")
+
+
+class ProgramStatus(enum.StrEnum):
+    """Whether a program still takes calls."""
+
+    LIVE = "live"
+    ENDED = "ended"
+
+
+class EndReason(enum.StrEnum):
+    """Why a program ended."""
+
+    COMPLETED = "completed"
+    CANCELLED = "cancelled"
+    BUDGET_SPENT = "budget_spent"
+    TOO_MANY_CALLS = "too_many_calls"
+    PARENT_ENDED = "parent_ended"
+    IDLE = "idle"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Head:
+    """The latest turn of a program: its step and digest."""
+
+    step: int = 0
+    digest: bytes = EMPTY_DIGEST
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenIntent:
+    """A counted intent that has neither an outcome nor an abort."""
+
+    epoch: int
+    sequence: int
+    step: int
+    key: str
+    request_digest: bytes
+    amount: int
+
+
+class Program:
+    """One program: identity, ordered turns, open intent, account.
+
+    Explanation
+    ===========
+
+    Only the fold of the slot stream changes a program.  Turns are dense
+    from step 1 and each names the digest of the one it follows, so a fork
+    or a gap can't be recorded.
+
+    ``allowance`` is money reserved ahead in the log, from which the owner
+    in force may dispatch calls that can be repeated without waiting for
+    the log.  A later owner counts what is left of it as spent.
+
+    Parameters
+    ==========
+
+    id : ProgramId
+        The program's id.
+    service : ServiceName
+        The service that the program belongs to.
+    priority : int
+        Larger goes first.
+    parent : ProgramId or None
+        The parent program of a sub-agent.
+    account : Account
+        The program's budget account.
+    """
+
+    __slots__ = (
+        "id",
+        "service",
+        "priority",
+        "parent",
+        "account",
+        "allowance",
+        "children",
+        "status",
+        "end_reason",
+        "turns",
+        "step_by_key",
+        "open_intent",
+    )
+
+    def __init__(
+        self,
+        id: identifiers.ProgramId,
+        service: identifiers.ServiceName,
+        priority: int,
+        parent: identifiers.ProgramId | None,
+        account: budgets.Account,
+    ):
+        self.id = id
+        self.service = service
+        self.priority = priority
+        self.parent = parent
+        self.account = account
+        self.allowance = 0
+        self.children: list[identifiers.ProgramId] = []
+        self.status = ProgramStatus.LIVE
+        self.end_reason: EndReason | None = None
+        self.turns: list[Any] = []
+        self.step_by_key: dict[str, int] = {}
+        self.open_intent: OpenIntent | None = None
+
+    @property
+    def live(self) -> bool:
+        """Whether the program still takes calls."""
+        return self.status is ProgramStatus.LIVE
+
+    @property
+    def head(self) -> Head:
+        """The latest counted turn."""
+        if not self.turns:
+            return Head()
+        turn = self.turns[-1]
+        return Head(turn.step, turn.digest)
+
+    def turn_at(self, step: int) -> Any | None:
+        """Return the counted turn with that step number, if there is one."""
+        if 1 <= step <= len(self.turns):
+            return self.turns[step - 1]
+        return None
+
+    def turn_with_key(self, key: str) -> Any | None:
+        """Return the counted turn of the call with that key, if any."""
+        step = self.step_by_key.get(key)
+        return None if step is None else self.turn_at(step)
+
+    def add_turn(self, turn: Any) -> None:
+        """Add a turn that follows the head; the fold checked that it does."""
+        self.turns.append(turn)
+        if turn.key:
+            self.step_by_key[turn.key] = turn.step
+
+    def add_allowance(self, amount: int) -> bool:
+        """Reserve ``amount`` ahead; return False if the budget is short."""
+        if not self.account.reserve(amount):
+            return False
+        self.allowance += amount
+        return True
+
+    def spend_allowance(self, cost: int) -> None:
+        """Charge ``cost`` to the allowance, at most what is left of it."""
+        cost = min(cost, self.allowance)
+        self.account.settle(reserved=cost, cost=cost)
+        self.allowance -= cost
+
+    def close_allowance(self, *, charge: int) -> None:
+        """Charge ``charge`` of the allowance and release the rest."""
+        self.account.settle(reserved=self.allowance, cost=charge)
+        self.allowance = 0
+
+    def open(self, intent: OpenIntent) -> bool:
+        """Open an intent; return False if the budget is short."""
+        if not self.account.reserve(intent.amount):
+            return False
+        self.open_intent = intent
+        return True
+
+    def settle_intent(self, cost: int) -> None:
+        """Close the open intent and charge ``cost`` for it."""
+        self.account.settle(reserved=self.open_intent.amount, cost=cost)
+        self.open_intent = None
+
+    def end(self, reason: EndReason, charge: int) -> None:
+        """End the program; ``charge`` is what calls in flight may cost."""
+        self.close_allowance(charge=charge)
+        if self.open_intent is not None:
+            self.settle_intent(self.open_intent.amount)
+        self.status = ProgramStatus.ENDED
+        self.end_reason = reason
--- /dev/null
+++ b/postspring/scheduling/__init__.py
@@ -0,0 +1,21 @@
+"""Scheduling: placement, order, admission and retries, without I/O."""
+
+from postspring.scheduling.order import Order
+from postspring.scheduling.order import order_by_name
+from postspring.scheduling.placement import Placement
+from postspring.scheduling.placement import placement_by_name
+from postspring.scheduling.pool import Assignment
+from postspring.scheduling.pool import Ticket
+from postspring.scheduling.pool import UpstreamPool
+from postspring.scheduling.retry_budget import RetryBudget
+
+__all__ = [
+    "Assignment",
+    "Order",
+    "Placement",
+    "RetryBudget",
+    "Ticket",
+    "UpstreamPool",
+    "order_by_name",
+    "placement_by_name",
+]
--- /dev/null
+++ b/postspring/transport/__init__.py
@@ -0,0 +1,21 @@
+"""Transport: timers, sockets and HTTP requests on the circuits loop."""
+
+from postspring.transport.http_client import Exchange
+from postspring.transport.http_client import HttpClient
+from postspring.transport.http_client import HttpListener
+from postspring.transport.http_client import HttpRequest
+from postspring.transport.sockets import ConnectionHandler
+from postspring.transport.sockets import SocketHub
+from postspring.transport.timers import TimerHandle
+from postspring.transport.timers import Timers
+
+__all__ = [
+    "ConnectionHandler",
+    "Exchange",
+    "HttpClient",
+    "HttpListener",
+    "HttpRequest",
+    "SocketHub",
+    "TimerHandle",
+    "Timers",
+]
--- /dev/null
+++ b/postspring/transport/sockets.py
@@ -0,0 +1,294 @@
+"""Many TCP connections in one circuits component.
+
+circuits' ``TCPClient`` is a component per connection and polls while it
+connects.  ``SocketHub`` keeps circuits' poller, buffers and socket options
+of its ``TCPServer`` and adds outgoing connections to it, so that opening
+one neither spins nor rebuilds the loop's table of handlers.
+"""
+
+import errno
+import logging
+import socket
+from collections.abc import Callable
+
+from circuits import handler
+from circuits.core import pollers
+from circuits.core import utils
+from circuits.net import events
+from circuits.net import sockets
+
+from postspring import errors
+from postspring.transport import timers
+
+__all__ = ["ConnectionHandler", "SocketHub"]
+
+LOG = logging.getLogger(__name__)
+READ_BYTES = 64 * 1024
+PACE_SECONDS = 0.01
+
+
+class ConnectionHandler:
+    """What a connection's user implements."""
+
+    def received(self, data: bytes) -> None:
+        """Take bytes from the other side."""
+
+    def closed(self) -> None:
+        """Take note that the connection is gone, from either side."""
+
+
+class SocketHub(sockets.TCPServer):
+    """Opens, accepts, reads and writes TCP connections.
+
+    Parameters
+    ==========
+
+    timers : Timers
+        For connect timeouts and paced reading.
+    bind : tuple of (str, int), optional
+        Address to listen on; without it the hub only opens connections.
+    on_accept : callable, optional
+        Called with the socket of an accepted connection; returns the
+        :class:`ConnectionHandler` for it, or None to close it.
+    channel : str
+        The circuits channel of this hub.
+    """
+
+    def __init__(
+        self,
+        timers: timers.Timers,
+        bind: tuple[str, int] | None = None,
+        on_accept: Callable | None = None,
+        channel: str = "hub",
+    ):
+        self._listening = bind is not None
+        self._timers = timers
+        self._on_accept = on_accept
+        self._handler_by_socket: dict[socket.socket, ConnectionHandler] = {}
+        self._connecting: dict[socket.socket, _Connecting] = {}
+        self._paced: dict[socket.socket, None] = {}
+        self._pump: timers.TimerHandle | None = None
+        super().__init__(bind, bufsize=READ_BYTES, channel=channel)
+
+    # -- for users ----------------------------------------------------------
+
+    def open(
+        self,
+        address: tuple[str, int],
+        timeout: float,
+        on_open: Callable[[socket.socket], ConnectionHandler],
+        on_error: Callable[[errors.TransportError], None],
+    ) -> None:
+        """Open a connection; exactly one of the two functions is called.
+
+        Parameters
+        ----------
+        address
+            IP number and port.
+        timeout : float
+            Seconds after which to give up.
+        on_open, on_error
+            Called with the socket, and with a TransportError that says
+            ``sent=False``.
+        """
+        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        code = sock.connect_ex(address)
+        if code not in (0, errno.EINPROGRESS):
+            sock.close()
+            text = f"connect to {address[0]}:{address[1]}: {errno.errorcode[code]}"
+            error = errors.TransportError(text, sent=False)
+            self._timers.call_later(0, on_error, error)
+            return
+        deadline = self._timers.call_later(timeout, self._timed_out, sock)
+        self._connecting[sock] = _Connecting(
+            address, on_open, on_error, deadline
+        )
+        self._poller.addWriter(self, sock)
+
+    def send(self, sock: socket.socket, data: bytes) -> None:
+        """Send bytes: at once if nothing is buffered, else in order."""
+        if sock not in self._handler_by_socket:
+            return
+        if not self._buffers[sock]:
+            try:
+                sent = sock.send(data)
+            except BlockingIOError:
+                sent = 0
+            except OSError:
+                self._close(sock)
+                return
+            if sent == len(data):
+                return
+            data = data[sent:]
+        self.write(sock, data)
+
+    def unsent_bytes(self, sock: socket.socket) -> int:
+        """Return how many bytes wait to be sent."""
+        return sum(len(data) for data in self._buffers.get(sock, ()))
+
+    def pace(self, sock: socket.socket) -> None:
+        """Read this connection at intervals instead of at each packet.
+
+        Many small packets then cost one read and no event each.
+        """
+        if sock not in self._handler_by_socket or sock in self._paced:
+            return
+        self._poller.removeReader(sock)
+        self._paced[sock] = None
+        if self._pump is None:
+            self._pump = self._timers.call_later(
+                PACE_SECONDS, self._read_paced
+            )
+
+    def pause(self, sock: socket.socket) -> None:
+        """Stop reading a paced connection."""
+        self._paced.pop(sock, None)
+
+    def unpace(self, sock: socket.socket) -> None:
+        """Read the connection as its packets come again."""
+        if sock in self._handler_by_socket and not self._poller.isReading(
+            sock
+        ):
+            self._paced.pop(sock, None)
+            self._poller.addReader(self, sock)
+
+    def adopt(self, sock: socket.socket, user: ConnectionHandler) -> None:
+        """Hand an open connection to another user."""
+        if sock in self._handler_by_socket:
+            self._handler_by_socket[sock] = user
+
+    def shut(self, sock: socket.socket) -> None:
+        """Close a connection once what was sent has left."""
+        self.close(sock)
+
+    def refuse_new(self) -> None:
+        """Stop accepting; open connections go on."""
+        if self._listening and self._sock is not None:
+            self._poller.discard(self._sock)
+            self._sock.close()
+            self._sock = None
+
+    # -- circuits' side -----------------------------------------------------
+
+    def _create_socket(self):
+        if self._listening:
+            return super()._create_socket()
+        return None
+
+    @handler("registered", "started", channel="*")
+    def _on_registered_or_started(self, component, manager=None):
+        if self._poller is not None:
+            return
+        if isinstance(component, pollers.BasePoller):
+            self._poller = component
+        elif component is self:
+            self._poller = utils.findcmp(self.root, pollers.BasePoller)
+            if self._poller is None:
+                self._poller = pollers.Poller().register(self)
+        if self._poller is not None and self._listening:
+            self._poller.addReader(self, self._sock)
+            self.fire(events.ready(self, (self.host, self.port)))
+
+    @handler("_write", priority=1)
+    def _on_write(self, sock):
+        connecting = self._connecting.get(sock)
+        if connecting is None:
+            return super()._on_write(sock)
+        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if code:
+            self._connect_failed(sock, errno.errorcode.get(code, str(code)))
+            return None
+        self._poller.removeWriter(sock)
+        del self._connecting[sock]
+        connecting.deadline.cancel()
+        self._clients.append(sock)
+        self._handler_by_socket[sock] = connecting.on_open(sock)
+        if sock in self._clients:
+            self._poller.addReader(self, sock)
+        return None
+
+    @handler("_disconnect", priority=1)
+    def _on_disconnect(self, sock):
+        if sock in self._connecting:
+            self._connect_failed(sock, "refused")
+        else:
+            self._close(sock)
+
+    def _on_accept_done(self, sock, fire_connect_event=True):
+        sock.setblocking(False)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection = self._on_accept(sock)
+        if connection is None:
+            sock.close()
+            return
+        self._clients.append(sock)
+        self._handler_by_socket[sock] = connection
+        self._poller.addReader(self, sock)
+
+    def _read(self, sock):
+        connection = self._handler_by_socket.get(sock)
+        if connection is None:
+            return
+        try:
+            data = sock.recv(READ_BYTES)
+        except BlockingIOError:
+            return
+        except OSError:
+            data = b""
+        if not data:
+            self._close(sock)
+            return
+        try:
+            connection.received(data)
+        except Exception:
+            LOG.exception("a connection's handler failed")
+            self._close(sock)
+
+    def _close(self, sock):
+        connection = self._handler_by_socket.pop(sock, None)
+        self._paced.pop(sock, None)
+        super()._close(sock)
+        if connection is not None:
+            connection.closed()
+
+    # -- own ------------------------------------------------------------------
+
+    def _read_paced(self) -> None:
+        self._pump = None
+        for sock in list(self._paced):
+            self._read(sock)
+        if self._paced:
+            self._pump = self._timers.call_later(
+                PACE_SECONDS, self._read_paced
+            )
+
+    def _timed_out(self, sock: socket.socket) -> None:
+        if sock in self._connecting:
+            self._connect_failed(sock, "timeout")
+
+    def _connect_failed(self, sock: socket.socket, text: str) -> None:
+        connecting = self._connecting.pop(sock)
+        connecting.deadline.cancel()
+        self._poller.discard(sock)
+        self._buffers.pop(sock, None)
+        sock.close()
+        host, port = connecting.address
+        connecting.on_error(
+            errors.TransportError(
+                f"connect to {host}:{port}: {text}", sent=False
+            )
+        )
+
+
+class _Connecting:
+    """A connection that is being opened."""
+
+    __slots__ = ("address", "on_open", "on_error", "deadline")
+
+    def __init__(self, address, on_open, on_error, deadline):
+        self.address = address
+        self.on_open = on_open
+        self.on_error = on_error
+        self.deadline = deadline
--- /dev/null
+++ b/postspring/web/__init__.py
@@ -0,0 +1,15 @@
+"""Web: the HTTP server side, by circuits.web."""
+
+from postspring.web.routes import Route
+from postspring.web.routes import Router
+from postspring.web.server import IncomingRequest
+from postspring.web.server import WebLimits
+from postspring.web.server import WebServer
+
+__all__ = [
+    "IncomingRequest",
+    "Route",
+    "Router",
+    "WebLimits",
+    "WebServer",
+]
