Tests of the core, the links and the callers' interface; what they found

Found by tests that first failed, and mended: - a caller that waited at a new owner was never answered when the former owner's outcome came in through the log: a queued call of the same step is now answered from it; - circuits.web takes a second request in the same packet for the body of the first: the rest now waits for its turn; - a program id with a slot that does not exist was refused as unreachable after 10 s instead of unknown at once; - a heartbeat that came while its link closed raised in the reader.

Ruled out: dropping pipelined requests with a closed connection, since a caller could then not tell whether the second one ran.

--- a/postspring/client/connection.py
+++ b/postspring/client/connection.py
@@ -1,11 +1,11 @@
 """Requests to whichever entry VM answers."""
 
+from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import http.client
 import json
 import time
-from collections.abc import Callable
-from collections.abc import Sequence
 from typing import Any
 
 from postspring import errors
--- a/postspring/client/program.py
+++ b/postspring/client/program.py
@@ -1,8 +1,8 @@
 """One program, seen from its caller."""
 
+from collections.abc import Callable
 import dataclasses
 import secrets
-from collections.abc import Callable
 from typing import Any
 
 from postspring.client import connection
--- a/postspring/codec.py
+++ b/postspring/codec.py
@@ -5,10 +5,10 @@
 Validation is pydantic's, the bytes are cbor2's.
 """
 
+from collections.abc import Callable
 import dataclasses
 import functools
 import json
-from collections.abc import Callable
 from typing import Any
 
 import cbor2
--- a/postspring/configuration/__init__.py
+++ b/postspring/configuration/__init__.py
@@ -1,18 +1,18 @@
 """Configuration: the operators' document, its checks and its versions."""
 
+from postspring.configuration.fold import configuration_records
 from postspring.configuration.fold import ConfigurationFold
 from postspring.configuration.fold import ConfigurationState
 from postspring.configuration.fold import Publish
 from postspring.configuration.fold import PublishVerdict
-from postspring.configuration.fold import configuration_records
 from postspring.configuration.schema import Configuration
 from postspring.configuration.schema import Model
+from postspring.configuration.schema import parse_address
+from postspring.configuration.schema import parse_configuration
 from postspring.configuration.schema import Service
 from postspring.configuration.schema import Tool
 from postspring.configuration.schema import Upstream
 from postspring.configuration.schema import UpstreamKind
-from postspring.configuration.schema import parse_address
-from postspring.configuration.schema import parse_configuration
 
 __all__ = [
     "Configuration",
--- a/postspring/configuration/fold.py
+++ b/postspring/configuration/fold.py
@@ -5,8 +5,8 @@
 import enum
 
 from postspring import codec
-from postspring import errors
 from postspring.configuration import schema
+from postspring import errors
 
 __all__ = [
     "ConfigurationFold",
--- a/postspring/coordination/__init__.py
+++ b/postspring/coordination/__init__.py
@@ -14,11 +14,11 @@
 from postspring.coordination.messages import Grant
 from postspring.coordination.messages import LoseAttempt
 from postspring.coordination.messages import NotOwner
+from postspring.coordination.messages import owner_messages
 from postspring.coordination.messages import ProgramCreated
 from postspring.coordination.messages import ProgramEnded
 from postspring.coordination.messages import ProgramView
 from postspring.coordination.messages import ReadProgram
-from postspring.coordination.messages import owner_messages
 from postspring.coordination.owner import Owner
 from postspring.coordination.owner import OwnerLimits
 from postspring.coordination.refusals import Ran
--- a/postspring/coordination/messages.py
+++ b/postspring/coordination/messages.py
@@ -4,9 +4,9 @@
 """
 
 from postspring import codec
+from postspring.coordination import refusals
 from postspring import ownership
 from postspring import programs
-from postspring.coordination import refusals
 
 __all__ = [
     "CallAnswered",
--- a/postspring/coordination/owner.py
+++ b/postspring/coordination/owner.py
@@ -5,22 +5,22 @@
 """
 
 import collections
+from collections.abc import Callable
 import dataclasses
 import functools
-from collections.abc import Callable
 from typing import Any
 
 from postspring import configuration
-from postspring import identifiers
-from postspring import ownership
-from postspring import programs
-from postspring import scheduling
 from postspring.coordination import effects
 from postspring.coordination import messages
 from postspring.coordination import pricing
 from postspring.coordination import refusals
 from postspring.coordination import runtime
 from postspring.coordination import turns
+from postspring import identifiers
+from postspring import ownership
+from postspring import programs
+from postspring import scheduling
 
 __all__ = ["Owner", "OwnerLimits"]
 
@@ -1097,6 +1097,7 @@
         if state is None:
             return
         call = state.active
+        overtaken = []
         if call is not None and call.message.step == turn.step:
             if call.state is CallState.RUNNING:
                 self._forget_attempt(call, failed=False, now=now)
@@ -1105,6 +1106,11 @@
             self.pool.withdraw(call.message.target, turn.program)
             call.abandoned = True
             state.active = None
+            overtaken.append(call)
+        queued = state.queue_by_step.pop(turn.step, None)
+        if queued is not None:
+            overtaken.append(queued)
+        for call in overtaken:
             for to in call.waiters:
                 self._handle(call.message, to, now)
         self._advance(state, now)
--- a/postspring/coordination/pricing.py
+++ b/postspring/coordination/pricing.py
@@ -5,9 +5,9 @@
 """
 
 from postspring import configuration
+from postspring.coordination import messages
 from postspring import ownership
 from postspring import programs
-from postspring.coordination import messages
 
 __all__ = ["attempt_cost", "model_cost", "prompt_token_bound"]
 
--- a/postspring/coordination/runtime.py
+++ b/postspring/coordination/runtime.py
@@ -3,11 +3,11 @@
 import dataclasses
 import enum
 
-from postspring import ownership
-from postspring import programs
 from postspring.coordination import effects
 from postspring.coordination import messages
 from postspring.coordination import refusals
+from postspring import ownership
+from postspring import programs
 
 __all__ = ["Call", "CallState", "PendingTurn", "ProgramRuntime"]
 
--- /dev/null
+++ b/postspring/coordination/tests/harness.py
@@ -0,0 +1,219 @@
+"""An owner with a log that answers when the test says so."""
+
+import itertools
+
+from postspring import configuration
+from postspring import coordination
+from postspring import ownership
+from postspring import programs
+from postspring import scheduling
+from postspring import upstreams
+
+CONFIGURATION = configuration.Configuration.model_validate(
+    {
+        "models": {
+            "advisor": {
+                "prompt_price": 1000,
+                "completion_price": 1000,
+                "max_tokens": 10,
+            }
+        },
+        "tools": {
+            "parts": {"price": 50},
+            "look": {"price": 5, "repeatable": True},
+        },
+        "services": {
+            "agentes": {
+                "models": ["advisor"],
+                "tools": ["parts", "look"],
+                "default_budget": 10_000,
+                "max_budget": 50_000,
+                "max_calls": 20,
+            }
+        },
+    }
+)
+ENGINES = ("engine-1", "engine-2")
+
+
+def build_pool():
+    """Return a pool with two engines and a tool service."""
+    pool = scheduling.UpstreamPool(
+        scheduling.placement_by_name["prefix_affinity"](),
+        scheduling.order_by_name["priority"](),
+    )
+    kinds = configuration.UpstreamKind
+    states = [
+        upstreams.UpstreamState(
+            id=name,
+            kind=kinds.ENGINE,
+            data_center="surco",
+            address="127.0.0.1:1",
+            serves=frozenset({"advisor"}),
+            concurrency=4,
+        )
+        for name in ENGINES
+    ]
+    states.append(
+        upstreams.UpstreamState(
+            id="tools",
+            kind=kinds.TOOL,
+            data_center="surco",
+            address="127.0.0.1:2",
+            serves=frozenset({"parts", "look"}),
+            concurrency=4,
+        )
+    )
+    pool.replace_upstreams(states)
+    return pool
+
+
+class OwnerHarness:
+    """One owner of slot 0, its log and its replies."""
+
+    def __init__(self, limits=coordination.OwnerLimits()):
+        self.fold = ownership.StreamFold(slots=1)
+        self.pool = build_pool()
+        self.owner = coordination.Owner(
+            "vm-1", "vm-1.1", "surco", self.fold, self.pool, limits
+        )
+        self.owner.configuration = CONFIGURATION
+        self.now = 100.0
+        self.unlogged = []
+        self.replies = {}
+        self.runs = []
+        self.cancelled = []
+        self._numbers = itertools.count(1)
+        self.put(
+            ownership.Claim(
+                slot=0, epoch=1, owner="vm-1", incarnation="vm-1.1"
+            )
+        )
+
+    def restart(self, incarnation):
+        """Start the VM anew: what it kept in memory is gone."""
+        self.owner = coordination.Owner(
+            "vm-1",
+            incarnation,
+            "surco",
+            self.fold,
+            self.pool,
+            self.owner.limits,
+        )
+        self.owner.configuration = CONFIGURATION
+        self.unlogged.clear()
+        epoch = self.fold.slot_by_number[0].epoch + 1
+        self.put(
+            ownership.Claim(
+                slot=0, epoch=epoch, owner="vm-1", incarnation=incarnation
+            )
+        )
+
+    def put(self, record):
+        """Have a record in the log now."""
+        verdict = self.fold.apply(self.fold.next_offset, record)
+        self.owner.on_record(record, verdict, self.now)
+        self.collect()
+        return verdict
+
+    def collect(self):
+        """Take the owner's effects."""
+        for effect in self.owner.take_effects():
+            if isinstance(effect, coordination.Append):
+                self.unlogged.append(effect.record)
+            elif isinstance(effect, coordination.Reply):
+                number = effect.to.request
+                self.replies.setdefault(number, []).append(effect.message)
+            elif isinstance(effect, coordination.Run):
+                self.runs.append(effect.grant)
+            else:
+                self.cancelled.append(effect)
+
+    def log(self):
+        """Let the log take what waits, until nothing does."""
+        while self.unlogged:
+            self.put(self.unlogged.pop(0))
+
+    def ask(self, message, vm="vm-2"):
+        """Send a request and return its number."""
+        number = next(self._numbers)
+        to = coordination.ReplyTo(vm, number)
+        self.owner.receive(message, to, self.now)
+        self.collect()
+        return number
+
+    def reply(self, number):
+        """Return the one reply to a request, or None."""
+        got = self.replies.get(number, [])
+        if len(got) > 1:
+            raise AssertionError(f"{len(got)} replies to one request: {got}")
+        return got[0] if got else None
+
+    def create(self, **options):
+        """Create a program and return its id."""
+        fields = {"slot": 0, "service": "agentes"} | options
+        number = self.ask(coordination.CreateProgram(**fields))
+        self.log()
+        return self.reply(number).program
+
+    def model_call(self, program, step=1, text="hello", **options):
+        """Build a model call."""
+        request = f'[{{"role":"user","content":"{text}"}}]'.encode()
+        fields = {
+            "service": "agentes",
+            "target": "advisor",
+            "request": request,
+        } | options
+        return coordination.CallProgram(
+            program=program,
+            step=step,
+            kind=programs.CallKind.MODEL,
+            **fields,
+        )
+
+    def tool_call(self, program, step=1, key="k1", **options):
+        """Build a tool call that may not be repeated."""
+        fields = {
+            "target": "parts",
+            "request": b'{"part":"belt"}',
+            "repeatable": False,
+        } | options
+        return coordination.CallProgram(
+            program=program,
+            service="agentes",
+            step=step,
+            kind=programs.CallKind.TOOL,
+            key=key,
+            **fields,
+        )
+
+    def finish(self, grant, answer=b'{"role":"assistant","content":"a"}'):
+        """Report an attempt's whole answer; return the request's number."""
+        usage = programs.Usage(prompt_tokens=12, completion_tokens=3)
+        turn = coordination.answered_turn(grant, answer, 200, usage)
+        return self.ask(
+            coordination.FinishAttempt(attempt=grant.attempt, turn=turn)
+        )
+
+    def lose(self, grant, sent):
+        """Report a broken attempt; return the request's number."""
+        return self.ask(
+            coordination.LoseAttempt(
+                attempt=grant.attempt,
+                program=grant.program,
+                step=grant.step,
+                upstream=grant.upstream,
+                sent=sent,
+            )
+        )
+
+    def pass_time(self, seconds):
+        """Let time go by, with ticks."""
+        for _ in range(max(1, int(seconds * 10))):
+            self.now += 0.1
+            self.owner.tick(self.now)
+            self.collect()
+
+    def account(self, program):
+        """Return a program's account."""
+        return self.fold.program(program, 0).account
--- a/postspring/coordination/turns.py
+++ b/postspring/coordination/turns.py
@@ -2,10 +2,10 @@
 
 import json
 
-from postspring import ownership
-from postspring import programs
 from postspring.coordination import messages
 from postspring.coordination import pricing
+from postspring import ownership
+from postspring import programs
 
 __all__ = ["UNKNOWN_ANSWER", "answered_turn", "build_prompt", "unknown_turn"]
 
--- a/postspring/daemon/main.py
+++ b/postspring/daemon/main.py
@@ -8,10 +8,10 @@
 
 import postspring
 from postspring import client
-from postspring import configuration
-from postspring import errors
 from postspring.client import publisher
+from postspring import configuration
 from postspring.daemon import settings as settings_module
+from postspring import errors
 
 __all__ = ["Commands", "main"]
 
--- a/postspring/daemon/settings.py
+++ b/postspring/daemon/settings.py
@@ -8,6 +8,7 @@
 import pydantic_settings
 
 from postspring import errors
+from postspring import scheduling
 
 __all__ = ["EntrySettings", "load_settings", "split_address"]
 
@@ -36,6 +37,20 @@
     return value
 
 
+def _check_placement(value: str) -> str:
+    if value not in scheduling.placement_by_name:
+        known = ", ".join(scheduling.placement_by_name)
+        raise ValueError(f"no such policy; there are: {known}")
+    return value
+
+
+def _check_order(value: str) -> str:
+    if value not in scheduling.order_by_name:
+        known = ", ".join(scheduling.order_by_name)
+        raise ValueError(f"no such policy; there are: {known}")
+    return value
+
+
 Address = Annotated[str, pydantic.AfterValidator(_check_address)]
 
 
@@ -82,8 +97,10 @@
     peer_interval: Seconds = 0.3
     peer_silence: Seconds = 1.5
     drain: Seconds = 600.0
-    placement: str = "prefix_affinity"
-    order: str = "priority"
+    placement: Annotated[str, pydantic.AfterValidator(_check_placement)] = (
+        "prefix_affinity"
+    )
+    order: Annotated[str, pydantic.AfterValidator(_check_order)] = "priority"
     max_waiting: Annotated[int, pydantic.Field(ge=1)] = 1000
     max_body: Annotated[int, pydantic.Field(ge=1024)] = 4 * 1024 * 1024
     max_connections: Annotated[int, pydantic.Field(ge=1)] = 2000
--- a/postspring/entry/attempts.py
+++ b/postspring/entry/attempts.py
@@ -1,16 +1,16 @@
 """Running attempts: one call against one upstream."""
 
+from collections.abc import Callable
 import json
 import logging
-from collections.abc import Callable
 
 from postspring import codec
 from postspring import coordination
+from postspring.entry import event_stream
 from postspring import errors
 from postspring import ownership
 from postspring import programs
 from postspring import transport
-from postspring.entry import event_stream
 from postspring.web import server
 
 __all__ = ["AttemptRunner", "AttemptSink"]
--- a/postspring/entry/callers.py
+++ b/postspring/entry/callers.py
@@ -10,14 +10,14 @@
 
 from postspring import codec
 from postspring import coordination
+from postspring.entry import api_models
+from postspring.entry import attempts
+from postspring.entry import event_stream
 from postspring import errors
 from postspring import identifiers
 from postspring import ownership
 from postspring import programs
 from postspring import web
-from postspring.entry import api_models
-from postspring.entry import attempts
-from postspring.entry import event_stream
 
 __all__ = ["CallerApi", "router"]
 
--- a/postspring/entry/configuration_host.py
+++ b/postspring/entry/configuration_host.py
@@ -1,7 +1,7 @@
 """The host of the configuration stream, and its spread from VM to VM."""
 
-import logging
 from collections.abc import Callable
+import logging
 
 from postspring import configuration
 from postspring import errors
--- a/postspring/entry/node.py
+++ b/postspring/entry/node.py
@@ -1,15 +1,22 @@
 """An entry VM's parts, wired together on one circuits loop."""
 
+from collections.abc import Callable
 import json
 import logging
 import secrets
-from collections.abc import Callable
 from typing import Any
 
 from circuits import BaseComponent
 from circuits import handler
 
 from postspring import coordination
+from postspring.daemon import settings as settings_module
+from postspring.entry import attempts
+from postspring.entry import callers
+from postspring.entry import configuration_host
+from postspring.entry import plain  # noqa: F401 (registers its routes)
+from postspring.entry import router
+from postspring.entry import slots
 from postspring import identifiers
 from postspring import metrics
 from postspring import ownership
@@ -19,13 +26,6 @@
 from postspring import transport
 from postspring import upstreams
 from postspring import web
-from postspring.daemon import settings as settings_module
-from postspring.entry import attempts
-from postspring.entry import callers
-from postspring.entry import configuration_host
-from postspring.entry import plain  # noqa: F401 (registers its routes)
-from postspring.entry import router
-from postspring.entry import slots
 
 __all__ = ["EntryNode"]
 
@@ -222,7 +222,7 @@
     def _home_of(grant: coordination.Grant) -> str:
         return identifiers.parse_program_id(grant.program).data_center
 
-    # -- attempts that run here for slots that are owned here -------------------
+    # -- attempts that run here for slots that are owned here ----------------
 
     def _run_granted(self, grant: coordination.Grant) -> None:
         def on_turn(turn: ownership.Turn) -> None:
@@ -252,7 +252,7 @@
                 ),
             )
 
-    # -- peers ------------------------------------------------------------------
+    # -- peers ----------------------------------------------------------------
 
     def _alive(self) -> list[str]:
         """Return the VMs of this data centre that may own slots."""
@@ -309,7 +309,7 @@
         else:
             self.slots.ask(message, vm, reply)
 
-    # -- changes ------------------------------------------------------------------
+    # -- changes --------------------------------------------------------------
 
     def _vms_changed(self) -> None:
         self.peers.replace_peers(
--- a/postspring/entry/plain.py
+++ b/postspring/entry/plain.py
@@ -4,11 +4,10 @@
 
 from postspring import configuration
 from postspring import coordination
-from postspring import errors
-from postspring import transport
-from postspring import web
 from postspring.entry import attempts
 from postspring.entry import callers
+from postspring import errors
+from postspring import transport
 
 __all__ = ["PlainExchange"]
 
--- a/postspring/entry/router.py
+++ b/postspring/entry/router.py
@@ -1,16 +1,16 @@
 """Finding the owner of a program, and asking it until it answers."""
 
+from collections.abc import Callable
 import dataclasses
 import random
-from collections.abc import Callable
 from typing import Any
 
 from postspring import coordination
+from postspring.entry import slots as slots_module
 from postspring import errors
 from postspring import peers
 from postspring import platform
 from postspring import transport
-from postspring.entry import slots as slots_module
 
 __all__ = ["OwnerRouter"]
 
@@ -82,7 +82,10 @@
         data_center, slot = place
         if data_center == self._data_center:
             state = self._slots.fold.slot_by_number.get(slot)
-            if state is None or state.released:
+            if state is None:
+                # No such slot: this VM's own owner part says so.
+                return self._vm
+            if state.released:
                 return None
             return state.owner
         hint = self._owner_by_slot.get(place)
--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -1,9 +1,9 @@
 """The host of the slot stream: tail, fold, appends, claims and the owner."""
 
-import itertools
-import logging
 from collections.abc import Callable
 from collections.abc import Collection
+import itertools
+import logging
 from typing import Any
 
 from postspring import coordination
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -2,9 +2,9 @@
 
 from typing import Any
 
-import prometheus_client
 from opentelemetry.exporter import prometheus
 from opentelemetry.sdk import metrics as sdk_metrics
+import prometheus_client
 
 __all__ = ["Metrics"]
 
--- a/postspring/ownership/__init__.py
+++ b/postspring/ownership/__init__.py
@@ -1,8 +1,8 @@
 """Ownership: slots, epochs, and the fold that decides by log order."""
 
-from postspring.ownership.assignment import SlotPlan
 from postspring.ownership.assignment import plan_slots
 from postspring.ownership.assignment import preferred_owner
+from postspring.ownership.assignment import SlotPlan
 from postspring.ownership.fold import SlotState
 from postspring.ownership.fold import StreamFold
 from postspring.ownership.records import Abort
@@ -12,8 +12,8 @@
 from postspring.ownership.records import Intent
 from postspring.ownership.records import Release
 from postspring.ownership.records import Reserve
-from postspring.ownership.records import Turn
 from postspring.ownership.records import slot_records
+from postspring.ownership.records import Turn
 from postspring.ownership.verdicts import Verdict
 
 __all__ = [
--- a/postspring/ownership/assignment.py
+++ b/postspring/ownership/assignment.py
@@ -4,9 +4,9 @@
 it is decided by the log.
 """
 
-import dataclasses
 from collections.abc import Collection
 from collections.abc import Mapping
+import dataclasses
 
 import xxhash
 
--- a/postspring/ownership/fold.py
+++ b/postspring/ownership/fold.py
@@ -8,9 +8,9 @@
 from typing import Any
 
 from postspring import budgets
-from postspring import programs
 from postspring.ownership import records
 from postspring.ownership import verdicts
+from postspring import programs
 
 __all__ = ["SlotState", "StreamFold"]
 
--- /dev/null
+++ b/postspring/ownership/tests/test_fold.py
@@ -0,0 +1,307 @@
+"""The fold of a slot stream."""
+
+import unittest
+
+from postspring import ownership
+from postspring import programs
+
+Verdict = ownership.Verdict
+PROGRAM = "p-surco-0-" + "a" * 24
+
+
+class FoldCase(unittest.TestCase):
+    """A fold with one program in slot 0 under epoch 1."""
+
+    def setUp(self):
+        self.fold = ownership.StreamFold(slots=1)
+        self.slot = self.fold.slot_by_number[0]
+        self.sequence = 0
+        self.claim(1, "a1")
+        self.create(PROGRAM)
+        self.program = self.slot.program_by_id[PROGRAM]
+
+    def put(self, record):
+        """Append a record and return the verdict."""
+        return self.fold.apply(self.fold.next_offset, record)
+
+    def claim(self, epoch, incarnation):
+        """Append a claim."""
+        return self.put(
+            ownership.Claim(
+                slot=0, epoch=epoch, owner="vm", incarnation=incarnation
+            )
+        )
+
+    def sequenced(self, record_type, epoch=1, sequence=None, **fields):
+        """Build a sequenced record with the next sequence."""
+        if sequence is None:
+            self.sequence += 1
+            sequence = self.sequence
+        return record_type(slot=0, epoch=epoch, sequence=sequence, **fields)
+
+    def create(self, program, parent=None, budget=1000, **options):
+        """Append a creation."""
+        return self.put(
+            self.sequenced(
+                ownership.Create,
+                program=program,
+                service="agentes",
+                priority=5,
+                budget=budget,
+                parent=parent,
+                **options,
+            )
+        )
+
+    def intent(self, key="k1", step=1, amount=50, **options):
+        """Build an intent."""
+        return self.sequenced(
+            ownership.Intent,
+            program=PROGRAM,
+            step=step,
+            key=key,
+            request_digest=b"r",
+            amount=amount,
+            **options,
+        )
+
+    def turn(self, step=1, parent=b"", answer=b"{}", **options):
+        """Build a turn."""
+        digest = programs.chain_digest(parent, step, b"r", answer)
+        fields = {
+            "slot": 0,
+            "epoch": 1,
+            "program": PROGRAM,
+            "key": f"k{step}",
+        } | options
+        return ownership.Turn(
+            step=step,
+            parent=parent,
+            digest=digest,
+            kind=programs.CallKind.TOOL,
+            target="parts",
+            request_digest=b"r",
+            request=b"{}",
+            answer=answer,
+            **fields,
+        )
+
+
+class ClaimTest(FoldCase):
+    """Slots, epochs and owners."""
+
+    def test_only_the_next_epoch_counts(self):
+        self.assertEqual(Verdict.STALE_EPOCH, self.claim(1, "b1"))
+        self.assertEqual(Verdict.STALE_EPOCH, self.claim(3, "b1"))
+        self.assertEqual(Verdict.COUNTED, self.claim(2, "b1"))
+        self.assertTrue(self.slot.owned_by("b1"))
+        self.assertFalse(self.slot.owned_by("a1"))
+
+    def test_a_record_of_a_former_owner_does_not_count(self):
+        late = self.intent()
+        self.claim(2, "b1")
+        self.assertEqual(Verdict.STALE_EPOCH, self.put(late))
+
+    def test_a_claim_charges_what_the_former_owner_had_reserved(self):
+        self.put(
+            self.sequenced(ownership.Reserve, program=PROGRAM, amount=300)
+        )
+        self.claim(2, "b1")
+        self.assertEqual(300, self.program.account.spent)
+        self.assertEqual(0, self.program.allowance)
+
+    def test_a_release_frees_the_allowance_but_for_lost_attempts(self):
+        self.put(
+            self.sequenced(ownership.Reserve, program=PROGRAM, amount=300)
+        )
+        release = self.sequenced(
+            ownership.Release, charge_by_program={PROGRAM: 20}
+        )
+        self.assertEqual(Verdict.COUNTED, self.put(release))
+        self.assertEqual(20, self.program.account.spent)
+        self.assertEqual(0, self.program.account.reserved)
+        self.assertEqual(Verdict.STALE_EPOCH, self.put(self.intent()))
+
+
+class SequenceTest(FoldCase):
+    """Copies and late arrivals of sequenced records."""
+
+    def test_a_second_copy_does_not_count(self):
+        reserve = self.sequenced(ownership.Reserve, program=PROGRAM, amount=10)
+        self.assertEqual(Verdict.COUNTED, self.put(reserve))
+        self.assertEqual(Verdict.STALE_SEQUENCE, self.put(reserve))
+        self.assertEqual(10, self.program.allowance)
+
+    def test_a_record_that_arrives_after_a_later_one_does_not_count(self):
+        late = self.intent()
+        self.put(self.sequenced(ownership.Reserve, program=PROGRAM, amount=1))
+        self.assertEqual(Verdict.STALE_SEQUENCE, self.put(late))
+
+    def test_a_refused_record_fences_its_copies(self):
+        too_much = self.intent(amount=5000)
+        self.assertEqual(Verdict.OVER_BUDGET, self.put(too_much))
+        self.assertEqual(Verdict.STALE_SEQUENCE, self.put(too_much))
+
+
+class IntentTest(FoldCase):
+    """Calls that may not be repeated."""
+
+    def test_one_open_intent_at_a_time(self):
+        self.assertEqual(Verdict.COUNTED, self.put(self.intent()))
+        self.assertEqual(Verdict.INTENT_OPEN, self.put(self.intent("k2")))
+
+    def test_an_abort_lets_the_key_be_tried_anew(self):
+        intent = self.intent()
+        self.put(intent)
+        abort = self.sequenced(
+            ownership.Abort, program=PROGRAM, intent_sequence=intent.sequence
+        )
+        self.assertEqual(Verdict.COUNTED, self.put(abort))
+        self.assertEqual(0, self.program.account.reserved)
+        self.assertEqual(Verdict.COUNTED, self.put(self.intent()))
+
+    def test_an_abort_of_another_epoch_does_not_count(self):
+        intent = self.intent()
+        self.put(intent)
+        self.claim(2, "b1")
+        abort = self.sequenced(
+            ownership.Abort,
+            epoch=2,
+            sequence=1,
+            program=PROGRAM,
+            intent_sequence=intent.sequence,
+        )
+        self.assertEqual(Verdict.NO_INTENT, self.put(abort))
+
+    def test_an_outcome_closes_its_intent(self):
+        intent = self.intent(amount=50)
+        self.put(intent)
+        outcome = self.turn(
+            intent_epoch=1, intent_sequence=intent.sequence, cost=30
+        )
+        self.assertEqual(Verdict.COUNTED, self.put(outcome))
+        self.assertEqual(30, self.program.account.spent)
+        self.assertIsNone(self.program.open_intent)
+
+    def test_a_former_owner_s_outcome_counts_after_a_claim(self):
+        intent = self.intent()
+        self.put(intent)
+        self.claim(2, "b1")
+        outcome = self.turn(intent_epoch=1, intent_sequence=intent.sequence)
+        self.assertEqual(Verdict.COUNTED, self.put(outcome))
+
+    def test_no_outcome_without_its_intent(self):
+        outcome = self.turn(intent_epoch=1, intent_sequence=99)
+        self.assertEqual(Verdict.NO_INTENT, self.put(outcome))
+
+    def test_no_other_turn_while_an_intent_is_open(self):
+        self.put(self.intent())
+        self.assertEqual(Verdict.NO_INTENT, self.put(self.turn()))
+
+    def test_a_key_is_used_once(self):
+        self.put(self.turn())
+        self.assertEqual(Verdict.KEY_USED, self.put(self.intent("k1", step=2)))
+
+
+class TurnTest(FoldCase):
+    """History."""
+
+    def test_turns_follow_the_head(self):
+        first = self.turn()
+        self.assertEqual(Verdict.COUNTED, self.put(first))
+        gap = self.turn(step=3, parent=first.digest)
+        self.assertEqual(Verdict.NOT_NEXT_STEP, self.put(gap))
+        fork = self.turn(step=2, parent=b"other")
+        self.assertEqual(Verdict.WRONG_PARENT, self.put(fork))
+        second = self.turn(step=2, parent=first.digest)
+        self.assertEqual(Verdict.COUNTED, self.put(second))
+
+    def test_a_copy_is_a_duplicate_and_another_answer_is_not(self):
+        first = self.turn()
+        self.put(first)
+        self.assertEqual(Verdict.DUPLICATE, self.put(first))
+        rival = self.turn(answer=b"[]")
+        self.assertEqual(Verdict.NOT_NEXT_STEP, self.put(rival))
+        self.assertEqual([first], self.program.turns)
+
+    def test_a_turn_that_was_altered_does_not_count(self):
+        import dataclasses
+
+        altered = dataclasses.replace(self.turn(), answer=b"[1]")
+        self.assertEqual(Verdict.WRONG_PARENT, self.put(altered))
+
+    def test_a_turn_counts_whoever_appends_it_under_any_epoch(self):
+        self.claim(2, "b1")
+        self.assertEqual(Verdict.COUNTED, self.put(self.turn(epoch=1)))
+
+    def test_cost_is_charged_once(self):
+        self.put(
+            self.sequenced(ownership.Reserve, program=PROGRAM, amount=100)
+        )
+        turn = self.turn(cost=40)
+        self.put(turn)
+        self.put(turn)
+        account = self.program.account
+        self.assertEqual((40, 60), (account.spent, account.reserved))
+
+    def test_cost_of_an_earlier_epoch_was_charged_by_the_claim(self):
+        self.put(
+            self.sequenced(ownership.Reserve, program=PROGRAM, amount=100)
+        )
+        self.claim(2, "b1")
+        self.put(self.turn(epoch=1, cost=40))
+        self.assertEqual(100, self.program.account.spent)
+
+    def test_a_top_up_that_does_not_fit_is_ignored(self):
+        self.put(self.turn(top_up=5000))
+        self.assertEqual(0, self.program.allowance)
+
+
+class EndTest(FoldCase):
+    """The end of a program."""
+
+    def end(self):
+        """Append the program's end."""
+        return self.put(
+            self.sequenced(
+                ownership.End,
+                program=PROGRAM,
+                reason=programs.EndReason.COMPLETED,
+            )
+        )
+
+    def test_nothing_counts_after_the_end(self):
+        self.assertEqual(Verdict.COUNTED, self.end())
+        self.assertEqual(Verdict.PROGRAM_ENDED, self.put(self.turn()))
+        self.assertEqual(Verdict.PROGRAM_ENDED, self.put(self.intent()))
+
+    def test_sub_agents_end_with_their_parent(self):
+        child = "p-surco-0-" + "b" * 24
+        self.create(child, parent=PROGRAM, budget=None)
+        self.end()
+        ended = self.slot.program_by_id[child]
+        self.assertEqual(programs.EndReason.PARENT_ENDED, ended.end_reason)
+
+    def test_an_open_intent_stays_charged(self):
+        self.put(self.intent(amount=70))
+        self.end()
+        self.assertEqual(70, self.program.account.spent)
+
+
+class BadRecordTest(FoldCase):
+    """What is not a record of this protocol."""
+
+    def test_none_and_unknown_slots(self):
+        self.assertEqual(Verdict.NOT_A_RECORD, self.put(None))
+        claim = ownership.Claim(slot=9, epoch=1, owner="a", incarnation="b")
+        self.assertEqual(Verdict.NOT_A_RECORD, self.put(claim))
+
+    def test_offsets_only_grow(self):
+        with self.assertRaises(ValueError):
+            self.fold.apply(0, None)
+
+    def test_a_creation_key_is_used_once(self):
+        other = "p-surco-0-" + "c" * 24
+        self.create(other, key="once")
+        third = "p-surco-0-" + "d" * 24
+        self.assertEqual(Verdict.KEY_USED, self.create(third, key="once"))
--- a/postspring/peers/__init__.py
+++ b/postspring/peers/__init__.py
@@ -5,9 +5,9 @@
 from postspring.peers.messages import ConfigurationRequest
 from postspring.peers.messages import Heartbeat
 from postspring.peers.messages import HoldTurns
+from postspring.peers.messages import peer_messages
 from postspring.peers.messages import StopAttempt
 from postspring.peers.messages import TurnsHeld
-from postspring.peers.messages import peer_messages
 
 __all__ = [
     "ConfigurationOffer",
--- a/postspring/peers/hub.py
+++ b/postspring/peers/hub.py
@@ -1,13 +1,13 @@
 """All links of a VM: requests and replies, heartbeats, silence."""
 
-import logging
 from collections.abc import Callable
+import logging
 from typing import Any
 
 from postspring import errors
-from postspring import transport
 from postspring.peers import link
 from postspring.peers import messages
+from postspring import transport
 
 __all__ = ["PeerHub"]
 
@@ -287,18 +287,17 @@
             asked.on_reply(message)
 
     def _serve(self, source: link.PeerLink, number: int, message: Any) -> None:
-        if isinstance(message, messages.Heartbeat):
-            self._on_heartbeat(message)
-            source.send(number, True, self._heartbeat())
-            return
-
         def reply(answer: Any) -> None:
             try:
                 source.send(number, True, answer)
             except errors.PeerError:
                 LOG.info("a reply could not be sent: the link is gone")
 
-        self._on_request(source.peer_vm, message, reply)
+        if isinstance(message, messages.Heartbeat):
+            self._on_heartbeat(message)
+            reply(self._heartbeat())
+        else:
+            self._on_request(source.peer_vm, message, reply)
 
     def _time_out(self, number: int) -> None:
         self._fail(number, "timeout")
--- a/postspring/peers/link.py
+++ b/postspring/peers/link.py
@@ -1,8 +1,8 @@
 """One websocket to or from another VM, sans-I/O on the hub's sockets."""
 
+from collections.abc import Callable
 import hmac
 import socket
-from collections.abc import Callable
 from typing import Any
 
 import cbor2
@@ -14,8 +14,8 @@
 from websockets import uri
 
 from postspring import errors
-from postspring import transport
 from postspring.peers import messages
+from postspring import transport
 
 __all__ = ["MAX_MESSAGE_BYTES", "PeerLink"]
 
--- a/postspring/platform/appender.py
+++ b/postspring/platform/appender.py
@@ -4,8 +4,8 @@
 from collections.abc import Hashable
 
 from postspring import errors
-from postspring import transport
 from postspring.platform import log_client
+from postspring import transport
 
 __all__ = ["StreamAppender"]
 
--- a/postspring/platform/log_client.py
+++ b/postspring/platform/log_client.py
@@ -10,9 +10,9 @@
 waiting up to ``S`` seconds for a record to come.
 """
 
+from collections.abc import Callable
 import dataclasses
 import json
-from collections.abc import Callable
 
 import cbor2
 
--- a/postspring/platform/tail.py
+++ b/postspring/platform/tail.py
@@ -1,11 +1,11 @@
 """Following a stream from an offset on."""
 
-import logging
 from collections.abc import Callable
+import logging
 
 from postspring import errors
-from postspring import transport
 from postspring.platform import log_client
+from postspring import transport
 
 __all__ = ["StreamTail"]
 
--- a/postspring/platform/vm_list.py
+++ b/postspring/platform/vm_list.py
@@ -4,10 +4,10 @@
 ``address`` (``ip:port`` of the peer listener) and ``state``.
 """
 
+from collections.abc import Callable
 import enum
 import json
 import logging
-from collections.abc import Callable
 
 import pydantic
 
--- a/postspring/programs/__init__.py
+++ b/postspring/programs/__init__.py
@@ -1,10 +1,10 @@
 """Programs: the aggregate that keeps one program's calls and history."""
 
 from postspring.programs.calls import CallKind
-from postspring.programs.calls import TurnStatus
-from postspring.programs.calls import Usage
 from postspring.programs.calls import chain_digest
 from postspring.programs.calls import request_digest
+from postspring.programs.calls import TurnStatus
+from postspring.programs.calls import Usage
 from postspring.programs.program import EMPTY_DIGEST
 from postspring.programs.program import EndReason
 from postspring.programs.program import Head
--- a/postspring/scheduling/pool.py
+++ b/postspring/scheduling/pool.py
@@ -1,8 +1,8 @@
 """The pool of upstreams: waiting calls on one side, room on the other."""
 
-import dataclasses
 from collections.abc import Hashable
 from collections.abc import Iterator
+import dataclasses
 
 from postspring.scheduling import order
 from postspring.scheduling import placement
--- a/postspring/scheduling/retry_budget.py
+++ b/postspring/scheduling/retry_budget.py
@@ -23,11 +23,10 @@
     Examples
     ========
 
-    >>> budget = RetryBudget(share=0.5, reserve=1)
+    >>> budget = RetryBudget(share=1.0, reserve=1)
     >>> budget.take(), budget.take()
     (True, False)
     >>> budget.deposit()
-    ... budget.deposit()
     >>> budget.take()
     True
     """
--- a/postspring/testing/base.py
+++ b/postspring/testing/base.py
@@ -1,8 +1,8 @@
 """What all stand-ins share: one loop, one HTTP server, faults."""
 
+from collections.abc import Callable
 import json
 import signal
-from collections.abc import Callable
 from typing import Any
 
 from circuits import BaseComponent
--- a/postspring/testing/engine.py
+++ b/postspring/testing/engine.py
@@ -16,9 +16,9 @@
 
 from circuits.net import events
 
-from postspring import web
 from postspring.testing import base
 from postspring.testing import prefix_cache
+from postspring import web
 
 __all__ = ["Engine"]
 
@@ -212,7 +212,7 @@
         data = json.dumps(body).encode()
         generation.request.send(b"data: " + data + b"\n\n")
 
-    # -- reports ----------------------------------------------------------------
+    # -- reports --------------------------------------------------------------
 
     def load(self) -> dict[str, Any]:
         """Return the load report."""
--- a/postspring/testing/platform_service.py
+++ b/postspring/testing/platform_service.py
@@ -23,8 +23,8 @@
 
 import cbor2
 
-from postspring import web
 from postspring.testing import base
+from postspring import web
 
 __all__ = ["PlatformService"]
 
--- a/postspring/testing/services.py
+++ b/postspring/testing/services.py
@@ -9,8 +9,8 @@
 
 from circuits.net import events
 
-from postspring import web
 from postspring.testing import base
+from postspring import web
 
 __all__ = ["PlainService", "ToolService"]
 
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -6,14 +6,14 @@
 one neither spins nor rebuilds the loop's table of handlers.
 """
 
+from collections.abc import Callable
 import errno
 import logging
 import socket
-from collections.abc import Callable
 
-from circuits import handler
 from circuits.core import pollers
 from circuits.core import utils
+from circuits import handler
 from circuits.net import events
 from circuits.net import sockets
 
@@ -97,8 +97,7 @@
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
             sock.close()
-            text = f"connect to {address[0]}:{address[1]}: {errno.errorcode[code]}"
-            error = errors.TransportError(text, sent=False)
+            error = _connect_error(address, errno.errorcode[code])
             self._timers.call_later(0, on_error, error)
             return
         deadline = self._timers.call_later(timeout, self._timed_out, sock)
@@ -274,12 +273,14 @@
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
         sock.close()
-        host, port = connecting.address
-        connecting.on_error(
-            errors.TransportError(
-                f"connect to {host}:{port}: {text}", sent=False
-            )
-        )
+        connecting.on_error(_connect_error(connecting.address, text))
+
+
+def _connect_error(
+    address: tuple[str, int], text: str
+) -> errors.TransportError:
+    host, port = address
+    return errors.TransportError(f"connect to {host}:{port}: {text}", False)
 
 
 class _Connecting:
--- a/postspring/transport/timers.py
+++ b/postspring/transport/timers.py
@@ -1,10 +1,10 @@
 """Timers: call a function later, on the circuits loop."""
 
+from collections.abc import Callable
 import heapq
 import itertools
 import logging
 import time
-from collections.abc import Callable
 
 from circuits import BaseComponent
 from circuits import handler
--- a/postspring/web/routes.py
+++ b/postspring/web/routes.py
@@ -1,8 +1,8 @@
 """Routes of an HTTP interface, filled by decorators."""
 
+from collections.abc import Callable
 import dataclasses
 import re
-from collections.abc import Callable
 
 __all__ = ["Route", "Router"]
 
--- a/postspring/web/server.py
+++ b/postspring/web/server.py
@@ -1,12 +1,12 @@
 """HTTP server: circuits.web with bounds and answers that come later."""
 
+from collections.abc import Callable
 import dataclasses
 import json
 import logging
 import socket
-import urllib.parse
-from collections.abc import Callable
 from typing import Any
+import urllib.parse
 
 from circuits import BaseComponent
 from circuits import handler
@@ -20,6 +20,7 @@
 
 LOG = logging.getLogger(__name__)
 SWEEP_SECONDS = 2.0
+END_OF_HEADERS = b"\r\n\r\n"
 READ_BYTES = 64 * 1024
 
 
@@ -141,6 +142,21 @@
         return self._server.unsent_bytes(self.socket)
 
 
+class _Progress:
+    """What has come of a request that is not whole yet."""
+
+    __slots__ = ("since", "data")
+
+    def __init__(self, since: float):
+        self.since = since
+        self.data = bytearray()
+
+    def beyond(self, body_length: int) -> bytearray:
+        """Return the bytes that follow a request with such a body."""
+        end = self.data.find(END_OF_HEADERS)
+        return self.data[end + len(END_OF_HEADERS) + body_length :]
+
+
 class _QuietServer(servers.BaseServer):
     """circuits.web's server, without its own words and its own shutdown."""
 
@@ -188,7 +204,7 @@
         self._on_too_large = on_too_large
         self._active_by_socket: dict[socket.socket, IncomingRequest] = {}
         self._stash_by_socket: dict[socket.socket, bytearray] = {}
-        self._progress_by_socket: dict[socket.socket, list] = {}
+        self._progress_by_socket: dict[socket.socket, _Progress] = {}
         self._base = _QuietServer(
             bind, display_banner=False, bufsize=READ_BYTES
         ).register(self)
@@ -260,11 +276,12 @@
             if len(stash) > self._limits.body + self._limits.header:
                 self.fire(events.close(sock), "web")
             return
-        progress = self._progress_by_socket.setdefault(
-            sock, [self._timers.now(), 0]
-        )
-        progress[1] += len(data)
-        if progress[1] > self._limits.body + self._limits.header:
+        progress = self._progress_by_socket.get(sock)
+        if progress is None:
+            progress = _Progress(self._timers.now())
+            self._progress_by_socket[sock] = progress
+        progress.data += data
+        if len(progress.data) > self._limits.body + self._limits.header:
             event.stop()
             self._refuse_size(sock)
 
@@ -284,8 +301,16 @@
     def _on_request(self, event, request, response, *peer_certificate):
         event.stop()
         incoming = IncomingRequest(self, request, response)
-        self._progress_by_socket.pop(request.sock, None)
+        progress = self._progress_by_socket.pop(request.sock, None)
         self._active_by_socket[request.sock] = incoming
+        if progress is not None and not incoming.header("Transfer-Encoding"):
+            # circuits.web takes what came in one packet with a request for
+            # a part of its body.
+            length = int(incoming.header("Content-Length", "0"))
+            incoming.body = incoming.body[:length]
+            rest = progress.beyond(length)
+            if rest:
+                self._stash_by_socket[request.sock] = rest
         try:
             self._application(incoming)
         except Exception:
@@ -310,6 +335,6 @@
     def _sweep(self) -> None:
         """Close connections that take too long to send their request."""
         oldest = self._timers.now() - self._limits.request_seconds
-        for sock, (since, _size) in list(self._progress_by_socket.items()):
-            if since < oldest:
+        for sock, progress in list(self._progress_by_socket.items()):
+            if progress.since < oldest:
                 self.fire(events.close(sock), "web")
