--- a/postspring/coordination/__init__.py
+++ b/postspring/coordination/__init__.py
@@ -6,6 +6,7 @@
 from postspring.coordination.effects import Reply
 from postspring.coordination.effects import ReplyTo
 from postspring.coordination.effects import Run
+from postspring.coordination.limits import OwnerLimits
 from postspring.coordination.messages import CallAnswered
 from postspring.coordination.messages import CallProgram
 from postspring.coordination.messages import CreateProgram
@@ -20,7 +21,6 @@
 from postspring.coordination.messages import ProgramView
 from postspring.coordination.messages import ReadProgram
 from postspring.coordination.owner import Owner
-from postspring.coordination.owner import OwnerLimits
 from postspring.coordination.refusals import Ran
 from postspring.coordination.refusals import RefusalReason
 from postspring.coordination.refusals import Refused
--- /dev/null
+++ b/postspring/coordination/attempt_flow.py
@@ -0,0 +1,304 @@
+"""Attempts: from the wait for an upstream to the answer."""
+
+import dataclasses
+import itertools
+from typing import Any
+
+from postspring.coordination import desk
+from postspring.coordination import effects
+from postspring.coordination import messages
+from postspring.coordination import refusals
+from postspring.coordination import runtime
+from postspring.coordination import turns
+from postspring import ownership
+from postspring import programs
+from postspring import scheduling
+
+__all__ = ["AttemptFlow"]
+
+Reason = refusals.RefusalReason
+Ran = refusals.Ran
+CallState = runtime.CallState
+
+
+class AttemptFlow:
+    """Grants attempts, takes their answers, retries what broke.
+
+    Parameters
+    ==========
+
+    shared : OwnerDesk
+        What the parts of an owner share.
+    """
+
+    def __init__(self, shared: desk.OwnerDesk):
+        self._desk = shared
+        self._numbers = itertools.count(1)
+
+    def submit(
+        self, state: runtime.ProgramRuntime, call: runtime.Call, now: float
+    ) -> None:
+        """Let a call that is secured in the log wait for an upstream."""
+        call.enter(CallState.WAITING, now)
+        if call.attempts == 0:
+            self._desk.retry_budget.deposit()
+        self._desk.pool.submit(
+            scheduling.Ticket(
+                key=state.program.id,
+                target=call.message.target,
+                priority=state.program.priority,
+                enqueued_at=now,
+                last_upstream=self._last_upstream(state, call),
+                excluded=call.excluded,
+            )
+        )
+
+    def _last_upstream(
+        self, state: runtime.ProgramRuntime, call: runtime.Call
+    ) -> str:
+        for turn in reversed(state.turns):
+            if turn.target == call.message.target:
+                return turn.upstream
+        return ""
+
+    def assign(self, now: float) -> None:
+        """Grant attempts to the calls that got an upstream."""
+        for assignment in self._desk.pool.assign(now):
+            state = self._desk.runtime_by_program.get(assignment.ticket.key)
+            if state is None or state.active is None:
+                self._desk.pool.release(
+                    assignment.upstream.id, failed=False, now=now
+                )
+                continue
+            self._grant(state, state.active, assignment.upstream, now)
+
+    def _grant(
+        self,
+        state: runtime.ProgramRuntime,
+        call: runtime.Call,
+        upstream: Any,
+        now: float,
+    ) -> None:
+        call.attempt = next(self._numbers)
+        call.attempts += 1
+        call.upstream = upstream.id
+        call.enter(CallState.RUNNING, now)
+        grant = self._build_grant(state, call, upstream)
+        runner = self._choose_runner(call)
+        call.runner = self._desk.vm if runner is None else runner.vm
+        if runner is None:
+            self._desk.effects.append(effects.Run(grant))
+        else:
+            call.waiters.remove(runner)
+            self._desk.reply(runner, grant)
+
+    def _choose_runner(self, call: runtime.Call) -> effects.ReplyTo | None:
+        """Return the waiter that runs the attempt, None for this VM.
+
+        Model answers stream through the VM that has the caller; short
+        answers of tools and services come to the owner.
+        """
+        if call.message.kind is not programs.CallKind.MODEL:
+            return None
+        return call.waiters[0] if call.waiters else None
+
+    def _build_grant(
+        self, state: runtime.ProgramRuntime, call: runtime.Call, upstream: Any
+    ) -> messages.Grant:
+        message = call.message
+        slot = self._desk.slot_of(state.program.id)
+        tip = state.tip
+        epoch, sequence = call.intent or (None, None)
+        fields = self._grant_for_kind(state, message)
+        return messages.Grant(
+            attempt=call.attempt,
+            slot=slot.number,
+            epoch=slot.epoch,
+            program=state.program.id,
+            step=message.step,
+            parent=tip.digest,
+            kind=message.kind,
+            target=message.target,
+            key=message.key,
+            request=message.request,
+            upstream=upstream.id,
+            address=upstream.address,
+            priority=state.program.priority,
+            cost_bound=call.bound,
+            intent_epoch=epoch,
+            intent_sequence=sequence,
+            **fields,
+        )
+
+    def _grant_for_kind(
+        self, state: runtime.ProgramRuntime, message: messages.CallProgram
+    ) -> dict[str, Any]:
+        service = self._desk.configuration.services[state.program.service]
+        if message.kind is programs.CallKind.MODEL:
+            model = self._desk.configuration.models[message.target]
+            return {
+                "prompt": turns.build_prompt(state.turns, message.request),
+                "max_tokens": self._desk.calls.max_tokens(message),
+                "prompt_price": model.prompt_price,
+                "completion_price": model.completion_price,
+                "timeout_ms": int(service.call_timeout_seconds * 1000),
+            }
+        seconds = service.call_timeout_seconds
+        price = 0
+        if message.kind is programs.CallKind.TOOL:
+            tool = self._desk.configuration.tools[message.target]
+            seconds = tool.timeout_seconds
+            price = tool.price
+        return {
+            "prompt": message.request,
+            "max_tokens": 0,
+            "call_price": price,
+            "timeout_ms": int(seconds * 1000),
+        }
+
+    def finish(
+        self, message: messages.FinishAttempt, to: effects.ReplyTo, now: float
+    ) -> None:
+        """Record an attempt's turn, whoever the attempt belongs to."""
+        turn = message.turn
+        slot = self._desk.slot_of(turn.program)
+        state = self._desk.state_of(turn.program)
+        if state is None:
+            return self._desk.reply_not_owner(slot, to)
+        call = self._attempt_of(message.attempt, state)
+        if call is not None:
+            self.forget(call, failed=False, now=now)
+            state.active = None
+            self._desk.turns.commit(
+                state,
+                self._with_top_up(state, call, turn),
+                [to, *call.waiters],
+                now,
+            )
+            return self._desk.calls.advance(state, now)
+        if not self._desk.turns.adopt(state, turn, now):
+            return self._desk.refuse(to, Reason.SUPERSEDED, ran=Ran.UNKNOWN)
+        self._desk.turns.answer(state, turn, to)
+
+    def _with_top_up(
+        self,
+        state: runtime.ProgramRuntime,
+        call: runtime.Call,
+        turn: ownership.Turn,
+    ) -> ownership.Turn:
+        """Return the turn with money reserved ahead for the next call."""
+        if call.intent is not None:
+            return turn
+        left = state.spendable - turn.cost
+        top_up = max(0, 2 * call.bound - left)
+        fits = state.program.account.fits(top_up)
+        return dataclasses.replace(turn, top_up=top_up if fits else 0)
+
+    def lose(
+        self, message: messages.LoseAttempt, to: effects.ReplyTo, now: float
+    ) -> None:
+        """Take note that an attempt broke."""
+        state = self._desk.state_of(message.program)
+        if state is None:
+            slot = self._desk.slot_of(message.program)
+            return self._desk.reply_not_owner(slot, to)
+        call = self._attempt_of(message.attempt, state)
+        if call is None:
+            turn = state.turn_at(message.step)
+            if turn is not None:
+                return self._desk.turns.answer(state, turn, to)
+            return self._desk.refuse(to, Reason.SUPERSEDED, ran=Ran.UNKNOWN)
+        call.waiters.insert(0, to)
+        self.attempt_lost(state, call, message.sent, "upstream_failed", now)
+
+    def attempt_lost(
+        self,
+        state: runtime.ProgramRuntime,
+        call: runtime.Call,
+        sent: bool,
+        reason: str,
+        now: float,
+    ) -> None:
+        """Retry a broken attempt, or answer that its outcome is unknown."""
+        self.forget(call, failed=reason != "peer_lost", now=now)
+        call.excluded = call.excluded | {call.upstream}
+        if call.intent is not None and sent:
+            return self._outcome_unknown(state, call, now)
+        call.enter(CallState.QUEUED, now)
+        if sent:
+            call.may_have_run = True
+            state.lost_cost += call.bound
+        if not call.waiters and call.intent is None:
+            state.active = None
+            return self._desk.calls.advance(state, now)
+        if not self._may_retry(state, call, now):
+            if call.intent is not None:
+                self.append_abort(state, call)
+            return self._desk.drop(state, call, Reason.UPSTREAM_FAILED)
+        self._desk.retries_by_reason[reason] += 1
+        short = call.bound - state.spendable
+        if call.intent is not None or short <= 0:
+            return self.submit(state, call, now)
+        self._desk.calls.log_reserve(state, call, short, now)
+
+    def _may_retry(
+        self, state: runtime.ProgramRuntime, call: runtime.Call, now: float
+    ) -> bool:
+        if (
+            call.attempts >= self._desk.limits.max_attempts
+            or now >= call.deadline
+        ):
+            return False
+        if not self._desk.pool.usable(call.message.target, now):
+            return False
+        others = [
+            upstream
+            for upstream in self._desk.pool.upstream_by_id.values()
+            if call.message.target in upstream.serves
+            and upstream.id not in call.excluded
+        ]
+        if not others:
+            call.excluded = frozenset()
+        return self._desk.retry_budget.take()
+
+    def _outcome_unknown(
+        self, state: runtime.ProgramRuntime, call: runtime.Call, now: float
+    ) -> None:
+        slot = self._desk.slot_of(state.program.id)
+        if state.program.open_intent is None:
+            return self._desk.drop(state, call, Reason.SUPERSEDED)
+        turn = turns.abandoned_intent_turn(
+            slot, state.program, call.message.request
+        )
+        turn = dataclasses.replace(
+            turn,
+            kind=call.message.kind,
+            target=call.message.target,
+            upstream=call.upstream,
+        )
+        state.active = None
+        self._desk.turns.commit(state, turn, call.waiters, now)
+        self._desk.calls.advance(state, now)
+
+    def append_abort(
+        self, state: runtime.ProgramRuntime, call: runtime.Call
+    ) -> None:
+        """Promise in the log that an intent is never dispatched."""
+        self._desk.append(
+            ownership.Abort,
+            self._desk.slot_of(state.program.id).number,
+            program=state.program.id,
+            intent_sequence=call.intent[1],
+        )
+
+    def _attempt_of(
+        self, attempt: int, state: runtime.ProgramRuntime
+    ) -> runtime.Call | None:
+        call = state.active
+        if call is None or call.attempt != attempt:
+            return None
+        return call if call.state is CallState.RUNNING else None
+
+    def forget(self, call: runtime.Call, *, failed: bool, now: float) -> None:
+        """Give back the room that an attempt took."""
+        self._desk.pool.release(call.upstream, failed=failed, now=now)
--- /dev/null
+++ b/postspring/coordination/desk.py
@@ -0,0 +1,186 @@
+"""What the parts of an owner share: state, replies, appends."""
+
+import collections
+from collections.abc import Callable
+import functools
+from typing import Any
+
+from postspring import configuration
+from postspring.coordination import effects
+from postspring.coordination import limits
+from postspring.coordination import messages
+from postspring.coordination import refusals
+from postspring.coordination import runtime
+from postspring import identifiers
+from postspring import ownership
+from postspring import scheduling
+
+__all__ = ["OwnerDesk"]
+
+Reason = refusals.RefusalReason
+Ran = refusals.Ran
+
+
+class OwnerDesk:
+    """State and helpers that the parts of one owner share.
+
+    Explanation
+    ===========
+
+    Whatever the owner wants done is added to ``effects``; its host takes
+    them from there.
+
+    Parameters
+    ==========
+
+    vm, incarnation : str
+        This VM, and this start of it.
+    data_center : str
+        The data centre whose slots these are.
+    fold : StreamFold
+        The slots as the log tells them.
+    pool : UpstreamPool
+        Upstreams and the calls that wait for them.
+    bounds : OwnerLimits
+        Bounds and delays.
+    """
+
+    def __init__(
+        self,
+        vm: str,
+        incarnation: str,
+        data_center: str,
+        fold: ownership.StreamFold,
+        pool: scheduling.UpstreamPool,
+        bounds: limits.OwnerLimits,
+    ):
+        self.vm = vm
+        self.incarnation = incarnation
+        self.data_center = data_center
+        self.fold = fold
+        self.pool = pool
+        self.limits = bounds
+        self.configuration = configuration.Configuration()
+        self.log_up = True
+        self.held_bytes = 0
+        self.retry_budget = scheduling.RetryBudget()
+        self.retries_by_reason: collections.Counter = collections.Counter()
+        self.effects: list[effects.Effect] = []
+        self.runtime_by_program: dict[str, runtime.ProgramRuntime] = {}
+        self.claimed_at_by_slot: dict[int, float] = {}
+        self.on_verdict_by_identity: dict[tuple, Callable] = {}
+        self.sequence_by_slot: dict[int, tuple[int, int]] = {}
+        # The parts find each other here; the owner sets them.
+        self.calls: Any = None
+        self.attempts: Any = None
+        self.turns: Any = None
+
+    def slot_of(self, program_id: str) -> ownership.SlotState:
+        """Return the slot that a program's id names."""
+        address = identifiers.parse_program_id(program_id)
+        return self.fold.slot_by_number[address.slot]
+
+    def owns(self, slot: ownership.SlotState | None) -> bool:
+        """Return whether this VM incarnation owns the slot now."""
+        return slot is not None and slot.owned_by(self.incarnation)
+
+    def state_of(self, program_id: str) -> runtime.ProgramRuntime | None:
+        """Return the runtime of a program in a slot owned here, or None."""
+        slot = self.slot_of(program_id)
+        program = slot.program_by_id.get(program_id)
+        if not self.owns(slot) or program is None:
+            return None
+        state = self.runtime_by_program.get(program_id)
+        if state is None:
+            state = runtime.ProgramRuntime(program)
+            self.runtime_by_program[program_id] = state
+        return state
+
+    def find(
+        self, program_id: str, to: effects.ReplyTo
+    ) -> runtime.ProgramRuntime | None:
+        """Return a program's runtime, or refuse and return None."""
+        address = identifiers.parse_program_id(program_id)
+        slot = self.fold.slot_by_number.get(address.slot)
+        if slot is None or address.data_center != self.data_center:
+            self.refuse(to, Reason.UNKNOWN_PROGRAM)
+            return None
+        if not self.owns(slot):
+            self.reply_not_owner(slot, to)
+            return None
+        if program_id not in slot.program_by_id:
+            self.refuse(to, Reason.UNKNOWN_PROGRAM)
+            return None
+        return self.state_of(program_id)
+
+    def append(
+        self, record_type: type, slot_number: int, **fields: Any
+    ) -> Any:
+        """Append a sequenced record of a slot that is owned here."""
+        slot = self.fold.slot_by_number[slot_number]
+        epoch, last = self.sequence_by_slot.get(slot_number, (0, 0))
+        if epoch != slot.epoch:
+            last = 0
+        sequence = max(last, slot.sequence) + 1
+        self.sequence_by_slot[slot_number] = (slot.epoch, sequence)
+        record = record_type(
+            slot=slot_number, epoch=slot.epoch, sequence=sequence, **fields
+        )
+        self.effects.append(effects.Append(record))
+        return record
+
+    def on_verdict(
+        self, record: Any, function: Callable, *arguments: Any
+    ) -> None:
+        """Call ``function(*arguments, verdict, now)`` once it is judged."""
+        callback = functools.partial(function, *arguments)
+        self.on_verdict_by_identity[record.identity] = callback
+
+    def reply(self, to: effects.ReplyTo, message: Any) -> None:
+        """Answer a request."""
+        self.effects.append(effects.Reply(to, message))
+
+    def reply_not_owner(
+        self, slot: ownership.SlotState | None, to: effects.ReplyTo
+    ) -> None:
+        """Send whoever asked to the owner of a slot."""
+        owner = None if slot is None or slot.released else slot.owner
+        self.reply(to, messages.NotOwner(owner=owner))
+
+    def refuse(
+        self,
+        to: effects.ReplyTo,
+        reason: Reason,
+        ran: Ran = Ran.NOT_RUN,
+        retry_after_ms: int | None = None,
+        detail: str = "",
+    ) -> None:
+        """Refuse a request."""
+        self.reply(
+            to,
+            refusals.Refused(
+                reason=reason,
+                ran=ran,
+                retry_after_ms=retry_after_ms,
+                detail=detail,
+            ),
+        )
+
+    def refuse_log(self, to: effects.ReplyTo) -> None:
+        """Refuse a request because the log is out."""
+        reason = Reason.LOG_UNAVAILABLE
+        self.refuse(to, reason, retry_after_ms=limits.retry_for(reason))
+
+    def refuse_all(self, call: runtime.Call, reason: Reason) -> None:
+        """Refuse a call to all who wait for it."""
+        waiters = call.waiters
+        call.waiters = []
+        for to in waiters:
+            self.refuse(to, reason, call.ran, limits.retry_for(reason))
+
+    def drop(
+        self, state: runtime.ProgramRuntime, call: runtime.Call, reason: Reason
+    ) -> None:
+        """Give up the active call: it will not be dispatched again."""
+        state.active = None
+        self.refuse_all(call, reason)
--- /dev/null
+++ b/postspring/coordination/lifecycle.py
@@ -0,0 +1,218 @@
+"""Programs at their owner: creation, reading, the end."""
+
+from postspring import configuration
+from postspring.coordination import desk
+from postspring.coordination import effects
+from postspring.coordination import messages
+from postspring.coordination import refusals
+from postspring.coordination import runtime
+from postspring import identifiers
+from postspring import ownership
+from postspring import programs
+
+__all__ = ["ProgramLifecycle"]
+
+Reason = refusals.RefusalReason
+Verdict = ownership.Verdict
+CallState = runtime.CallState
+
+
+class ProgramLifecycle:
+    """Creates, reads and ends programs.
+
+    Parameters
+    ==========
+
+    shared : OwnerDesk
+        What the parts of an owner share.
+    """
+
+    def __init__(self, shared: desk.OwnerDesk):
+        self._desk = shared
+
+    def create(
+        self, message: messages.CreateProgram, to: effects.ReplyTo, now: float
+    ) -> None:
+        """Create a program, once for each key."""
+        slot = self._desk.fold.slot_by_number.get(message.slot)
+        if not self._desk.owns(slot):
+            return self._desk.reply_not_owner(slot, to)
+        known = slot.program_by_create_key.get(message.key)
+        if message.key and known is not None:
+            return self._desk.reply(to, messages.ProgramCreated(program=known))
+        service = self._desk.configuration.services.get(message.service)
+        fault = self._creation_fault(slot, message, service)
+        if fault is not None:
+            return self._desk.refuse(to, fault)
+        if not self._desk.log_up:
+            return self._desk.refuse_log(to)
+        budget = message.budget
+        if budget is None and message.parent is None:
+            budget = service.default_budget
+        priority = message.priority
+        if priority is None:
+            priority = service.priority
+        record = self._desk.append(
+            ownership.Create,
+            message.slot,
+            program=identifiers.new_program_id(
+                self._desk.data_center, message.slot
+            ),
+            service=message.service,
+            priority=priority,
+            budget=budget,
+            parent=message.parent,
+            key=message.key,
+        )
+        self._desk.on_verdict(record, self._created, record, to)
+
+    def _creation_fault(
+        self,
+        slot: ownership.SlotState,
+        message: messages.CreateProgram,
+        service: configuration.Service | None,
+    ) -> Reason | None:
+        if service is None:
+            return Reason.UNKNOWN_SERVICE
+        if message.budget is not None and message.budget > service.max_budget:
+            return Reason.BUDGET_TOO_LARGE
+        if message.parent is None:
+            return None
+        parent = slot.program_by_id.get(message.parent)
+        if parent is None:
+            return Reason.UNKNOWN_PROGRAM
+        return None if parent.live else Reason.PROGRAM_ENDED
+
+    def _created(
+        self,
+        record: ownership.Create,
+        to: effects.ReplyTo,
+        verdict: Verdict,
+        now: float,
+    ) -> None:
+        slot = self._desk.fold.slot_by_number[record.slot]
+        if verdict.counted:
+            created = messages.ProgramCreated(program=record.program)
+            self._desk.reply(to, created)
+        elif verdict is Verdict.KEY_USED:
+            known = slot.program_by_create_key[record.key]
+            self._desk.reply(to, messages.ProgramCreated(program=known))
+        elif verdict is Verdict.PROGRAM_ENDED:
+            self._desk.refuse(to, Reason.PROGRAM_ENDED)
+        else:
+            self._desk.reply_not_owner(slot, to)
+
+    def read(
+        self, message: messages.ReadProgram, to: effects.ReplyTo, now: float
+    ) -> None:
+        """Answer with a program's state and a page of its turns."""
+        found = self._desk.find(message.program, to)
+        if found is not None:
+            self._desk.reply(to, self._view(found, message))
+
+    def _view(
+        self, state: runtime.ProgramRuntime, message: messages.ReadProgram
+    ) -> messages.ProgramView:
+        program = state.program
+        slot = self._desk.slot_of(program.id)
+        first = max(message.from_step, 1) - 1
+        page = state.turns[first : first + max(message.limit, 0)]
+        return messages.ProgramView(
+            program=program.id,
+            service=program.service,
+            priority=program.priority,
+            parent=program.parent,
+            status=program.status,
+            end_reason=program.end_reason,
+            owner=self._desk.vm,
+            epoch=slot.epoch,
+            step=state.tip.step,
+            digest=state.tip.digest,
+            budget=program.account.limit,
+            spent=program.account.spent,
+            reserved=program.account.reserved,
+            held_turns=len(state.pending),
+            open_intent=program.open_intent is not None,
+            children=tuple(program.children),
+            turns=tuple(page),
+        )
+
+    def end(
+        self, message: messages.EndProgram, to: effects.ReplyTo, now: float
+    ) -> None:
+        """End a program and its sub-agents."""
+        found = self._desk.find(message.program, to)
+        if found is None:
+            return
+        program = found.program
+        if not program.live:
+            ended = messages.ProgramEnded(
+                program=program.id, spent=program.account.spent
+            )
+            return self._desk.reply(to, ended)
+        if not self._desk.log_up:
+            return self._desk.refuse_log(to)
+        self.append_end(found, message.reason, to)
+
+    def append_end(
+        self,
+        state: runtime.ProgramRuntime,
+        reason: programs.EndReason,
+        to: effects.ReplyTo | None,
+    ) -> None:
+        """Stop all calls of a program and append its end."""
+        slot = self._desk.slot_of(state.program.id)
+        for member in slot.tree(state.program.id):
+            self._cancel_calls(member.id)
+        record = self._desk.append(
+            ownership.End,
+            slot.number,
+            program=state.program.id,
+            reason=reason,
+            charge=state.lost_cost,
+        )
+        self._desk.on_verdict(record, self._ended, record, to)
+
+    def _ended(
+        self,
+        record: ownership.End,
+        to: effects.ReplyTo | None,
+        verdict: Verdict,
+        now: float,
+    ) -> None:
+        slot = self._desk.fold.slot_by_number[record.slot]
+        if to is None:
+            return
+        if verdict.counted or verdict is Verdict.PROGRAM_ENDED:
+            account = slot.program_by_id[record.program].account
+            ended = messages.ProgramEnded(
+                program=record.program, spent=account.spent
+            )
+            self._desk.reply(to, ended)
+        else:
+            self._desk.reply_not_owner(slot, to)
+
+    def _cancel_calls(self, program_id: str) -> None:
+        """Stop every call of a program that is about to end."""
+        state = self._desk.runtime_by_program.get(program_id)
+        if state is None:
+            return
+        for call in state.queue_by_step.values():
+            self._desk.refuse_all(call, Reason.PROGRAM_ENDED)
+        state.queue_by_step.clear()
+        call = state.active
+        if call is None:
+            return
+        if call.state is CallState.RUNNING:
+            self._desk.effects.append(
+                effects.CancelAttempt(call.runner, program_id, call.attempt)
+            )
+            self._desk.attempts.forget(call, failed=False, now=0.0)
+            if call.intent is None:
+                state.lost_cost += call.bound
+            self._desk.refuse_all(call, Reason.PROGRAM_ENDED)
+        else:
+            self._desk.pool.withdraw(call.message.target, program_id)
+            call.abandoned = True
+            self._desk.refuse_all(call, Reason.PROGRAM_ENDED)
+        state.active = None
--- a/postspring/coordination/runtime.py
+++ b/postspring/coordination/runtime.py
@@ -59,6 +59,11 @@
     abandoned: bool = False
     may_have_run: bool = False
 
+    def enter(self, state: CallState, now: float) -> None:
+        """Go on to another state."""
+        self.state = state
+        self.state_since = now
+
     @property
     def ran(self) -> refusals.Ran:
         """What may be said of the call if it is refused now."""
--- a/postspring/coordination/tests/harness.py
+++ b/postspring/coordination/tests/harness.py
@@ -77,7 +77,7 @@
         self.owner = coordination.Owner(
             "vm-1", "vm-1.1", "surco", self.fold, self.pool, limits
         )
-        self.owner.configuration = CONFIGURATION
+        self.owner.reconfigure(CONFIGURATION)
         self.now = 100.0
         self.unlogged = []
         self.replies = {}
@@ -98,9 +98,9 @@
             "surco",
             self.fold,
             self.pool,
-            self.owner.limits,
+            self.owner.bounds,
         )
-        self.owner.configuration = CONFIGURATION
+        self.owner.reconfigure(CONFIGURATION)
         self.unlogged.clear()
         epoch = self.fold.slot_by_number[0].epoch + 1
         self.put(
--- a/postspring/entry/node.py
+++ b/postspring/entry/node.py
@@ -322,7 +322,7 @@
 
     def _configuration_changed(self) -> None:
         in_force = self.configuration.state.configuration
-        self.slots.owner.configuration = in_force
+        self.slots.owner.reconfigure(in_force)
         self.pool.replace_upstreams(
             [
                 upstreams.UpstreamState(
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -287,7 +287,7 @@
                 samples[labels] = float(value)
         return samples
 
-    # -- building ---------------------------------------------------------------
+    # -- building -------------------------------------------------------------
 
     def _build(self, data_centers, engines, tools, plain) -> dict[str, Any]:
         for data_center, count in data_centers.items():
