--- a/postspring/coordination/desk.py
+++ b/postspring/coordination/desk.py
@@ -71,6 +71,7 @@
         self.on_verdict_by_identity: dict[tuple, Callable] = {}
         self.sequence_by_slot: dict[int, tuple[int, int]] = {}
         # The parts find each other here; the owner sets them.
+        self.lifecycle: Any = None
         self.calls: Any = None
         self.attempts: Any = None
         self.turns: Any = None
--- a/postspring/coordination/owner.py
+++ b/postspring/coordination/owner.py
@@ -67,6 +67,7 @@
         self._calls = call_flow.CallFlow(self._desk)
         self._attempts = attempt_flow.AttemptFlow(self._desk)
         self._turns = turn_flow.TurnFlow(self._desk)
+        self._desk.lifecycle = self._lifecycle
         self._desk.calls = self._calls
         self._desk.attempts = self._attempts
         self._desk.turns = self._turns
