--- a/postspring/coordination/owner.py
+++ b/postspring/coordination/owner.py
@@ -202,6 +202,11 @@
         """Bytes of turns that are not in the log yet."""
         return self._desk.held_bytes
 
+    @property
+    def busy(self) -> bool:
+        """Whether :meth:`tick` has anything to do."""
+        return bool(self._desk.runtime_by_program)
+
     @property
     def busy_calls(self) -> int:
         """Number of calls that are queued, active or pending here."""
--- a/postspring/daemon/settings.py
+++ b/postspring/daemon/settings.py
@@ -94,7 +94,7 @@
     slots: Annotated[int, pydantic.Field(ge=1, le=65536)] = 16
     batch_delay: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
     hold_after: Seconds = 1.0
-    peer_interval: Seconds = 0.3
+    peer_interval: Seconds = 0.5
     peer_silence: Seconds = 1.5
     drain: Seconds = 600.0
     placement: Annotated[str, pydantic.AfterValidator(_check_placement)] = (
--- a/postspring/entry/node.py
+++ b/postspring/entry/node.py
@@ -7,6 +7,7 @@
 from typing import Any
 
 from circuits import BaseComponent
+from circuits.core import pollers
 from circuits import handler
 
 from postspring import coordination
@@ -69,6 +70,8 @@
         self._drain_deadline = 0.0
         self._idle_since = 0.0
         self.meters = metrics.Metrics()
+        # circuits would take select(), which ends at 1024 descriptors.
+        pollers.EPoll().register(self)
         self.timers = transport.Timers().register(self)
         self._sockets = transport.SocketHub(
             self.timers, channel="outbound"
--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -108,21 +108,20 @@
         self._append_up = True
         self._tail_up = False
         self._retries_reported: dict[str, int] = {}
-        self._tickers: list[transport.TimerHandle] = []
+        self._planner: transport.TimerHandle | None = None
+        self._ticker: transport.TimerHandle | None = None
+        self._planned: tuple = ()
 
     def start(self) -> None:
         """Begin to follow the stream."""
         self.owner.log_up = False
         self.tail.start()
-        self._tickers = [
-            self._timers.call_every(TICK_SECONDS, self._tick),
-            self._timers.call_every(PLAN_SECONDS, self._plan),
-        ]
+        self._planner = self._timers.call_every(PLAN_SECONDS, self._plan)
 
     def close(self) -> None:
         """Stop following it."""
-        for ticker in self._tickers:
-            ticker.cancel()
+        if self._planner is not None:
+            self._planner.cancel()
         self.tail.close()
 
     @property
@@ -187,6 +186,8 @@
             for effect in taken:
                 self._carry_out_one(effect)
         self._report_retries()
+        if self.owner.busy and self._ticker is None:
+            self._ticker = self._timers.call_later(TICK_SECONDS, self._tick)
 
     def _carry_out_one(self, effect: coordination.Effect) -> None:
         if isinstance(effect, coordination.Append):
@@ -279,6 +280,7 @@
     # -- ticks ----------------------------------------------------------------
 
     def _tick(self) -> None:
+        self._ticker = None
         self.owner.tick(self._timers.now())
         self._carry_out()
 
@@ -287,9 +289,14 @@
         if not self.tail.caught_up or not self.log_up:
             return
         alive = self._alive()
+        seen = (self.fold.next_offset, tuple(alive))
+        if seen == self._planned:
+            return
         plan = ownership.plan_slots(
             self.fold, self.vm, self.incarnation, alive
         )
+        if not plan.claim and not plan.hand_over:
+            self._planned = seen
         for slot in plan.claim[:MAX_CLAIMS_AT_ONCE]:
             self._claim(slot)
         for slot, successor in plan.hand_over.items():
--- /dev/null
+++ b/postspring/measuring/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements that back the documents' figures; see ``bin/measure``."""
--- a/postspring/peers/tests/test_hub.py
+++ b/postspring/peers/tests/test_hub.py
@@ -4,6 +4,7 @@
 
 import cbor2
 from circuits import BaseComponent
+from circuits.core import pollers
 from websockets import client
 from websockets import uri
 
@@ -20,6 +21,7 @@
         self.name = name
         self.address = ("127.0.0.1", processes.free_port())
         self.root = BaseComponent()
+        pollers.EPoll().register(self.root)
         self.timers = transport.Timers().register(self.root)
         self.requests = []
         self.lost = []
--- a/postspring/platform/vm_list.py
+++ b/postspring/platform/vm_list.py
@@ -16,7 +16,7 @@
 __all__ = ["VmEntry", "VmList", "VmState"]
 
 LOG = logging.getLogger(__name__)
-POLL_SECONDS = 0.5
+POLL_SECONDS = 1.0
 
 
 class VmState(enum.StrEnum):
--- a/postspring/testing/base.py
+++ b/postspring/testing/base.py
@@ -6,6 +6,7 @@
 from typing import Any
 
 from circuits import BaseComponent
+from circuits.core import pollers
 from circuits import handler
 
 from postspring import transport
@@ -37,6 +38,7 @@
     def __init__(self, bind: tuple[str, int]):
         super().__init__()
         self.faults: dict[str, Any] = {}
+        pollers.EPoll().register(self)
         self.timers = transport.Timers().register(self)
         limits = web.WebLimits(body=64 * 1024 * 1024)
         self.web = web.WebServer(
--- a/postspring/transport/tests/test_http_client.py
+++ b/postspring/transport/tests/test_http_client.py
@@ -5,6 +5,7 @@
 import unittest
 
 from circuits import BaseComponent
+from circuits.core import pollers
 
 from postspring import transport
 
@@ -45,6 +46,7 @@
 
     def setUp(self):
         self.root = BaseComponent()
+        pollers.EPoll().register(self.root)
         self.timers = transport.Timers().register(self.root)
         self.hub = transport.SocketHub(self.timers).register(self.root)
         self.http = transport.HttpClient(self.hub, self.timers)
