Query and command language, from the command line to every VM

Ruled out: asking one VM's memory for all programs, since each VM knows only the slots it owns in full.

--- a/postspring/client/__init__.py
+++ b/postspring/client/__init__.py
@@ -1,5 +1,6 @@
 """Client: what a caller's program uses, blocking and without a loop."""
 
+from postspring.client.commander import Commander
 from postspring.client.connection import Answer
 from postspring.client.connection import EntryClient
 from postspring.client.connection import RefusedError
@@ -7,15 +8,14 @@
 from postspring.client.program import CallResult
 from postspring.client.program import ProgramClient
 from postspring.client.publisher import ConfigurationPublisher
-from postspring.client.publisher import PublishConflictError
 
 __all__ = [
     "Answer",
     "CallResult",
+    "Commander",
     "ConfigurationPublisher",
     "EntryClient",
     "ProgramClient",
-    "PublishConflictError",
     "RefusedError",
     "UnreachableError",
 ]
--- a/postspring/client/publisher.py
+++ b/postspring/client/publisher.py
@@ -9,16 +9,12 @@
 from postspring import configuration
 from postspring import errors
 
-__all__ = ["ConfigurationPublisher", "PublishConflictError"]
+__all__ = ["ConfigurationPublisher"]
 
 STREAM_PATH = "/streams/configuration"
 PAGE_RECORDS = 1000
 
 
-class PublishConflictError(errors.ConfigurationError):
-    """Another change was published first; the text names its version."""
-
-
 class ConfigurationPublisher:
     """Reads and publishes configuration on the platform's log.
 
@@ -106,7 +102,7 @@
         fold = self.read()
         if fold.counted_change(change_id):
             return version
-        raise PublishConflictError(
+        raise configuration.PublishConflictError(
             f"not published: version {fold.state.version} by "
             f"{fold.state.author or 'somebody'} is in force; "
             "look at it and publish against it"
--- /dev/null
+++ b/postspring/command/tests/test_language.py
@@ -0,0 +1,136 @@
+"""The query and command language."""
+
+import unittest
+
+import hypothesis
+from hypothesis import strategies
+
+from postspring import command
+from postspring.entry import configuration_edits
+from postspring import errors
+
+FIELDS = ("id", "service", "spent", "parent")
+ROWS = [
+    {"id": "a", "service": "triage", "spent": 5, "parent": None},
+    {"id": "b", "service": "triage", "spent": 9, "parent": "a"},
+    {"id": "c", "service": "advisor", "spent": 2, "parent": None},
+]
+
+
+def show(text, rows=ROWS):
+    """Return the rows of a query's answer."""
+    return command.evaluate(command.parse(text), rows, FIELDS).rows
+
+
+class QueryTest(unittest.TestCase):
+    """Filter, group, order and limit."""
+
+    def test_where_order_and_limit(self):
+        text = (
+            "show programs (id) where spent >= 2 order by spent desc limit 2"
+        )
+        self.assertEqual((("b",), ("a",)), show(text))
+
+    def test_comparisons(self):
+        for condition, expected in (
+            ('service = "triage"', "ab"),
+            ("service != triage", "c"),
+            ("service ~ adv", "c"),
+            ("parent = null", "ac"),
+            ("spent < 6 and service = triage", "a"),
+            ("id > 3", ""),
+        ):
+            with self.subTest(condition=condition):
+                rows = show(f"show programs (id) where {condition}")
+                self.assertEqual(expected, "".join(row[0] for row in rows))
+
+    def test_aggregates(self):
+        text = (
+            "show programs (service, count, sum(spent), max(spent)) "
+            "by service order by sum(spent)"
+        )
+        self.assertEqual(
+            (("advisor", 1, 2, 2), ("triage", 2, 14, 9)), show(text)
+        )
+
+    def test_aggregates_of_nothing(self):
+        text = "show programs (count, avg(spent))"
+        self.assertEqual(((0, None),), show(text, []))
+
+    def test_faults(self):
+        for text in (
+            "show programs (colour)",
+            "show programs where colour = 1",
+            "show programs order by colour",
+            "show programs (id, count)",
+        ):
+            with self.subTest(text=text):
+                with self.assertRaises(errors.CommandError):
+                    show(text)
+
+
+class GrammarTest(unittest.TestCase):
+    """Texts that are refused."""
+
+    def test_errors_point_at_the_column(self):
+        with self.assertRaises(errors.CommandError) as caught:
+            command.parse("show programs wher spent > 3")
+        message = str(caught.exception)
+        self.assertIn("column 15", message)
+        self.assertEqual(" " * 14 + "^", message.splitlines()[-1])
+
+    @hypothesis.given(strategies.text(max_size=60))
+    def test_any_text_is_a_statement_or_a_command_error(self, text):
+        try:
+            parsed = command.parse(text)
+        except errors.CommandError as error:
+            self.assertTrue(str(error))
+        else:
+            self.assertIsInstance(parsed, command.Statement)
+
+
+class FormatTest(unittest.TestCase):
+    """Tables, JSON and CSV."""
+
+    TABLE = command.Table(("id", "n"), (("a", None), ("b,c", 2)), ("vm-3",))
+
+    def test_unreachable_vms_are_named(self):
+        self.assertIn("vm-3", command.format_table(self.TABLE, "table"))
+        self.assertIn("vm-3", command.format_table(self.TABLE, "json"))
+
+    def test_csv_quotes(self):
+        text = command.format_table(self.TABLE, "csv")
+        self.assertEqual('id,n\na,-\n"b,c",2', text)
+
+    def test_unknown_formats(self):
+        with self.assertRaises(errors.ConfigurationError):
+            command.format_table(self.TABLE, "yaml")
+
+
+class EditTest(unittest.TestCase):
+    """Changes as edits of the configuration."""
+
+    def edit(self, text, document=b'{"upstreams": {"e": {}}}'):
+        """Return the edited document."""
+        return configuration_edits.edit(document, command.parse(text))
+
+    def test_drain_and_return(self):
+        drained = self.edit("drain upstream e")
+        self.assertIn(b'"draining": true', drained)
+        back = self.edit("return upstream e", drained)
+        self.assertIn(b'"draining": false', back)
+
+    def test_a_new_service(self):
+        text = 'set service triage models = "m1,m2"'
+        self.assertIn(b'{"models": ["m1", "m2"]}', self.edit(text))
+
+    def test_an_upstream_that_is_not_there(self):
+        for text in ("drain upstream x", "set upstream x concurrency = 1"):
+            with self.assertRaises(errors.CommandError):
+                self.edit(text)
+
+    def test_declaring_a_data_centre_lost(self):
+        lost = self.edit("declare data_center rimac lost")
+        self.assertIn(b'["rimac"]', lost)
+        back = self.edit("declare data_center rimac back", lost)
+        self.assertIn(b'"lost_data_centers": []', back)
--- a/postspring/configuration/__init__.py
+++ b/postspring/configuration/__init__.py
@@ -4,6 +4,7 @@
 from postspring.configuration.fold import ConfigurationFold
 from postspring.configuration.fold import ConfigurationState
 from postspring.configuration.fold import Publish
+from postspring.configuration.fold import PublishConflictError
 from postspring.configuration.fold import PublishVerdict
 from postspring.configuration.schema import Configuration
 from postspring.configuration.schema import Model
@@ -20,6 +21,7 @@
     "ConfigurationState",
     "Model",
     "Publish",
+    "PublishConflictError",
     "PublishVerdict",
     "Service",
     "Tool",
--- a/postspring/configuration/fold.py
+++ b/postspring/configuration/fold.py
@@ -12,6 +12,7 @@
     "ConfigurationFold",
     "ConfigurationState",
     "Publish",
+    "PublishConflictError",
     "PublishVerdict",
     "configuration_records",
 ]
@@ -58,6 +59,10 @@
         return self.version == self.expected_version
 
 
+class PublishConflictError(errors.ConfigurationError):
+    """Another change was published first; the text names its version."""
+
+
 class PublishVerdict(enum.StrEnum):
     """What became of a published document."""
 
--- a/postspring/configuration/schema.py
+++ b/postspring/configuration/schema.py
@@ -85,7 +85,7 @@
 
     ``serves`` names the models, tools or plain services it answers for;
     ``checks_fencing`` says whether it refuses an order that carries an old
-    fencing number.
+    fencing number; ``draining`` keeps new work from it.
     """
 
     kind: UpstreamKind
@@ -94,6 +94,7 @@
     serves: tuple[Name, ...]
     checks_fencing: bool = False
     concurrency: Count = 8
+    draining: bool = False
 
     @pydantic.field_validator("address")
     @classmethod
@@ -102,14 +103,25 @@
         return value
 
 
+class Vm(_Strict):
+    """What operators ask of an entry VM; ``draining`` moves its slots."""
+
+    draining: bool = False
+
+
 class Configuration(_Strict):
-    """The whole document."""
+    """The whole document.
+
+    ``lost_data_centers`` are those whose slots the others take over.
+    """
 
     schema_version: int = SCHEMA_VERSION
     models: dict[Name, Model] = {}
     tools: dict[Name, Tool] = {}
     services: dict[Name, Service] = {}
     upstreams: dict[Name, Upstream] = {}
+    vms: dict[Name, Vm] = {}
+    lost_data_centers: tuple[Name, ...] = ()
 
     @pydantic.field_validator("schema_version")
     @classmethod
--- a/postspring/coordination/owner.py
+++ b/postspring/coordination/owner.py
@@ -207,6 +207,15 @@
         """Whether :meth:`tick` has anything to do."""
         return bool(self._desk.runtime_by_program)
 
+    @property
+    def busy_programs(self) -> set[str]:
+        """Programs that have calls queued, active or pending here."""
+        return {
+            program
+            for program, state in self._desk.runtime_by_program.items()
+            if not state.idle
+        }
+
     @property
     def busy_calls(self) -> int:
         """Number of calls that are queued, active or pending here."""
--- a/postspring/daemon/main.py
+++ b/postspring/daemon/main.py
@@ -1,6 +1,7 @@
 """The ``postspring`` command."""
 
 import json
+import os
 import pathlib
 import sys
 
@@ -101,6 +102,31 @@
         text_flags = {name: str(value) for name, value in flags.items()}
         entry_daemon.run_entry(settings_module.load_settings(text_flags))
 
+    def query(
+        self,
+        text: str | None = None,
+        entry: str = "",
+        format: str = "table",
+        key: str = "",
+        change_id: str = "",
+    ) -> str:
+        """Run a text of the query and command language.
+
+        Without a text, each line of standard input is run.
+        """
+        entry = entry or os.environ.get("POSTSPRING_ENTRY", "")
+        key = key or os.environ.get("POSTSPRING_OPERATOR_KEY", "")
+        if not entry:
+            raise errors.CommandError("--entry=ip:port is needed")
+        commander = client.Commander([entry], key)
+        texts = [text] if text is not None else sys.stdin
+        answers = [
+            commander.run(str(line), format, change_id)
+            for line in texts
+            if str(line).strip()
+        ]
+        return "\n".join(answers)
+
     def status(self, entry: str) -> str:
         """Show an entry VM's own state."""
         answer = client.EntryClient([entry]).request("GET", "/v1/status")
--- a/postspring/daemon/settings.py
+++ b/postspring/daemon/settings.py
@@ -69,6 +69,9 @@
         ``ip:port`` for callers, for other VMs, and of the platform.
     peer_key : secret str
         The key that all VMs of the system share.
+    operator_key : secret str
+        The key that operators' commands carry; without one, commands are
+        taken from anybody who reaches the callers' listener.
     slots : int
         Slots of each data centre; the same on every VM, for ever.
     batch_delay, hold_after, peer_interval, peer_silence, drain : float
@@ -91,6 +94,7 @@
     peer_listen: Address
     platform: Address
     peer_key: pydantic.SecretStr = pydantic.SecretStr("")
+    operator_key: pydantic.SecretStr = pydantic.SecretStr("")
     slots: Annotated[int, pydantic.Field(ge=1, le=65536)] = 16
     batch_delay: Annotated[float, pydantic.Field(ge=0, le=1)] = 0.0
     hold_after: Seconds = 1.0
--- a/postspring/entry/api_models.py
+++ b/postspring/entry/api_models.py
@@ -8,7 +8,7 @@
 from postspring import errors
 from postspring import programs
 
-__all__ = ["CallBody", "CreateBody", "EndBody", "parse_body"]
+__all__ = ["CallBody", "CommandBody", "CreateBody", "EndBody", "parse_body"]
 
 Name = Annotated[str, pydantic.Field(min_length=1, max_length=63)]
 Key = Annotated[str, pydantic.Field(max_length=200)]
@@ -100,6 +100,17 @@
         return _ANY.dump_json(self.arguments)
 
 
+class CommandBody(_Body):
+    """``POST /v1/command``.
+
+    ``change_id`` names a change, so that asking again does not repeat it.
+    """
+
+    text: Annotated[str, pydantic.Field(min_length=1, max_length=4096)]
+    change_id: Key = ""
+    format: Name = "table"
+
+
 class EndBody(_Body):
     """``POST /v1/programs/<program>/end``."""
 
--- a/postspring/entry/callers.py
+++ b/postspring/entry/callers.py
@@ -143,9 +143,7 @@
         self, incoming: web.IncomingRequest, refused: coordination.Refused
     ) -> None:
         """Give the final answer that the request is refused."""
-        self.node.meters.refusals.add(
-            1, {"reason": refused.reason.value, "ran": refused.ran.value}
-        )
+        self.node.meters.refused(refused.reason.value, refused.ran.value)
         body = refusal_body(refused)
         if incoming.streaming:
             incoming.send(event_stream.server_sent_event("refused", body))
--- a/postspring/entry/configuration_host.py
+++ b/postspring/entry/configuration_host.py
@@ -1,6 +1,7 @@
 """The host of the configuration stream, and its spread from VM to VM."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from postspring import configuration
@@ -15,6 +16,17 @@
 CONFIGURATION_STREAM = "configuration"
 
 
+@dataclasses.dataclass(slots=True)
+class _Publishing:
+    """A record that was appended and is not judged yet."""
+
+    change_id: str
+    record: configuration.Publish
+    on_version: Callable[[int], None]
+    on_error: Callable[[errors.PostspringError], None]
+    offset: int = -1
+
+
 class ConfigurationHost:
     """Keeps the configuration in force on this VM.
 
@@ -35,7 +47,9 @@
         timers: transport.Timers,
         on_change: Callable[[], None],
     ):
+        self._client = client
         self._on_change = on_change
+        self._publishing: list[_Publishing] = []
         self.fold = configuration.ConfigurationFold()
         self.record = b""
         self.tail = platform.StreamTail(
@@ -76,12 +90,68 @@
             return
         self._apply(offer.offset, offer.record, from_peer=True)
 
+    def publish(
+        self,
+        document: bytes,
+        expected_version: int,
+        change_id: str,
+        on_version: Callable[[int], None],
+        on_error: Callable[[errors.PostspringError], None],
+    ) -> None:
+        """Publish a document made against a version.
+
+        Exactly one of the functions is called: with the version once it
+        counts, or with a PublishConflictError, or with a PlatformError
+        after which the same change may be published again.
+        """
+        if self.fold.counted_change(change_id):
+            on_version(self.state.version)
+            return
+        record = configuration.Publish(
+            change_id=change_id,
+            expected_version=expected_version,
+            version=expected_version + 1,
+            document=document,
+            author="command",
+        )
+        publishing = _Publishing(change_id, record, on_version, on_error)
+
+        def appended(offset: int) -> None:
+            publishing.offset = offset
+            self._publishing.append(publishing)
+            self._settle_published()
+
+        self._client.append(
+            CONFIGURATION_STREAM,
+            [configuration.configuration_records.encode(record)],
+            appended,
+            on_error,
+        )
+
+    def _settle_published(self) -> None:
+        """Answer for published records that the fold has passed."""
+        for publishing in list(self._publishing):
+            if self.fold.next_offset <= publishing.offset:
+                continue
+            self._publishing.remove(publishing)
+            if self.fold.counted_change(publishing.change_id):
+                publishing.on_version(publishing.record.version)
+            else:
+                publishing.on_error(
+                    configuration.PublishConflictError(
+                        f"version {self.state.version} by "
+                        f"{self.state.author or 'somebody'} came first; "
+                        "look at it and ask again"
+                    )
+                )
+
     def _apply_page(self, page: platform.LogPage) -> None:
         if page.first > self.fold.next_offset:
             self.fold.skip_to(page.first)
         for offset, data in page.records:
             if offset >= self.fold.next_offset:
                 self._apply(offset, data, from_peer=False)
+        self._settle_published()
 
     def _apply(self, offset: int, data: bytes, from_peer: bool) -> None:
         try:
--- a/postspring/entry/node.py
+++ b/postspring/entry/node.py
@@ -14,6 +14,8 @@
 from postspring.daemon import settings as settings_module
 from postspring.entry import attempts
 from postspring.entry import callers
+from postspring.entry import collections
+from postspring.entry import commands  # noqa: F401 (registers its route)
 from postspring.entry import configuration_host
 from postspring.entry import plain  # noqa: F401 (registers its routes)
 from postspring.entry import router
@@ -78,7 +80,7 @@
         ).register(self)
         self.http = transport.HttpClient(self._sockets, self.timers)
         platform_address = settings_module.split_address(settings.platform)
-        log_client = platform.LogClient(self.http, platform_address)
+        self.log_client = platform.LogClient(self.http, platform_address)
         self.vm_list = platform.VmList(
             self.http, platform_address, self.timers, self._vms_changed
         )
@@ -88,7 +90,7 @@
             settings.max_waiting,
         )
         self.configuration = configuration_host.ConfigurationHost(
-            log_client, self.timers, self._configuration_changed
+            self.log_client, self.timers, self._configuration_changed
         )
         self.attempts = attempts.AttemptRunner(self.http, self.timers)
         self.slots = slots.SlotHost(
@@ -96,7 +98,7 @@
             self.incarnation,
             settings.data_center,
             settings.slots,
-            log_client,
+            self.log_client,
             self.timers,
             self.pool,
             self._run_granted,
@@ -269,7 +271,13 @@
         ]
         if not self.leaving:
             alive.append(self.settings.vm)
-        return alive
+        vms = self.configuration.state.configuration.vms
+        return [vm for vm in alive if vm not in vms or not vms[vm].draining]
+
+    @property
+    def slot_hosts(self) -> list[slots.SlotHost]:
+        """The slot streams that this VM follows."""
+        return [self.slots]
 
     def _heartbeat(self) -> peers.Heartbeat:
         state = self.configuration.state
@@ -307,6 +315,10 @@
     ) -> None:
         if isinstance(message, peers.ConfigurationRequest):
             reply(self.configuration.offer())
+        elif isinstance(message, peers.GatherRows):
+            collection = collections.collection_by_name[message.collection]
+            rows = json.dumps(collection.rows(self)).encode()
+            reply(peers.RowsGathered(rows=rows))
         elif isinstance(message, peers.StopAttempt):
             self.attempts.cancel(message.program, message.attempt)
         else:
@@ -336,6 +348,7 @@
                     serves=frozenset(upstream.serves),
                     concurrency=upstream.concurrency,
                     checks_fencing=upstream.checks_fencing,
+                    leaving=upstream.draining,
                 )
                 for name, upstream in in_force.upstreams.items()
             ]
@@ -364,9 +377,7 @@
         refused = coordination.Refused(
             reason=coordination.RefusalReason.BODY_TOO_LARGE
         )
-        self.meters.refusals.add(
-            1, {"reason": refused.reason.value, "ran": refused.ran.value}
-        )
+        self.meters.refused(refused.reason.value, refused.ran.value)
         return json.dumps(callers.refusal_body(refused)).encode()
 
     def _observe(self) -> None:
--- a/postspring/errors.py
+++ b/postspring/errors.py
@@ -6,6 +6,7 @@
 
 __all__ = [
     "CodecError",
+    "CommandError",
     "ConfigurationError",
     "IdentifierError",
     "PeerError",
@@ -29,6 +30,10 @@
     """Bytes that are not a message of the expected registry."""
 
 
+class CommandError(PostspringError):
+    """A text of the command language is wrong; it says where and why."""
+
+
 class SettingsError(PostspringError):
     """The settings of a process are wrong; the text names every fault."""
 
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -1,8 +1,10 @@
 """Metrics by OpenTelemetry, read by a scraper."""
 
+import collections
 from typing import Any
 
 from opentelemetry.exporter import prometheus
+from opentelemetry import metrics as api
 from opentelemetry.sdk import metrics as sdk_metrics
 import prometheus_client
 
@@ -27,6 +29,7 @@
         self.refusals = self._counter(
             "refusals", "Requests refused, by reason and whether they ran"
         )
+        self.refusal_counts: collections.Counter = collections.Counter()
         self.retries = self._counter("retries", "Attempts retried, by reason")
         self.calls = self._counter("calls", "Calls answered, by kind")
         self.held = self._counter(
@@ -48,10 +51,13 @@
             "postspring_call_seconds", unit="s", description="Call latency"
         )
 
+    def refused(self, reason: str, ran: str) -> None:
+        """Count a refusal."""
+        self.refusal_counts[reason, ran] += 1
+        self.refusals.add(1, {"reason": reason, "ran": ran})
+
     def observe(self, name: str, description: str, function: Any) -> None:
         """Add a gauge; ``function()`` returns its value when scraped."""
-        from opentelemetry import metrics as api
-
         self._meter.create_observable_gauge(
             f"postspring_{name}",
             callbacks=[lambda options: [api.Observation(function())]],
--- a/postspring/peers/__init__.py
+++ b/postspring/peers/__init__.py
@@ -3,18 +3,22 @@
 from postspring.peers.hub import PeerHub
 from postspring.peers.messages import ConfigurationOffer
 from postspring.peers.messages import ConfigurationRequest
+from postspring.peers.messages import GatherRows
 from postspring.peers.messages import Heartbeat
 from postspring.peers.messages import HoldTurns
 from postspring.peers.messages import peer_messages
+from postspring.peers.messages import RowsGathered
 from postspring.peers.messages import StopAttempt
 from postspring.peers.messages import TurnsHeld
 
 __all__ = [
     "ConfigurationOffer",
     "ConfigurationRequest",
+    "GatherRows",
     "Heartbeat",
     "HoldTurns",
     "PeerHub",
+    "RowsGathered",
     "StopAttempt",
     "TurnsHeld",
     "peer_messages",
--- a/postspring/peers/messages.py
+++ b/postspring/peers/messages.py
@@ -7,8 +7,10 @@
 __all__ = [
     "ConfigurationOffer",
     "ConfigurationRequest",
+    "GatherRows",
     "Heartbeat",
     "HoldTurns",
+    "RowsGathered",
     "StopAttempt",
     "TurnsHeld",
     "peer_messages",
@@ -72,3 +74,19 @@
 
     program: str
     attempt: int
+
+
+@peer_messages.register("gather_rows")
+@codec.message()
+class GatherRows:
+    """Ask for a VM's own rows of a collection of the query language."""
+
+    collection: str
+
+
+@peer_messages.register("rows_gathered")
+@codec.message()
+class RowsGathered:
+    """The rows, as a JSON array of objects."""
+
+    rows: bytes
--- a/postspring/peers/tests/test_hub.py
+++ b/postspring/peers/tests/test_hub.py
@@ -10,6 +10,7 @@
 
 from postspring import coordination
 from postspring import peers
+from postspring import programs
 from postspring.testing import processes
 from postspring import transport
 
@@ -108,7 +109,7 @@
         call = coordination.CallProgram(
             program="p",
             service="a",
-            kind="model",
+            kind=programs.CallKind.MODEL,
             target="m",
             request=b"x" * 3_000_000,
             step=1,
--- a/postspring/upstreams/state.py
+++ b/postspring/upstreams/state.py
@@ -47,6 +47,7 @@
         self.serves = other.serves
         self.concurrency = other.concurrency
         self.checks_fencing = other.checks_fencing
+        self.leaving = other.leaving
 
     @property
     def load(self) -> float:
