--- a/postspring/coordination/__init__.py
+++ b/postspring/coordination/__init__.py
@@ -2,6 +2,7 @@
 
 from postspring.coordination.effects import Append
 from postspring.coordination.effects import CancelAttempt
+from postspring.coordination.effects import CopyTurn
 from postspring.coordination.effects import Effect
 from postspring.coordination.effects import Reply
 from postspring.coordination.effects import ReplyTo
@@ -32,6 +33,7 @@
     "CallAnswered",
     "CallProgram",
     "CancelAttempt",
+    "CopyTurn",
     "CreateProgram",
     "Effect",
     "EndProgram",
--- a/postspring/coordination/effects.py
+++ b/postspring/coordination/effects.py
@@ -5,7 +5,15 @@
 
 from postspring.coordination import messages
 
-__all__ = ["Append", "CancelAttempt", "Effect", "Reply", "ReplyTo", "Run"]
+__all__ = [
+    "Append",
+    "CancelAttempt",
+    "CopyTurn",
+    "Effect",
+    "Reply",
+    "ReplyTo",
+    "Run",
+]
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,4 +55,11 @@
     attempt: int
 
 
-Effect = Append | Reply | Run | CancelAttempt
+@dataclasses.dataclass(frozen=True, slots=True)
+class CopyTurn:
+    """Give copies of a turn to other VMs: the log does not take it yet."""
+
+    turn: Any
+
+
+Effect = Append | Reply | Run | CancelAttempt | CopyTurn
--- a/postspring/coordination/turn_flow.py
+++ b/postspring/coordination/turn_flow.py
@@ -160,7 +160,9 @@
         for pending in state.pending:
             if now - pending.since < self._desk.limits.hold_after:
                 continue
-            pending.held = True
+            if not pending.held:
+                pending.held = True
+                self._desk.effects.append(effects.CopyTurn(pending.turn))
             answered = messages.CallAnswered(turn=pending.turn, held=True)
             for to in pending.waiters:
                 self._desk.reply(to, answered)
--- a/postspring/daemon/settings.py
+++ b/postspring/daemon/settings.py
@@ -80,6 +80,11 @@
         longest graceful shutdown.
     placement, order : str
         Names of scheduling policies.
+    copies : int
+        VMs that get a copy of each turn that the log can't take yet.
+    carry_every : float
+        Seconds after which live state is written to the log again; less
+        than half of the time for which the log keeps records.
     max_waiting : int
         Calls that may wait for one target.
     """
@@ -101,6 +106,8 @@
     peer_interval: Seconds = 0.5
     peer_silence: Seconds = 1.5
     drain: Seconds = 600.0
+    copies: Annotated[int, pydantic.Field(ge=0, le=8)] = 2
+    carry_every: Annotated[float, pydantic.Field(gt=0, le=864000)] = 3600.0
     placement: Annotated[str, pydantic.AfterValidator(_check_placement)] = (
         "prefix_affinity"
     )
--- a/postspring/entry/callers.py
+++ b/postspring/entry/callers.py
@@ -13,6 +13,7 @@
 from postspring.entry import api_models
 from postspring.entry import attempts
 from postspring.entry import event_stream
+from postspring.entry import grants
 from postspring import errors
 from postspring import identifiers
 from postspring import ownership
@@ -437,17 +438,10 @@
             )
 
         def on_turn(turn: ownership.Turn) -> None:
-            self._node.finish_attempt(grant, turn, self._finished)
+            self._node.grants.finish(grant, turn, self._finished)
 
         def on_lost(sent: bool, detail: str) -> None:
-            lost = coordination.LoseAttempt(
-                attempt=grant.attempt,
-                program=grant.program,
-                step=grant.step,
-                upstream=grant.upstream,
-                sent=sent,
-                detail=detail[:200],
-            )
+            lost = grants.lost_attempt(grant, sent, detail)
             self._ask(lost, FINISH_SECONDS)
 
         self._node.attempts.run(grant, on_turn, on_lost, sink)
--- a/postspring/entry/configuration_host.py
+++ b/postspring/entry/configuration_host.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import random
 
 from postspring import configuration
 from postspring import errors
@@ -14,6 +15,7 @@
 
 LOG = logging.getLogger(__name__)
 CONFIGURATION_STREAM = "configuration"
+CARRY_CHECKS = 10
 
 
 @dataclasses.dataclass(slots=True)
@@ -39,6 +41,8 @@
         For the tail's retries.
     on_change : callable
         Called with no argument after another document came in force.
+    carry_every : float
+        Seconds after which the document is written to the log again.
     """
 
     def __init__(
@@ -46,8 +50,12 @@
         client: platform.LogClient,
         timers: transport.Timers,
         on_change: Callable[[], None],
+        carry_every: float,
     ):
         self._client = client
+        self._timers = timers
+        self._carry_every = carry_every
+        self._in_force_since = 0.0
         self._on_change = on_change
         self._publishing: list[_Publishing] = []
         self.fold = configuration.ConfigurationFold()
@@ -64,9 +72,13 @@
     def start(self) -> None:
         """Begin to follow the stream."""
         self.tail.start()
+        self._carrier = self._timers.call_every(
+            self._carry_every / CARRY_CHECKS, self._carry
+        )
 
     def close(self) -> None:
         """Stop following it."""
+        self._carrier.cancel()
         self.tail.close()
 
     @property
@@ -128,6 +140,32 @@
             on_error,
         )
 
+    def _carry(self) -> None:
+        """Write the document again before its record expires.
+
+        The wait is spread by chance, so that mostly one VM does it; the
+        others see its record and wait anew.
+        """
+        age = self._timers.now() - self._in_force_since
+        due = self._carry_every * (1 + random.random())
+        if not self.state.version or age < due or not self.fold.has_base:
+            return
+        state = self.state
+        record = configuration.Publish(
+            change_id=state.change_id,
+            expected_version=state.version,
+            version=state.version,
+            document=state.document,
+            author=state.author,
+            as_of=self.fold.next_offset,
+        )
+        self._client.append(
+            CONFIGURATION_STREAM,
+            [configuration.configuration_records.encode(record)],
+            lambda offset: None,
+            lambda error: LOG.warning("carrying forward failed: %s", error),
+        )
+
     def _settle_published(self) -> None:
         """Answer for published records that the fold has passed."""
         for publishing in list(self._publishing):
@@ -171,6 +209,7 @@
             )
             return
         self.record = data
+        self._in_force_since = self._timers.now()
         if self.state.version != before.version:
             LOG.info(
                 "configuration in force",
--- a/postspring/entry/router.py
+++ b/postspring/entry/router.py
@@ -6,7 +6,7 @@
 from typing import Any
 
 from postspring import coordination
-from postspring.entry import slots as slots_module
+from postspring.entry import slot_hosts
 from postspring import errors
 from postspring import peers
 from postspring import platform
@@ -34,8 +34,8 @@
 
     vm, data_center : str
         This VM.
-    slots : SlotHost
-        The slots of this data centre.
+    hosts : SlotHosts
+        The slot streams that are followed here.
     hub : PeerHub
         Links to other VMs.
     vm_list : VmList
@@ -48,14 +48,14 @@
         self,
         vm: str,
         data_center: str,
-        slots: slots_module.SlotHost,
+        hosts: slot_hosts.SlotHosts,
         hub: peers.PeerHub,
         vm_list: platform.VmList,
         timers: transport.Timers,
     ):
         self._vm = vm
         self._data_center = data_center
-        self._slots = slots
+        self._hosts = hosts
         self._hub = hub
         self._vm_list = vm_list
         self._timers = timers
@@ -80,8 +80,9 @@
     def owner_of(self, place: tuple[str, int]) -> str | None:
         """Return the VM to ask about a slot, or None if none is known."""
         data_center, slot = place
-        if data_center == self._data_center:
-            state = self._slots.fold.slot_by_number.get(slot)
+        host = self._hosts.by_data_center.get(data_center)
+        if host is not None:
+            state = host.fold.slot_by_number.get(slot)
             if state is None:
                 # No such slot: this VM's own owner part says so.
                 return self._vm
@@ -130,7 +131,10 @@
         if owner is None:
             self._again()
         elif owner == router._vm:
-            router._slots.ask(self._message, router._vm, self._replied)
+            data_center, _slot = self._place
+            router._hosts.ask(
+                self._message, data_center, router._vm, self._replied
+            )
         else:
             router._hub.ask(
                 owner, self._message, left, self._replied, self._failed
--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -20,6 +20,7 @@
 TICK_SECONDS = 0.1
 PLAN_SECONDS = 0.2
 MAX_CLAIMS_AT_ONCE = 64
+MAX_COPIED_BYTES = 8 * 1024 * 1024
 
 
 def slot_stream_name(data_center: str) -> str:
@@ -47,6 +48,8 @@
         Called with a Grant that this VM has to run itself.
     cancel : callable
         Called with a :class:`~postspring.coordination.CancelAttempt`.
+    copy_turn : callable
+        Called with a turn that other VMs should keep a copy of.
     alive : callable
         Returns the VMs of this data centre that may own slots.
     meters : Metrics
@@ -55,6 +58,8 @@
         The owner's bounds.
     batch_delay : float
         Seconds that an append waits for more records.
+    carry_every : float
+        Seconds after which a slot's state is written to the log again.
     """
 
     def __init__(
@@ -68,10 +73,12 @@
         pool: scheduling.UpstreamPool,
         run: Callable[[coordination.Grant], None],
         cancel: Callable[[coordination.CancelAttempt], None],
+        copy_turn: Callable[[ownership.Turn], None],
         alive: Callable[[], Collection[str]],
         meters: metrics.Metrics,
         limits: coordination.OwnerLimits,
         batch_delay: float,
+        carry_every: float,
     ):
         self.vm = vm
         self.incarnation = incarnation
@@ -79,6 +86,8 @@
         self._timers = timers
         self._run = run
         self._cancel = cancel
+        self._copy_turn = copy_turn
+        self._carry_every = carry_every
         self._alive = alive
         self._meters = meters
         self.fold = ownership.StreamFold(slots)
@@ -111,6 +120,8 @@
         self._planner: transport.TimerHandle | None = None
         self._ticker: transport.TimerHandle | None = None
         self._planned: tuple = ()
+        self._copied: set[tuple] = set()
+        self._copied_bytes = 0
 
     def start(self) -> None:
         """Begin to follow the stream."""
@@ -164,6 +175,20 @@
         """Append a turn whose owner can't be reached."""
         self._append(turn)
 
+    def keep_copy(self, turn: ownership.Turn) -> bool:
+        """Keep another VM's turn, to append it when the log is up.
+
+        Returns False if as many bytes are kept already as may be.
+        """
+        if turn.identity in self._record_by_identity:
+            return True
+        if self._copied_bytes + len(turn.answer) > MAX_COPIED_BYTES:
+            return False
+        self._copied_bytes += len(turn.request) + len(turn.answer)
+        self._copied.add(turn.identity)
+        self._append(turn)
+        return True
+
     def peer_lost(self, vm: str) -> None:
         """Tell the owner that a VM is gone."""
         self.owner.on_peer_lost(vm, self._timers.now())
@@ -198,6 +223,8 @@
                 reply(effect.message)
         elif isinstance(effect, coordination.Run):
             self._run(effect.grant)
+        elif isinstance(effect, coordination.CopyTurn):
+            self._copy_turn(effect.turn)
         else:
             self._cancel(effect)
 
@@ -250,6 +277,9 @@
         if record is None:
             return
         self._appender.seen(record.identity)
+        if record.identity in self._copied:
+            self._copied.discard(record.identity)
+            self._copied_bytes -= len(record.request) + len(record.answer)
         self._record_by_identity.pop(record.identity, None)
         if isinstance(record, ownership.Claim) and verdict.counted:
             LOG.info(
--- a/postspring/peers/__init__.py
+++ b/postspring/peers/__init__.py
@@ -1,23 +1,33 @@
 """Peers: links between the system's own VMs, by websockets with CBOR."""
 
 from postspring.peers.hub import PeerHub
+from postspring.peers.messages import AppendRecords
 from postspring.peers.messages import ConfigurationOffer
 from postspring.peers.messages import ConfigurationRequest
 from postspring.peers.messages import GatherRows
 from postspring.peers.messages import Heartbeat
 from postspring.peers.messages import HoldTurns
+from postspring.peers.messages import LogFailed
 from postspring.peers.messages import peer_messages
+from postspring.peers.messages import ReadRecords
+from postspring.peers.messages import RecordsAppended
+from postspring.peers.messages import RecordsRead
 from postspring.peers.messages import RowsGathered
 from postspring.peers.messages import StopAttempt
 from postspring.peers.messages import TurnsHeld
 
 __all__ = [
+    "AppendRecords",
     "ConfigurationOffer",
     "ConfigurationRequest",
     "GatherRows",
     "Heartbeat",
     "HoldTurns",
+    "LogFailed",
     "PeerHub",
+    "ReadRecords",
+    "RecordsAppended",
+    "RecordsRead",
     "RowsGathered",
     "StopAttempt",
     "TurnsHeld",
--- a/postspring/peers/hub.py
+++ b/postspring/peers/hub.py
@@ -161,6 +161,15 @@
             and peer.heartbeat.leaving
         )
 
+    def reaches_log(self, vm: str) -> bool:
+        """Return whether the peer responds and said it reaches the log."""
+        peer = self._peer_by_vm.get(vm)
+        return (
+            self.responsive(vm)
+            and peer.heartbeat is not None
+            and peer.heartbeat.reaches_log
+        )
+
     def connected(self, vm: str) -> bool:
         """Return whether there is an open link to the peer."""
         peer = self._peer_by_vm.get(vm)
--- a/postspring/peers/messages.py
+++ b/postspring/peers/messages.py
@@ -5,11 +5,16 @@
 from postspring import ownership
 
 __all__ = [
+    "AppendRecords",
     "ConfigurationOffer",
     "ConfigurationRequest",
     "GatherRows",
     "Heartbeat",
     "HoldTurns",
+    "LogFailed",
+    "ReadRecords",
+    "RecordsAppended",
+    "RecordsRead",
     "RowsGathered",
     "StopAttempt",
     "TurnsHeld",
@@ -34,6 +39,7 @@
     configuration_offset: int
     configuration_version: int
     leaving: bool = False
+    reaches_log: bool = False
 
 
 @peer_messages.register("configuration_request")
@@ -90,3 +96,49 @@
     """The rows, as a JSON array of objects."""
 
     rows: bytes
+
+
+@peer_messages.register("append_records")
+@codec.message()
+class AppendRecords:
+    """Ask a VM that reaches the log to append a batch."""
+
+    stream: str
+    records: tuple[bytes, ...]
+
+
+@peer_messages.register("records_appended")
+@codec.message()
+class RecordsAppended:
+    """The batch's first offset."""
+
+    offset: int
+
+
+@peer_messages.register("read_records")
+@codec.message()
+class ReadRecords:
+    """Ask a VM that reaches the log to read a page."""
+
+    stream: str
+    offset: int
+    wait_ms: int
+    limit: int
+
+
+@peer_messages.register("records_read")
+@codec.message()
+class RecordsRead:
+    """A page of a stream."""
+
+    first: int
+    next: int
+    records: tuple[tuple[int, bytes], ...]
+
+
+@peer_messages.register("log_failed")
+@codec.message()
+class LogFailed:
+    """The log did not answer the VM that was asked."""
+
+    detail: str
--- a/postspring/upstreams/state.py
+++ b/postspring/upstreams/state.py
@@ -40,6 +40,22 @@
     failures: int = 0
     suspended_until: float = 0.0
 
+    @classmethod
+    def of(
+        cls, name: str, configured: configuration.Upstream
+    ) -> "UpstreamState":
+        """Return the state of an upstream that nothing is known of yet."""
+        return cls(
+            id=name,
+            kind=configured.kind,
+            data_center=configured.data_center,
+            address=configured.address,
+            serves=frozenset(configured.serves),
+            concurrency=configured.concurrency,
+            checks_fencing=configured.checks_fencing,
+            leaving=configured.draining,
+        )
+
     def reconfigure(self, other: "UpstreamState") -> None:
         """Take over what is configured; keep what was observed."""
         self.kind = other.kind
