Slots are carried forward: bases of live state, as of an offset

Records expire. A base holds a slot's state as of an offset; since the fold is the same everywhere any VM may write one, fenced or not, and whoever reads from that offset or before can start from it. A VM that starts later than the oldest record judges nothing of a slot, and claims nothing, until it has read a base. Ended programs are forgotten at a base, by the same rule on every VM, so memory does not grow with programs that are gone.

Ruled out: a base that counts only under its author's epoch, since its content is true whoever wrote it.

--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -117,6 +117,7 @@
         self._append_up = True
         self._tail_up = False
         self._retries_reported: dict[str, int] = {}
+        self._carrier: transport.TimerHandle | None = None
         self._planner: transport.TimerHandle | None = None
         self._ticker: transport.TimerHandle | None = None
         self._planned: tuple = ()
@@ -125,12 +126,15 @@
 
     def start(self) -> None:
         """Begin to follow the stream."""
+        self._carrier = self._timers.call_every(self._carry_every, self._carry)
         self.owner.log_up = False
         self.tail.start()
         self._planner = self._timers.call_every(PLAN_SECONDS, self._plan)
 
     def close(self) -> None:
         """Stop following it."""
+        if self._carrier is not None:
+            self._carrier.cancel()
         if self._planner is not None:
             self._planner.cancel()
         self.tail.close()
@@ -259,7 +263,7 @@
                 "records expired before they were read",
                 extra={"first": page.first, "next": self.fold.next_offset},
             )
-            self.fold.next_offset = page.first
+            self.fold.skip_to(page.first)
         for offset, data in page.records:
             if offset < self.fold.next_offset:
                 continue
@@ -333,6 +337,17 @@
             self.owner.release_slot(slot, successor)
         self._carry_out()
 
+    def _carry(self) -> None:
+        """Write the owned slots' state again before its records expire."""
+        if not self.log_up or not self.tail.caught_up:
+            return
+        for number in self.owned_slots:
+            slot = self.fold.slot_by_number[number]
+            for record in ownership.slot_base_records(
+                slot, self.incarnation, self.fold.next_offset
+            ):
+                self._append(record)
+
     def _claim(self, slot: int) -> None:
         claim = ownership.Claim(
             slot=slot,
--- a/postspring/ownership/__init__.py
+++ b/postspring/ownership/__init__.py
@@ -3,6 +3,7 @@
 from postspring.ownership.assignment import plan_slots
 from postspring.ownership.assignment import preferred_owner
 from postspring.ownership.assignment import SlotPlan
+from postspring.ownership.base import slot_base_records
 from postspring.ownership.fold import SlotState
 from postspring.ownership.fold import StreamFold
 from postspring.ownership.records import Abort
@@ -10,9 +11,11 @@
 from postspring.ownership.records import Create
 from postspring.ownership.records import End
 from postspring.ownership.records import Intent
+from postspring.ownership.records import ProgramBase
 from postspring.ownership.records import Release
 from postspring.ownership.records import Reserve
 from postspring.ownership.records import slot_records
+from postspring.ownership.records import SlotBase
 from postspring.ownership.records import Turn
 from postspring.ownership.verdicts import Verdict
 
@@ -22,8 +25,10 @@
     "Create",
     "End",
     "Intent",
+    "ProgramBase",
     "Release",
     "Reserve",
+    "SlotBase",
     "SlotPlan",
     "SlotState",
     "StreamFold",
@@ -31,5 +36,6 @@
     "Verdict",
     "plan_slots",
     "preferred_owner",
+    "slot_base_records",
     "slot_records",
 ]
--- a/postspring/ownership/assignment.py
+++ b/postspring/ownership/assignment.py
@@ -58,6 +58,8 @@
     claim = []
     hand_over = {}
     for slot in stream.slot_by_number.values():
+        if not slot.established:
+            continue
         preferred = preferred_owner(slot.number, alive)
         mine = slot.owned_by(incarnation)
         vacant = slot.released or slot.owner not in alive
--- a/postspring/ownership/fold.py
+++ b/postspring/ownership/fold.py
@@ -8,6 +8,7 @@
 from typing import Any
 
 from postspring import budgets
+from postspring.ownership import base
 from postspring.ownership import records
 from postspring.ownership import verdicts
 from postspring import programs
@@ -41,6 +42,9 @@
         "successor",
         "program_by_id",
         "program_by_create_key",
+        "established",
+        "base_offset",
+        "unjudged",
     )
 
     def __init__(self, number: int):
@@ -53,10 +57,17 @@
         self.successor: str | None = None
         self.program_by_id: dict[str, programs.Program] = {}
         self.program_by_create_key: dict[str, str] = {}
+        self.established = True
+        self.base_offset = 0
+        self.unjudged: list[tuple[int, Any]] = []
 
     def owned_by(self, incarnation: str) -> bool:
         """Return whether that VM incarnation is the owner in force."""
-        return not self.released and self.incarnation == incarnation
+        return (
+            self.established
+            and not self.released
+            and self.incarnation == incarnation
+        )
 
     def tree(self, program_id: str):
         """Yield the program and all the sub-agents below it."""
@@ -108,14 +119,77 @@
         slot = self.slot_by_number.get(getattr(record, "slot", None))
         if rule is None or slot is None:
             return Verdict.NOT_A_RECORD
+        if not slot.established:
+            return _apply_unestablished(slot, offset, record)
         return rule(slot, record)
 
+    def skip_to(self, offset: int) -> None:
+        """Take note that the records before ``offset`` have expired.
+
+        Slots whose state is not known need a base from then on: until one
+        is read whose author had read no less, nothing of them is judged.
+        """
+        self.next_offset = offset
+        for number in self.slot_by_number:
+            slot = SlotState(number)
+            slot.established = False
+            slot.base_offset = offset
+            self.slot_by_number[number] = slot
+
     def program(self, program_id: str, slot: int) -> programs.Program | None:
         """Return a program's state, or None if the slot has no such one."""
         state = self.slot_by_number.get(slot)
         return None if state is None else state.program_by_id.get(program_id)
 
 
+def _apply_unestablished(slot: SlotState, offset: int, record: Any) -> Verdict:
+    """Keep a record until a base is whole; then judge what came since."""
+    slot.unjudged.append((offset, record))
+    if not isinstance(record, records.SlotBase):
+        return Verdict.NO_BASE
+    parts = base.parts_of(record, [item for _, item in slot.unjudged])
+    if record.as_of < slot.base_offset or parts is None:
+        return Verdict.NO_BASE
+    unjudged = slot.unjudged
+    slot.unjudged = []
+    base.load(slot, record, parts)
+    verdict = Verdict.NO_BASE
+    for number, item in unjudged:
+        if number >= record.as_of:
+            verdict = _RULE_BY_TYPE[type(item)](slot, item)
+    return verdict
+
+
+@_rule(records.ProgramBase)
+def _apply_program_base(
+    slot: SlotState, record: records.ProgramBase
+) -> Verdict:
+    return Verdict.COUNTED
+
+
+@_rule(records.SlotBase)
+def _apply_slot_base(slot: SlotState, record: records.SlotBase) -> Verdict:
+    """Forget the ended programs that are not carried on."""
+    carried = set(record.programs)
+    gone = {
+        program.id
+        for program in slot.program_by_id.values()
+        if not program.live and program.id not in carried
+    }
+    for program_id in gone:
+        del slot.program_by_id[program_id]
+    slot.program_by_create_key = {
+        key: program_id
+        for key, program_id in slot.program_by_create_key.items()
+        if program_id not in gone
+    }
+    for program in slot.program_by_id.values():
+        program.children = [
+            child for child in program.children if child not in gone
+        ]
+    return Verdict.COUNTED
+
+
 def _fenced(slot: SlotState, record: Any) -> Verdict | None:
     """Return why a sequenced record is fenced off, or None if it isn't.
 
@@ -195,6 +269,7 @@
     )
     if record.key:
         slot.program_by_create_key[record.key] = record.program
+        slot.program_by_id[record.program].create_key = record.key
     return Verdict.COUNTED
 
 
--- a/postspring/ownership/records.py
+++ b/postspring/ownership/records.py
@@ -17,8 +17,11 @@
     "Create",
     "End",
     "Intent",
+    "IntentState",
+    "ProgramBase",
     "Release",
     "Reserve",
+    "SlotBase",
     "Turn",
     "slot_records",
 ]
@@ -122,6 +125,55 @@
     charge: int = 0
 
 
+@codec.message()
+class IntentState:
+    """An open intent, as a base carries it."""
+
+    epoch: int
+    sequence: int
+    step: int
+    key: str
+    request_digest: bytes
+    amount: int
+
+
+@codec.message()
+class _Base:
+    """A part of a slot's state as of an offset.
+
+    The fold is the same everywhere, so any VM may write a base; whoever
+    reads the stream from ``as_of`` or before can start from it.
+    """
+
+    slot: int
+    author: str
+    as_of: int
+
+    @property
+    def group(self) -> tuple:
+        """What the parts of one base have in common."""
+        return (self.slot, self.author, self.as_of)
+
+
+@slot_records.register("slot_base")
+@codec.message()
+class SlotBase(_Base):
+    """A slot's state; ``programs`` are those whose parts stand before."""
+
+    epoch: int
+    owner: str | None
+    incarnation: str | None
+    sequence: int
+    released: bool
+    successor: str | None
+    programs: tuple[str, ...]
+
+    @property
+    def identity(self) -> tuple:
+        """What copies of this record have in common."""
+        return ("slot_base", *self.group)
+
+
 @slot_records.register("turn")
 @codec.message()
 class Turn:
@@ -180,3 +232,27 @@
             self.parent, self.step, self.request_digest, self.answer
         )
         return self.digest == expected
+
+
+@slot_records.register("program_base")
+@codec.message()
+class ProgramBase(_Base):
+    """A live program's state, its whole history included."""
+
+    program: str
+    service: str
+    priority: int
+    parent: str | None
+    create_key: str
+    limit: int | None
+    spent: int
+    reserved: int
+    allowance: int
+    children: tuple[str, ...]
+    turns: tuple[Turn, ...]
+    intent: IntentState | None
+
+    @property
+    def identity(self) -> tuple:
+        """What copies of this record have in common."""
+        return ("program_base", self.program, *self.group)
--- a/postspring/ownership/verdicts.py
+++ b/postspring/ownership/verdicts.py
@@ -24,6 +24,7 @@
     INTENT_OPEN = "intent_open"
     NO_INTENT = "no_intent"
     OVER_BUDGET = "over_budget"
+    NO_BASE = "no_base"
     NOT_A_RECORD = "not_a_record"
 
     @property
--- a/postspring/programs/program.py
+++ b/postspring/programs/program.py
@@ -99,6 +99,7 @@
         "turns",
         "step_by_key",
         "open_intent",
+        "create_key",
     )
 
     def __init__(
@@ -121,6 +122,7 @@
         self.turns: list[Any] = []
         self.step_by_key: dict[str, int] = {}
         self.open_intent: OpenIntent | None = None
+        self.create_key = ""
 
     @property
     def live(self) -> bool:
