--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -304,6 +304,9 @@
         self._tail_up = up
         if up:
             self._appender.retry_now()
+        if up and not self._appender.waiting:
+            # What failed to be appended has come in by another VM.
+            self._append_up = True
         self._set_health()
 
     def _set_health(self) -> None:
