Held turns are kept in other data centres too, and by whoever answers

Copies now go to neighbours first, then to other data centres, and the VM that gives a held answer keeps one; any of them appends it.

A real link does not outlive its ends; the virtual one no longer does either.

--- a/postspring/entry/callers.py
+++ b/postspring/entry/callers.py
@@ -470,6 +470,8 @@
         meters.call_seconds.record(seconds, {"kind": turn.kind.value})
         if answered.held:
             meters.held.add(1)
+            # Whoever gives a held answer keeps a copy of it, too.
+            self._node.grants.keep_copy(turn)
         body = turn_body(turn, answered.held)
         if not self._body.stream:
             body["answer"] = codec.json_or_text(turn.answer)
--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -116,7 +116,13 @@
             timers,
         )
         self.grants = grants.GrantRunner(
-            settings.vm, self.attempts, self.router, self.hosts, self.peers
+            settings.vm,
+            self.attempts,
+            self.router,
+            self.hosts,
+            self.peers,
+            self.log_client,
+            timers,
         )
         self.web_limits = web.WebLimits(
             body=settings.max_body, connections=settings.max_connections
@@ -227,14 +233,18 @@
         ]
 
     def _copy_turn(self, turn: ownership.Turn) -> None:
-        """Give copies of a held turn to a few VMs of the data centre."""
-        neighbours = [
-            entry.vm
-            for entry in self.vm_list.in_data_center(self.settings.data_center)
+        """Give copies of a held turn to a few VMs, neighbours first."""
+        home = self.settings.data_center
+        responsive = [
+            entry
+            for entry in self.vm_list.entry_by_vm.values()
             if entry.vm != self.settings.vm and self.peers.responsive(entry.vm)
         ]
-        for vm in sorted(neighbours)[: self.settings.copies]:
-            self.peers.tell(vm, peers.HoldTurns(turns=(turn,)))
+        responsive.sort(
+            key=lambda entry: (entry.data_center != home, entry.vm)
+        )
+        for entry in responsive[: self.settings.copies]:
+            self.peers.tell(entry.vm, peers.HoldTurns(turns=(turn,)))
 
     # -- peers ----------------------------------------------------------------
 
@@ -299,6 +309,7 @@
         handed_over = self.hosts.hand_over_all()
         idle = not self._web_activity() and not self.attempts.running
         unlogged = sum(host.unlogged_records for host in self.hosts.all)
+        unlogged += self.grants.unlogged
         done = idle and handed_over and not unlogged
         if not idle:
             self._idle_since = now
--- a/postspring/entry/grants.py
+++ b/postspring/entry/grants.py
@@ -7,13 +7,17 @@
 from postspring.entry import attempts
 from postspring.entry import router as router_module
 from postspring.entry import slot_hosts
+from postspring.entry import slots
 from postspring import identifiers
 from postspring import ownership
 from postspring import peers
+from postspring import platform
+from postspring import transport
 
 __all__ = ["GrantRunner"]
 
 FINISH_SECONDS = 5.0
+MAX_FOREIGN_TURNS = 500
 
 
 class GrantRunner:
@@ -32,6 +36,10 @@
         The slot streams that are followed here.
     hub : PeerHub
         Links to the other VMs.
+    client : LogClient
+        The platform's log, for turns of other data centres.
+    timers : Timers
+        For its retries.
     """
 
     def __init__(
@@ -41,12 +49,17 @@
         router: router_module.OwnerRouter,
         hosts: slot_hosts.SlotHosts,
         hub: peers.PeerHub,
+        client: platform.LogClient,
+        timers: transport.Timers,
     ):
         self._vm = vm
         self._runner = runner
         self._router = router
         self._hosts = hosts
         self._hub = hub
+        self._client = client
+        self._timers = timers
+        self._appender_by_data_center: dict[str, platform.StreamAppender] = {}
 
     def finish(
         self,
@@ -63,7 +76,7 @@
 
         def replied(reply: Any) -> None:
             if _unreachable(reply):
-                self._record_directly(home, turn)
+                self.keep_copy(turn)
                 reply = coordination.CallAnswered(turn=turn, held=True)
             on_reply(reply)
 
@@ -82,6 +95,14 @@
 
         self._runner.run(grant, on_turn, on_lost)
 
+    @property
+    def unlogged(self) -> int:
+        """Turns of other data centres that are not in the log yet."""
+        return sum(
+            appender.waiting
+            for appender in self._appender_by_data_center.values()
+        )
+
     def cancel(self, effect: coordination.CancelAttempt) -> None:
         """Break an attempt off, wherever it runs."""
         if effect.vm == self._vm:
@@ -92,11 +113,31 @@
         )
         self._hub.tell(effect.vm, stop)
 
-    def _record_directly(self, home: str, turn: ownership.Turn) -> None:
-        """Append a turn without its owner: it counts by its parent."""
+    def keep_copy(self, turn: ownership.Turn) -> bool:
+        """Append a turn that its owner can't append yet, when that works.
+
+        It counts by its parent, whoever appends it, and that works from
+        any data centre, for the log is the same for all.  Returns False if
+        as many bytes are kept already as may be.
+        """
+        home = identifiers.parse_program_id(turn.program).data_center
         host = self._hosts.by_data_center.get(home)
         if host is not None:
-            host.append_turn(turn)
+            return host.keep_copy(turn)
+        if self.unlogged > MAX_FOREIGN_TURNS:
+            return False
+        appender = self._appender_by_data_center.get(home)
+        if appender is None:
+            appender = platform.StreamAppender(
+                self._client,
+                slots.slot_stream_name(home),
+                self._timers,
+                _ignore,
+                _ignore,
+            )
+            self._appender_by_data_center[home] = appender
+        appender.add(turn.identity, ownership.slot_records.encode(turn))
+        return True
 
 
 def lost_attempt(
--- a/postspring/entry/peer_service.py
+++ b/postspring/entry/peer_service.py
@@ -69,12 +69,7 @@
 
 @_answers(peers.HoldTurns)
 def _hold_turns(core: Any, message: Any, reply: Reply) -> None:
-    taken = 0
-    for turn in message.turns:
-        data_center = identifiers.parse_program_id(turn.program).data_center
-        host = core.hosts.by_data_center.get(data_center)
-        if host is not None and host.keep_copy(turn):
-            taken += 1
+    taken = sum(core.grants.keep_copy(turn) for turn in message.turns)
     reply(peers.TurnsHeld(taken=taken))
 
 
--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -175,10 +175,6 @@
             )
         self._carry_out()
 
-    def append_turn(self, turn: ownership.Turn) -> None:
-        """Append a turn whose owner can't be reached."""
-        self._append(turn)
-
     def keep_copy(self, turn: ownership.Turn) -> bool:
         """Keep another VM's turn, to append it when the log is up.
 
--- a/postspring/testing/virtual/network.py
+++ b/postspring/testing/virtual/network.py
@@ -287,25 +287,26 @@
             self._timers.call_later(0, self._fail, number, "unknown VM")
             return
         data = peers.peer_messages.encode(message)
-        self._send(vm, "serve", self.process.name, number, data)
+        other = self._world.hub_by_vm.get(vm)
+        self._send(other, "serve", self, number, data)
 
     def tell(self, vm: str, message: Any) -> None:
         """Send a request whose reply does not matter."""
         self.ask(vm, message, 5.0, _ignore, _ignore)
 
-    def serve(self, vm: str, number: int, data: bytes) -> None:
+    def serve(self, source: "VirtualHub", number: int, data: bytes) -> None:
         """Take a request of another VM."""
         message = peers.peer_messages.decode(data)
 
         def reply(answer: Any) -> None:
             encoded = peers.peer_messages.encode(answer)
-            self._send(vm, "take_reply", number, encoded)
+            self._send(source, "take_reply", number, encoded)
 
         if isinstance(message, peers.Heartbeat):
             self._heard(message)
             reply(self._heartbeat())
         else:
-            self._on_request(vm, message, reply)
+            self._on_request(source.process.name, message, reply)
 
     def take_reply(self, number: int, data: bytes) -> None:
         """Take a reply."""
@@ -318,17 +319,22 @@
         if vm in self._vms:
             self._lose(vm)
 
-    def _send(self, vm: str, what: str, *arguments: Any) -> None:
+    def _send(
+        self, other: "VirtualHub | None", what: str, *arguments: Any
+    ) -> None:
+        """Send to one process: a link does not outlive either of its ends."""
         network = self._world.network
         network.clock.call_later(
-            network.latency(), self._arrive, vm, what, *arguments
+            network.latency(), self._arrive, other, what, *arguments
         )
 
-    def _arrive(self, vm: str, what: str, *arguments: Any) -> None:
-        other = self._world.hub_by_vm.get(vm)
+    def _arrive(
+        self, other: "VirtualHub | None", what: str, *arguments: Any
+    ) -> None:
         if other is None or not other.process.alive:
             return
-        if self._world.network.reaches(self.process.name, vm):
+        network = self._world.network
+        if network.reaches(self.process.name, other.process.name):
             other.process.deliver(getattr(other, what), *arguments)
 
     def _tick(self) -> None:
--- a/postspring/testing/virtual/stage.py
+++ b/postspring/testing/virtual/stage.py
@@ -9,7 +9,7 @@
 __all__ = ["VirtualStage", "run_virtual"]
 
 SETTLE_SECONDS = 40.0
-JOIN_SECONDS = 400.0
+JOIN_SECONDS = 3000.0
 
 
 class VirtualStage:
