Engine memory of programs that are gone: released by order, found by events

The owner orders every engine that a program ran on to drop its cache when it ends, under the epoch as fencing number; an owner that takes over repeats it for programs that had ended; one VM a data centre follows each engine's cache events and releases strays. Programs whose caller is gone end after idle_seconds. A cancelled stream's caller now gets its final answer at once.

--- a/postspring/configuration/schema.py
+++ b/postspring/configuration/schema.py
@@ -66,7 +66,8 @@
     """A service of agent programs, or a plain service.
 
     ``default_budget`` and ``max_budget`` are micro-units a program.
-    ``max_calls`` ends a program that loops.
+    ``max_calls`` ends a program that loops, ``idle_seconds`` one whose
+    caller was not heard of for that long.
     """
 
     priority: Annotated[int, pydantic.Field(ge=0, le=9)] = 5
@@ -78,6 +79,7 @@
     max_calls: Count = 1000
     max_programs: Count = 10_000
     call_timeout_seconds: Seconds = 120.0
+    idle_seconds: Annotated[float, pydantic.Field(gt=0, le=604800)] = 14400.0
 
 
 class Upstream(_Strict):
--- a/postspring/coordination/__init__.py
+++ b/postspring/coordination/__init__.py
@@ -4,6 +4,7 @@
 from postspring.coordination.effects import CancelAttempt
 from postspring.coordination.effects import CopyTurn
 from postspring.coordination.effects import Effect
+from postspring.coordination.effects import ReleaseCache
 from postspring.coordination.effects import Reply
 from postspring.coordination.effects import ReplyTo
 from postspring.coordination.effects import Run
@@ -50,6 +51,7 @@
     "ReadProgram",
     "RefusalReason",
     "Refused",
+    "ReleaseCache",
     "Reply",
     "ReplyTo",
     "Run",
--- a/postspring/coordination/attempt_flow.py
+++ b/postspring/coordination/attempt_flow.py
@@ -82,6 +82,9 @@
         call.attempt = next(self._numbers)
         call.attempts += 1
         call.upstream = upstream.id
+        if call.message.kind is programs.CallKind.MODEL:
+            engines = self._desk.engines_by_program
+            engines.setdefault(state.program.id, set()).add(upstream.id)
         call.enter(CallState.RUNNING, now)
         grant = self._build_grant(state, call, upstream)
         runner = self._choose_runner(call)
@@ -207,7 +210,10 @@
             turn = state.turn_at(message.step)
             if turn is not None:
                 return self._desk.turns.answer(state, turn, to)
-            return self._desk.refuse(to, Reason.SUPERSEDED, ran=Ran.UNKNOWN)
+            reason = Reason.SUPERSEDED
+            if not state.program.live:
+                reason = Reason.PROGRAM_ENDED
+            return self._desk.refuse(to, reason, ran=Ran.UNKNOWN)
         call.waiters.insert(0, to)
         self.attempt_lost(state, call, message.sent, "upstream_failed", now)
 
--- a/postspring/coordination/call_flow.py
+++ b/postspring/coordination/call_flow.py
@@ -39,6 +39,7 @@
         state = self._desk.find(message.program, to)
         if state is None:
             return
+        self._desk.active_at_by_program[message.program] = now
         for receipt in message.receipts:
             self._desk.turns.adopt(state, receipt, now)
         if self._answer_from_history(state, message, to, now):
--- a/postspring/coordination/desk.py
+++ b/postspring/coordination/desk.py
@@ -67,6 +67,8 @@
         self.retries_by_reason: collections.Counter = collections.Counter()
         self.effects: list[effects.Effect] = []
         self.runtime_by_program: dict[str, runtime.ProgramRuntime] = {}
+        self.active_at_by_program: dict[str, float] = {}
+        self.engines_by_program: dict[str, set[str]] = {}
         self.claimed_at_by_slot: dict[int, float] = {}
         self.on_verdict_by_identity: dict[tuple, Callable] = {}
         self.sequence_by_slot: dict[int, tuple[int, int]] = {}
--- a/postspring/coordination/effects.py
+++ b/postspring/coordination/effects.py
@@ -10,6 +10,7 @@
     "CancelAttempt",
     "CopyTurn",
     "Effect",
+    "ReleaseCache",
     "Reply",
     "ReplyTo",
     "Run",
@@ -62,4 +63,16 @@
     turn: Any
 
 
-Effect = Append | Reply | Run | CancelAttempt | CopyTurn
+@dataclasses.dataclass(frozen=True, slots=True)
+class ReleaseCache:
+    """Have engines drop what they hold of a program that is gone.
+
+    ``fencing`` is the epoch of the slot's owner.
+    """
+
+    program: str
+    fencing: int
+    upstreams: tuple[str, ...]
+
+
+Effect = Append | Reply | Run | CancelAttempt | CopyTurn | ReleaseCache
--- a/postspring/coordination/lifecycle.py
+++ b/postspring/coordination/lifecycle.py
@@ -192,6 +192,47 @@
         else:
             self._desk.reply_not_owner(slot, to)
 
+    def release(self, slot: ownership.SlotState, program_id: str) -> None:
+        """Have engines drop what they hold of an ended program's tree."""
+        for member in slot.tree(program_id):
+            engines = {
+                turn.upstream
+                for turn in member.turns
+                if turn.kind is programs.CallKind.MODEL and turn.upstream
+            }
+            engines |= self._desk.engines_by_program.pop(member.id, set())
+            self._desk.active_at_by_program.pop(member.id, None)
+            if engines:
+                self._desk.effects.append(
+                    effects.ReleaseCache(
+                        member.id, slot.epoch, tuple(sorted(engines))
+                    )
+                )
+
+    def release_ended(self, slot: ownership.SlotState) -> None:
+        """Release what a former owner may have died before releasing."""
+        for program in list(slot.program_by_id.values()):
+            if not program.live:
+                self.release(slot, program.id)
+
+    def end_idle(self, now: float) -> None:
+        """End programs whose caller has not been heard of for too long."""
+        desk_ = self._desk
+        for slot in desk_.fold.slot_by_number.values():
+            if not desk_.owns(slot):
+                continue
+            claimed_at = desk_.claimed_at_by_slot.get(slot.number, now)
+            for program in list(slot.program_by_id.values()):
+                since = desk_.active_at_by_program.get(program.id, claimed_at)
+                service = desk_.configuration.services.get(program.service)
+                if not program.live or service is None:
+                    continue
+                if now - since < service.idle_seconds or program.children:
+                    continue
+                state = desk_.state_of(program.id)
+                if state.idle and desk_.log_up:
+                    self.append_end(state, programs.EndReason.IDLE, None)
+
     def _cancel_calls(self, program_id: str) -> None:
         """Stop every call of a program that is about to end."""
         state = self._desk.runtime_by_program.get(program_id)
--- a/postspring/coordination/owner.py
+++ b/postspring/coordination/owner.py
@@ -103,8 +103,15 @@
         shared = self._desk
         if isinstance(record, ownership.Claim) and verdict.counted:
             shared.claimed_at_by_slot[record.slot] = now
+            slot = shared.fold.slot_by_number[record.slot]
             if record.incarnation != shared.incarnation:
                 self._calls.leave_slot(record.slot, now)
+            elif shared.owns(slot):
+                self._lifecycle.release_ended(slot)
+        if isinstance(record, ownership.End) and verdict.counted:
+            slot = shared.fold.slot_by_number[record.slot]
+            if shared.owns(slot):
+                self._lifecycle.release(slot, record.program)
         callback = shared.on_verdict_by_identity.pop(record.identity, None)
         if callback is not None:
             callback(verdict, now)
@@ -134,6 +141,10 @@
                 del runtime_by_program[state.program.id]
         self._attempts.assign(now)
 
+    def end_idle(self, now: float) -> None:
+        """End programs that were left; call it now and then."""
+        self._lifecycle.end_idle(now)
+
     # -- outputs ------------------------------------------------------------
 
     def take_effects(self) -> list[effects.Effect]:
--- a/postspring/entry/attempts.py
+++ b/postspring/entry/attempts.py
@@ -73,10 +73,11 @@
         attempt.start(self._http)
 
     def cancel(self, program: str, number: int) -> None:
-        """Break an attempt off; nobody is told."""
-        attempt = self._attempt_by_key.pop((program, number), None)
+        """Break an attempt off, and report it as lost."""
+        attempt = self._attempt_by_key.get((program, number))
         if attempt is not None:
             attempt.exchange.cancel()
+            attempt.cancelled()
 
     def forget(self, grant: coordination.Grant) -> None:
         """Take note that an attempt has ended."""
@@ -107,6 +108,10 @@
         """Keep the status."""
         self._status = status
 
+    def cancelled(self) -> None:
+        """Report that the attempt was broken off from this side."""
+        self._lost(True, "cancelled")
+
     def failed(self, error: errors.TransportError):
         """Report a broken exchange."""
         self._lost(error.sent, str(error))
--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -8,6 +8,7 @@
 from postspring import coordination
 from postspring.daemon import settings as settings_module
 from postspring.entry import attempts
+from postspring.entry import cache_keeper
 from postspring.entry import callers
 from postspring.entry import commands  # noqa: F401 (registers its route)
 from postspring.entry import configuration_host
@@ -124,6 +125,9 @@
             self.log_client,
             timers,
         )
+        self.cache_keeper = cache_keeper.CacheKeeper(
+            settings.vm, http, timers, self.hosts, self.pool, self.meters
+        )
         self.web_limits = web.WebLimits(
             body=settings.max_body, connections=settings.max_connections
         )
@@ -137,6 +141,7 @@
         self.hosts.start(self.peers)
         self.vm_list.start()
         self.peers.start()
+        self.cache_keeper.start()
         self.timers.call_every(
             GIVE_BACK_SECONDS, self.hosts.give_back_leftovers
         )
@@ -144,6 +149,7 @@
     def close(self) -> None:
         """Stop at once; :meth:`shut_down` is the graceful way."""
         self.peers.close()
+        self.cache_keeper.close()
         self.vm_list.close()
         self.hosts.close()
         self.configuration.close()
@@ -216,6 +222,7 @@
             lambda grant: self.grants.run_here(grant),
             lambda effect: self.grants.cancel(effect),
             self._copy_turn,
+            lambda effect: self.cache_keeper.release(effect),
             alive,
             self.meters,
             coordination.OwnerLimits(hold_after=settings.hold_after),
--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -19,6 +19,7 @@
 LOG = logging.getLogger(__name__)
 TICK_SECONDS = 0.1
 PLAN_SECONDS = 0.2
+IDLE_SECONDS = 5.0
 MAX_CLAIMS_AT_ONCE = 64
 MAX_COPIED_BYTES = 8 * 1024 * 1024
 
@@ -50,6 +51,8 @@
         Called with a :class:`~postspring.coordination.CancelAttempt`.
     copy_turn : callable
         Called with a turn that other VMs should keep a copy of.
+    release_cache : callable
+        Called with a :class:`~postspring.coordination.ReleaseCache`.
     alive : callable
         Returns the VMs of this data centre that may own slots.
     meters : Metrics
@@ -74,6 +77,7 @@
         run: Callable[[coordination.Grant], None],
         cancel: Callable[[coordination.CancelAttempt], None],
         copy_turn: Callable[[ownership.Turn], None],
+        release_cache: Callable[[coordination.ReleaseCache], None],
         alive: Callable[[], Collection[str]],
         meters: metrics.Metrics,
         limits: coordination.OwnerLimits,
@@ -87,6 +91,7 @@
         self._run = run
         self._cancel = cancel
         self._copy_turn = copy_turn
+        self._release_cache = release_cache
         self._carry_every = carry_every
         self._alive = alive
         self._meters = meters
@@ -117,6 +122,7 @@
         self._append_up = True
         self._tail_up = False
         self._retries_reported: dict[str, int] = {}
+        self._idler: transport.TimerHandle | None = None
         self._carrier: transport.TimerHandle | None = None
         self._planner: transport.TimerHandle | None = None
         self._ticker: transport.TimerHandle | None = None
@@ -129,10 +135,13 @@
         self._carrier = self._timers.call_every(self._carry_every, self._carry)
         self.owner.log_up = False
         self.tail.start()
+        self._idler = self._timers.call_every(IDLE_SECONDS, self._end_idle)
         self._planner = self._timers.call_every(PLAN_SECONDS, self._plan)
 
     def close(self) -> None:
         """Stop following it."""
+        if self._idler is not None:
+            self._idler.cancel()
         if self._carrier is not None:
             self._carrier.cancel()
         if self._planner is not None:
@@ -225,6 +234,8 @@
             self._run(effect.grant)
         elif isinstance(effect, coordination.CopyTurn):
             self._copy_turn(effect.turn)
+        elif isinstance(effect, coordination.ReleaseCache):
+            self._release_cache(effect)
         else:
             self._cancel(effect)
 
@@ -317,6 +328,10 @@
         self.owner.tick(self._timers.now())
         self._carry_out()
 
+    def _end_idle(self) -> None:
+        self.owner.end_idle(self._timers.now())
+        self._carry_out()
+
     def _plan(self) -> None:
         """Claim slots that should be ours, hand over those that shouldn't."""
         if not self.tail.caught_up or not self.log_up:
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -39,6 +39,12 @@
         self.records = self._counter(
             "log_records", "Records folded, by verdict"
         )
+        self.releases = self._counter(
+            "cache_releases", "Orders to drop a program's cache, by outcome"
+        )
+        self.strays = self._counter(
+            "cache_strays", "Sessions of programs that are gone, found held"
+        )
         self.claims = self._counter("claims", "Slots claimed by this VM")
         self.peers_lost = self._counter("peers_lost", "Peer links lost")
         self.relayed_bytes = self._counter(
--- a/postspring/testing/exploration.py
+++ b/postspring/testing/exploration.py
@@ -39,6 +39,7 @@
             self._cut,
             self._upstream_fault,
             self._wait,
+            self._end,
         )
         for _ in range(STEPS):
             chance.choice(drawn)()
@@ -128,6 +129,12 @@
             )
         )
 
+    def _end(self) -> None:
+        if self._chance.random() < 0.3:
+            how = self._chance.choice(("end", "cancel"))
+            name = self._chance.choice(self._programs)
+            self.lines.append(f"{how} {name}")
+
     def _wait(self) -> None:
         self.lines.append(f"wait {self._chance.choice(WAITS)}")
 
--- a/postspring/testing/virtual/invariants.py
+++ b/postspring/testing/virtual/invariants.py
@@ -19,6 +19,7 @@
         faults += _history_is_what_was_told(world, name, caller)
         faults += _not_run_is_true(world, name, caller)
     faults += _budgets_hold(world)
+    faults += _gone_programs_hold_nothing(world)
     faults += _folds_agree(world)
     return faults
 
@@ -84,6 +85,19 @@
     return faults
 
 
+def _gone_programs_hold_nothing(world: Any) -> list[str]:
+    """No engine holds cache of a program that has ended."""
+    faults = []
+    for caller in world.caller_by_name.values():
+        program = world.state_of(caller.program)
+        if program is None or program.live:
+            continue
+        for engine in world.engine_by_name.values():
+            if engine.held_by_session[caller.program]:
+                faults.append(f"{engine.name} holds {caller.program}")
+    return faults
+
+
 def _used(world: Any, slot: ownership.SlotState, program: Any) -> int:
     """Return what upstreams really did for a program and its sub-agents."""
     price = 0
--- a/postspring/testing/virtual/servers.py
+++ b/postspring/testing/virtual/servers.py
@@ -196,12 +196,26 @@
         self.cross_answers = 0
         self.tokens_by_program: collections.Counter = collections.Counter()
         self.started = 0
+        self.held_by_session: collections.Counter = collections.Counter()
+        self.events: list[dict] = []
+
+    def _note(self, kind: str, session: str) -> None:
+        event = {"offset": len(self.events), "kind": kind, "session": session}
+        self.events.append(event)
 
     def handle(self, request: Any, responder: network_module.Responder):
         """Serve a chat completion, or take an order."""
-        if request.path != "/v1/chat/completions":
+        if request.path == "/orders":
+            order = json.loads(request.body)
+            self.held_by_session.pop(order["session"], None)
+            self._note("released", order["session"])
             responder.respond(200, b"{}")
             return
+        if request.path.startswith("/cache/events"):
+            first = int(request.path.rpartition("=")[2])
+            listed = {"next": len(self.events), "events": self.events[first:]}
+            responder.respond(200, json.dumps(listed).encode())
+            return
         self.started += 1
         body = json.loads(request.body)
         self.world.announce(f"dispatch {body['user']}")
@@ -219,6 +233,8 @@
         doomed = self.die_mid_stream > 0
         if doomed:
             self.die_mid_stream -= 1
+        self.held_by_session[body["user"]] += tokens
+        self._note("stored", body["user"])
         responder.head(200)
         self._step(body["user"], request_id, tokens, words, doomed, responder)
 
--- a/postspring/testing/virtual/stage.py
+++ b/postspring/testing/virtual/stage.py
@@ -208,6 +208,14 @@
         held = " held" if outcome.held else ""
         return f"{outcome.told}{held} {outcome.reason}".strip()
 
+    def held_tokens(self, name: str) -> int:
+        """Return what engines hold of a program."""
+        program = self.world.caller_by_name[name].program
+        return sum(
+            engine.held_by_session[program]
+            for engine in self.world.engine_by_name.values()
+        )
+
     def spent(self, name: str) -> int:
         """Return what a program has spent, as the log tells it."""
         return self.world.program_state(name).account.spent
--- a/postspring/testing/virtual/world.py
+++ b/postspring/testing/virtual/world.py
@@ -369,7 +369,10 @@
 
     def program_state(self, name: str) -> Any:
         """Return a program's state as the whole log tells it."""
-        program = self.caller_by_name[name].program
+        return self.state_of(self.caller_by_name[name].program)
+
+    def state_of(self, program: str) -> Any:
+        """Return a program's state by its id."""
         data_center, slot = self._place(program)
         return self.refold(data_center).program(program, slot)
 
