What was under way at a program's end keeps its turn, and is never 'not run'

A turn that follows the head now counts after the end (what it may cost was charged by the end); an open intent stays for its outcome; whoever asks for such a call again hears that it may have run.

--- a/postspring/coordination/call_flow.py
+++ b/postspring/coordination/call_flow.py
@@ -51,7 +51,10 @@
             )
         if fault is not None:
             return self._desk.refuse(
-                to, fault, retry_after_ms=limits.retry_for(fault)
+                to,
+                fault,
+                self._ran_before(state, message),
+                limits.retry_for(fault),
             )
         if self._join(state, message, to):
             return
@@ -88,6 +91,23 @@
             self._desk.refuse(to, Reason.STEP_CONFLICT)
         return True
 
+    def _ran_before(
+        self, state: runtime.ProgramRuntime, message: messages.CallProgram
+    ) -> refusals.Ran:
+        """Return whether a call that is refused may have run earlier.
+
+        At the end of a program a call may have been under way: one that
+        may not be repeated has its intent open, of others nobody knows.
+        """
+        program = state.program
+        if program.live or message.step != state.tip.step + 1:
+            return refusals.Ran.NOT_RUN
+        intent = program.open_intent
+        started = intent is not None and intent.key == message.key
+        if started or self.repeatable(message):
+            return refusals.Ran.UNKNOWN
+        return refusals.Ran.NOT_RUN
+
     def _call_fault(
         self, state: runtime.ProgramRuntime, message: messages.CallProgram
     ) -> Reason | None:
--- a/postspring/coordination/desk.py
+++ b/postspring/coordination/desk.py
@@ -178,8 +178,18 @@
         """Refuse a call to all who wait for it."""
         waiters = call.waiters
         call.waiters = []
+        ran = refusals.Ran.UNKNOWN if self._begun_before(call) else call.ran
         for to in waiters:
-            self.refuse(to, reason, call.ran, limits.retry_for(reason))
+            self.refuse(to, reason, ran, limits.retry_for(reason))
+
+    def _begun_before(self, call: runtime.Call) -> bool:
+        """Return whether another owner has an open intent of the call."""
+        slot = self.slot_of(call.message.program)
+        program = slot.program_by_id.get(call.message.program)
+        intent = None if program is None else program.open_intent
+        if intent is None or intent.key != call.message.key:
+            return False
+        return (intent.epoch, intent.sequence) != call.intent
 
     def drop(
         self, state: runtime.ProgramRuntime, call: runtime.Call, reason: Reason
--- a/postspring/coordination/tests/test_owner.py
+++ b/postspring/coordination/tests/test_owner.py
@@ -441,8 +441,19 @@
     def test_calls_after_the_end_are_refused(self):
         self.bench.ask(coordination.EndProgram(program=self.program))
         self.bench.log()
-        number = self.bench.ask(self.bench.model_call(self.program))
+        number = self.bench.ask(self.bench.tool_call(self.program))
         self.assert_refused(number, Reason.PROGRAM_ENDED)
+        # A call that may be repeated could have been under way at the end.
+        number = self.bench.ask(self.bench.model_call(self.program))
+        self.assert_refused(number, Reason.PROGRAM_ENDED, Ran.UNKNOWN)
+
+    def test_a_queued_call_that_a_former_owner_began_may_have_run(self):
+        self.bench.ask(self.bench.tool_call(self.program))
+        self.bench.log()
+        self.bench.restart("vm-1.2")
+        number = self.bench.ask(self.bench.tool_call(self.program))
+        self.bench.ask(coordination.EndProgram(program=self.program))
+        self.assert_refused(number, Reason.PROGRAM_ENDED, Ran.UNKNOWN)
 
     def test_ending_twice_is_the_same(self):
         self.bench.ask(coordination.EndProgram(program=self.program))
--- a/postspring/ownership/fold.py
+++ b/postspring/ownership/fold.py
@@ -337,8 +337,8 @@
     known = program.turn_at(record.step)
     if known is not None and known.digest == record.digest:
         return Verdict.DUPLICATE
-    if not program.live:
-        return Verdict.PROGRAM_ENDED
+    # A call that was under way at the end may have been answered: its turn
+    # counts.  What it may cost was charged by the end.
     if record.step != program.head.step + 1:
         return Verdict.NOT_NEXT_STEP
     if record.parent != program.head.digest or not record.intact:
--- a/postspring/programs/program.py
+++ b/postspring/programs/program.py
@@ -185,9 +185,14 @@
         self.open_intent = None
 
     def end(self, reason: EndReason, charge: int) -> None:
-        """End the program; ``charge`` is what calls in flight may cost."""
+        """End the program; ``charge`` is what calls in flight may cost.
+
+        An open intent stays, charged in full, for its outcome to come.
+        """
         self.close_allowance(charge=charge)
         if self.open_intent is not None:
-            self.settle_intent(self.open_intent.amount)
+            intent = self.open_intent
+            self.settle_intent(intent.amount)
+            self.open_intent = dataclasses.replace(intent, amount=0)
         self.status = ProgramStatus.ENDED
         self.end_reason = reason
