Scenarios on real daemons; measures of takeover, group commit, configuration

Five scenarios run on processes (SIGKILL twice, SIGSTOP/SIGCONT, log out and lost answers, upstreams failing, all VMs replaced).

--- a/postspring/client/program.py
+++ b/postspring/client/program.py
@@ -134,17 +134,27 @@
         return self._took(turn)
 
     def use_tool(
-        self, tool: str, arguments: Any, patience: float = 20.0
+        self,
+        tool: str,
+        arguments: Any,
+        patience: float = 20.0,
+        key: str | None = None,
     ) -> CallResult:
-        """Call a tool; it runs at most once, however often we ask."""
+        """Call a tool; it runs at most once, however often we ask.
+
+        ``key`` is the idempotency key, a random one if none is given.
+        """
         body = {
             "kind": "tool",
             "target": tool,
             "arguments": arguments,
             "repeatable": False,
         }
+        body = self._numbered(body)
+        if key is not None:
+            body["key"] = key
         answer = self._client.request(
-            "POST", self._path("/calls"), self._numbered(body), patience
+            "POST", self._path("/calls"), body, patience
         )
         return self._took(answer.body)
 
--- a/postspring/measuring/__main__.py
+++ b/postspring/measuring/__main__.py
@@ -2,9 +2,16 @@
 
 import fire
 
+from postspring.measuring import failover
 from postspring.measuring import path
 
-SUBJECTS = {"path": path.measure_path, "idle": path.measure_idle}
+SUBJECTS = {
+    "configuration": failover.measure_configuration,
+    "failover": failover.measure_failover,
+    "idle": path.measure_idle,
+    "log": failover.measure_log,
+    "path": path.measure_path,
+}
 
 if __name__ == "__main__":
     fire.Fire(SUBJECTS, name="bin/measure")
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -27,17 +27,24 @@
 START_SECONDS = 30.0
 POLL_SECONDS = 0.02
 PORT_RANGE = (20000, 30000)
+_RETURNED_PORTS: set[int] = set()
 
 
 def free_port() -> int:
-    """Return a loopback port that nobody listens on now."""
+    """Return a loopback port that nobody listens on now.
+
+    No port is returned twice, so none is taken between two of them.
+    """
     while True:
         port = random.randrange(*PORT_RANGE)
+        if port in _RETURNED_PORTS:
+            continue
         with contextlib.closing(socket.socket()) as probe:
             try:
                 probe.bind(("127.0.0.1", port))
             except OSError:
                 continue
+            _RETURNED_PORTS.add(port)
             return port
 
 
@@ -248,11 +255,11 @@
             and all(owner in live for owner in owners)
         )
 
-    def client(self, *names: str) -> client.EntryClient:
+    def client(self, *names: str, timeout: float = 60.0) -> client.EntryClient:
         """Return a caller's client of these VMs, or of all."""
         names = names or tuple(self.vm_by_name)
         return client.EntryClient(
-            [self.vm_by_name[name].listen for name in names]
+            [self.vm_by_name[name].listen for name in names], timeout
         )
 
     def faults(self, name: str, **faults: Any) -> None:
