--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -292,13 +292,26 @@
     # -- changes --------------------------------------------------------------
 
     def _vms_changed(self) -> None:
+        listed = self.vm_list.entry_by_vm.values()
         self.peers.replace_peers(
             {
                 entry.vm: settings_module.split_address(entry.address)
-                for entry in self.vm_list.entry_by_vm.values()
+                for entry in listed
                 if entry.vm != self.settings.vm
+                and entry.vm not in self.pool.upstream_by_id
             }
         )
+        self._mark_leaving_upstreams()
+
+    def _mark_leaving_upstreams(self) -> None:
+        """Keep new work from upstreams that are drained or listed so."""
+        configured = self.configuration.state.configuration.upstreams
+        for name, upstream in self.pool.upstream_by_id.items():
+            entry = self.vm_list.entry_by_vm.get(name)
+            listed = (
+                entry is not None and entry.state is platform.VmState.LEAVING
+            )
+            upstream.leaving = listed or configured[name].draining
 
     def _configuration_changed(self) -> None:
         in_force = self.configuration.state.configuration
@@ -309,6 +322,7 @@
                 for name, upstream in in_force.upstreams.items()
             ]
         )
+        self._mark_leaving_upstreams()
 
     def _drain(self) -> None:
         """Wait until nothing here is needed any more."""
--- a/postspring/testing/scenario.py
+++ b/postspring/testing/scenario.py
@@ -41,7 +41,8 @@
 ?engine_state: "hangs" -> engine_hangs | "works" -> engine_works
     | "dies" INT "times" -> engine_dies
     | "crosses" INT "answers" -> engine_crosses
-listing: "list" "lags" NUMBER
+listing: "list" list_state
+?list_state: "lags" NUMBER -> list_lags | NAME "leaving" -> list_leaving
 when: "when" EVENT [NAME] "then" action ("and" action)*
 ?action: fault | cut | log | tool
 wait: "wait" NUMBER
@@ -55,6 +56,7 @@
     | NAME "spent" "at" "most" INT -> expect_spent
     | NAME "is" STATUS -> expect_status
     | "configuration" NAME -> expect_configuration
+    | NAME "got" INT "calls" -> expect_calls
     | "engines" "hold" "nothing" "of" NAME -> expect_released
 told: WORD+
 
@@ -210,8 +212,11 @@
         numbers = [float(child) for child in state.children]
         getattr(self._stage, str(state.data))(str(name), *numbers)
 
-    def _do_listing(self, seconds) -> None:
-        self._stage.list_lags(float(seconds))
+    def _do_listing(self, state) -> None:
+        if state.data == "list_lags":
+            self._state(state)
+        else:
+            self._stage.list_leaving(str(state.children[0]))
 
     def _state(self, state: lark.Tree) -> None:
         numbers = [float(child) for child in state.children]
@@ -268,6 +273,10 @@
         found = self._stage.changes_in_force()
         assert found == {str(change)}, f"in force: {found}"
 
+    def _expect_calls(self, engine, count) -> None:
+        found = self._stage.engine_calls(str(engine))
+        assert found == int(count), f"{engine} got {found} calls"
+
     def _expect_released(self, name) -> None:
         held = self._stage.held_tokens(str(name))
         assert held == 0, f"engines hold {held} tokens of {name}"
--- a/postspring/testing/virtual/stage.py
+++ b/postspring/testing/virtual/stage.py
@@ -152,6 +152,19 @@
         """Have the list of VMs lag."""
         self.world.platform.list_lag = seconds
 
+    def list_leaving(self, name: str) -> None:
+        """Have the list say that an upstream is leaving."""
+        entry = {
+            "data_center": "rimac",
+            "address": "127.0.0.1:1",
+            "state": "leaving",
+        }
+        self.world.platform.set_vm(name, entry)
+
+    def engine_calls(self, name: str) -> int:
+        """Return how many calls an engine was sent."""
+        return self.world.engine_by_name[name].started
+
     def when(self, event: str, action: Callable[[], None]) -> None:
         """Do something when an event happens for the first time."""
         self.world.when(event, action)
