--- a/postspring/command/tests/test_language.py
+++ b/postspring/command/tests/test_language.py
@@ -1,5 +1,6 @@
 """The query and command language."""
 
+import pathlib
 import unittest
 
 import hypothesis
@@ -134,3 +135,16 @@
         self.assertIn(b'["rimac"]', lost)
         back = self.edit("declare data_center rimac back", lost)
         self.assertIn(b'"lost_data_centers": []', back)
+
+
+class PageTest(unittest.TestCase):
+    """The examples of the grammar's page."""
+
+    def test_every_example_is_understood(self):
+        page = pathlib.Path(__file__).parents[3] / "docs" / "COMMANDS.md"
+        block = page.read_text().split("```")[1]
+        lines = [line for line in block.splitlines() if line.strip()]
+        self.assertGreater(len(lines), 15)
+        for line in lines:
+            with self.subTest(line=line):
+                self.assertIsInstance(command.parse(line), command.Statement)
--- a/postspring/measuring/__main__.py
+++ b/postspring/measuring/__main__.py
@@ -2,11 +2,13 @@
 
 import fire
 
+from postspring.measuring import explore
 from postspring.measuring import failover
 from postspring.measuring import path
 
 SUBJECTS = {
     "configuration": failover.measure_configuration,
+    "explore": explore.explore,
     "failover": failover.measure_failover,
     "idle": path.measure_idle,
     "log": failover.measure_log,
