Unknown outcomes are never held; a dead VM's slots are claimed sooner

Such a call is now refused for now (may have run, when to come back) until the log has decided.

Cause of the slow takeover: a link that broke was dialled again after 0.5 s, and a VM counted as alive for peer_silence (1.5 s). Ruled out: a shorter silence, which would cost heartbeats and reservations.

--- a/postspring/coordination/tests/test_owner.py
+++ b/postspring/coordination/tests/test_owner.py
@@ -414,6 +414,19 @@
         number = self.bench.ask(self.bench.model_call(self.program, 3))
         self.assert_refused(number, Reason.HELD_TURNS_FULL)
 
+    def test_an_unknown_outcome_is_never_held(self):
+        number = self.bench.ask(self.bench.tool_call(self.program))
+        self.bench.log()
+        self.bench.owner.log_up = False
+        self.bench.lose(self.bench.runs[0], sent=True)
+        self.bench.pass_time(2)
+        self.assert_refused(number, Reason.LOG_UNAVAILABLE, Ran.UNKNOWN)
+        again = self.bench.ask(self.bench.tool_call(self.program))
+        self.bench.owner.log_up = True
+        self.bench.log()
+        turn = self.bench.reply(again).turn
+        self.assertEqual(programs.TurnStatus.UNKNOWN, turn.status)
+
     def test_a_slow_log_makes_an_answer_held(self):
         number = self.bench.ask(self.bench.model_call(self.program))
         self.bench.log()
--- a/postspring/coordination/turn_flow.py
+++ b/postspring/coordination/turn_flow.py
@@ -2,10 +2,12 @@
 
 from postspring.coordination import desk
 from postspring.coordination import effects
+from postspring.coordination import limits
 from postspring.coordination import messages
 from postspring.coordination import refusals
 from postspring.coordination import runtime
 from postspring import ownership
+from postspring import programs
 
 __all__ = ["TurnFlow"]
 
@@ -155,11 +157,30 @@
                 self._desk.calls.call(call.message, to, now)
         self._desk.calls.advance(state, now)
 
+    def _refuse_unknown(self, pending: runtime.PendingTurn) -> None:
+        """Refuse for now a call whose outcome may still come in.
+
+        "Unknown" is never held: until it is in the log, the outcome that a
+        former owner has seen can come first, and is the better answer.
+        """
+        waiters = pending.waiters
+        pending.waiters = []
+        for to in waiters:
+            self._desk.refuse(
+                to,
+                Reason.LOG_UNAVAILABLE,
+                Ran.UNKNOWN,
+                limits.retry_for(Reason.LOG_UNAVAILABLE),
+            )
+
     def hold_slow(self, state: runtime.ProgramRuntime, now: float) -> None:
         """Answer as held the turns that the log takes too long to take."""
         for pending in state.pending:
             if now - pending.since < self._desk.limits.hold_after:
                 continue
+            if pending.turn.status is programs.TurnStatus.UNKNOWN:
+                self._refuse_unknown(pending)
+                continue
             if not pending.held:
                 pending.held = True
                 self._desk.effects.append(effects.CopyTurn(pending.turn))
--- a/postspring/peers/hub.py
+++ b/postspring/peers/hub.py
@@ -243,6 +243,8 @@
         def on_error(error: errors.TransportError) -> None:
             peer.dialling = False
             peer.redial_at = self._timers.now() + REDIAL_SECONDS
+            # Nobody listens there: it need not be waited for in silence.
+            peer.last_heard = 0.0
             peer.queue.clear()
             self._fail_requests(peer.vm, str(error))
 
@@ -270,10 +272,10 @@
             return
         peer.link = None
         peer.dialling = False
-        peer.redial_at = self._timers.now() + REDIAL_SECONDS
         peer.queue.clear()
         self._fail_requests(vm, "link closed")
         self._on_lost(vm)
+        self._timers.call_later(0, self._dial, peer)
 
     # -- requests -------------------------------------------------------------
 
