--- a/postspring/entry/router.py
+++ b/postspring/entry/router.py
@@ -16,6 +16,7 @@
 
 RETRY_SECONDS = 0.05
 LONGEST_RETRY_SECONDS = 0.5
+FIND_SECONDS = 8.0
 MAX_RETRY_AFTER_MS = 1000
 
 
@@ -71,8 +72,9 @@
     ) -> None:
         """Ask the owner of a slot; ``on_reply`` is called exactly once.
 
-        If no owner answers within ``timeout`` seconds the reply is a
-        refusal that says whether the request may have run.
+        If no owner answers within ``timeout`` seconds, or none can be
+        reached for FIND_SECONDS, the reply is a refusal that says whether
+        the request may have run.
         """
         deadline = self._timers.now() + timeout
         _Question(self, message, (data_center, slot), deadline, on_reply).ask()
@@ -119,16 +121,18 @@
         self._maybe_ran = False
         self._pause = RETRY_SECONDS
         self._detail = "no owner is known"
+        self._unreached_since: float | None = None
 
     def ask(self) -> None:
         """Ask whoever seems to own the slot."""
         router = self._router
         left = self._deadline - router._timers.now()
-        if left <= 0:
+        if left <= 0 or self._unreached_too_long():
             self._give_up()
             return
         owner = router.owner_of(self._place)
         if owner is None:
+            self._unreached()
             self._again()
         elif owner == router._vm:
             data_center, _slot = self._place
@@ -140,7 +144,13 @@
                 owner, self._message, left, self._replied, self._failed
             )
 
+    def _unreached_too_long(self) -> bool:
+        since = self._unreached_since
+        now = self._router._timers.now()
+        return since is not None and now - since >= FIND_SECONDS
+
     def _replied(self, reply: Any) -> None:
+        self._unreached_since = None
         if isinstance(reply, coordination.Refused):
             self._on_reply(self._with_doubt(reply))
             return
@@ -167,9 +177,14 @@
     def _failed(self, error: errors.TransportError) -> None:
         self._maybe_ran = self._maybe_ran or error.sent
         self._detail = str(error)
+        self._unreached()
         self._router.note_owner(self._place, None)
         self._again()
 
+    def _unreached(self) -> None:
+        if self._unreached_since is None:
+            self._unreached_since = self._router._timers.now()
+
     def _again(self) -> None:
         left = self._deadline - self._router._timers.now()
         pause = max(0.0, min(self._pause, left))
--- a/postspring/testing/scenario.py
+++ b/postspring/testing/scenario.py
@@ -16,7 +16,8 @@
 GRAMMAR = r"""
 start: (step? _NEWLINE)* step?
 step: world | program | call | finish | fault | cut | heal | log | tool
-    | engine | listing | when | wait | join | settle | publish | expect
+    | engine | listing | when | wait | join | settle | publish | declare
+    | expect
 
 world: "world" place ("," place)* option*
 place: NAME INT
@@ -49,6 +50,7 @@
 join: "join" NAME
 settle: "settle"
 publish: "publish" NAME ["against" INT]
+declare: "declare" NAME LOST
 expect: "expect" expectation
 ?expectation: "tool" NAME "ran" HOW -> expect_ran
     | NAME "has" INT "turns" -> expect_turns
@@ -65,6 +67,7 @@
 FINISH: "end" | "cancel"
 FAULT: "kill" | "freeze" | "thaw" | "restart" | "shutdown"
 EVENT: "intent" | "dispatch" | "commit" | "claim"
+LOST: "lost" | "back"
 HOW: "once" | "never" | "at most once"
 STATUS: "live" | "ended"
 WORD: /[a-z_]+/
@@ -244,6 +247,9 @@
     def _do_publish(self, name, version) -> None:
         self._stage.publish(str(name), version and int(version))
 
+    def _do_declare(self, data_center, lost) -> None:
+        self._stage.declare(str(data_center), str(lost) == "lost")
+
     def _do_expect(self, expectation) -> None:
         getattr(self, f"_{expectation.data}")(*expectation.children)
 
