--- a/postspring/configuration/schema.py
+++ b/postspring/configuration/schema.py
@@ -67,7 +67,10 @@
 
     ``default_budget`` and ``max_budget`` are micro-units a program.
     ``max_calls`` ends a program that loops, ``idle_seconds`` one whose
-    caller was not heard of for that long.
+    caller was not heard of for that long.  ``calls_ahead`` is for how many
+    calls' worst case money is reserved ahead: more go on while the log is
+    out, more is charged unused when an owner dies, and less is left for
+    sub-agents at the same time.
     """
 
     priority: Annotated[int, pydantic.Field(ge=0, le=9)] = 5
@@ -79,6 +82,7 @@
     max_calls: Count = 1000
     max_programs: Count = 10_000
     call_timeout_seconds: Seconds = 120.0
+    calls_ahead: Annotated[int, pydantic.Field(ge=1, le=100)] = 2
     idle_seconds: Annotated[float, pydantic.Field(gt=0, le=604800)] = 14400.0
 
 
--- a/postspring/coordination/attempt_flow.py
+++ b/postspring/coordination/attempt_flow.py
@@ -189,11 +189,12 @@
         call: runtime.Call,
         turn: ownership.Turn,
     ) -> ownership.Turn:
-        """Return the turn with money reserved ahead for the next call."""
-        if call.intent is not None:
+        """Return the turn with money reserved ahead for further calls."""
+        service = self._desk.configuration.services.get(state.program.service)
+        if call.intent is not None or service is None:
             return turn
         left = state.spendable - turn.cost
-        top_up = max(0, 2 * call.bound - left)
+        top_up = max(0, service.calls_ahead * call.bound - left)
         fits = state.program.account.fits(top_up)
         return dataclasses.replace(turn, top_up=top_up if fits else 0)
 
--- a/postspring/coordination/call_flow.py
+++ b/postspring/coordination/call_flow.py
@@ -311,9 +311,10 @@
         """Reserve money in the log, then let the call wait its turn."""
         if not self._log_usable(state, call, short):
             return
-        ahead = (
-            call.bound if state.program.account.fits(short + call.bound) else 0
-        )
+        service = self._desk.configuration.services[state.program.service]
+        ahead = (service.calls_ahead - 1) * call.bound
+        if not state.program.account.fits(short + ahead):
+            ahead = 0
         call.enter(CallState.LOGGING, now)
         record = self._desk.append(
             ownership.Reserve,
--- a/postspring/entry/attempts.py
+++ b/postspring/entry/attempts.py
@@ -32,6 +32,9 @@
         """Return whether a paused stream may go on."""
         return True
 
+    def close(self) -> None:
+        """Take note that the attempt has ended."""
+
 
 class AttemptRunner:
     """Runs the attempts that this VM was granted.
@@ -119,6 +122,7 @@
     def _lost(self, sent: bool, text: str) -> None:
         grant = self._grant
         self._runner.forget(grant)
+        self._sink.close()
         LOG.info(
             "attempt lost: %s",
             text,
@@ -133,6 +137,7 @@
 
     def _answered(self, turn: ownership.Turn) -> None:
         self._runner.forget(self._grant)
+        self._sink.close()
         self._on_turn(turn)
 
     @property
@@ -277,6 +282,12 @@
         self._incoming = incoming
         self._limit = limit
         self._meters = meters
+        self._relayed = 0
+
+    def close(self) -> None:
+        """Count what was relayed; once a stream, not once a chunk."""
+        self._meters.relayed_bytes.add(self._relayed)
+        self._relayed = 0
 
     def chunk(self, data: bytes) -> bool:
         """Send events on; ask for a pause if the caller is slow."""
@@ -284,7 +295,7 @@
         if incoming.gone:
             return True
         incoming.send(data)
-        self._meters.relayed_bytes.add(len(data))
+        self._relayed += len(data)
         if self.ready():
             return True
         self._meters.stalled_callers.add(1)
--- a/postspring/measuring/__main__.py
+++ b/postspring/measuring/__main__.py
@@ -2,17 +2,21 @@
 
 import fire
 
+from postspring.measuring import cut
 from postspring.measuring import explore
 from postspring.measuring import failover
 from postspring.measuring import path
+from postspring.measuring import relay
 
 SUBJECTS = {
     "configuration": failover.measure_configuration,
+    "cut": cut.measure_cut,
     "explore": explore.explore,
     "failover": failover.measure_failover,
     "idle": path.measure_idle,
     "log": failover.measure_log,
     "path": path.measure_path,
+    "relay": relay.measure_relay,
 }
 
 if __name__ == "__main__":
--- a/postspring/testing/virtual/world.py
+++ b/postspring/testing/virtual/world.py
@@ -376,7 +376,7 @@
         data_center, slot = self._place(program)
         return self.refold(data_center).program(program, slot)
 
-    def document(self, data_centers: list[str]) -> dict:
+    def document(self, data_centers: list[str], calls_ahead: int = 2) -> dict:
         """Return the configuration that the world begins with."""
         upstreams = {
             name: {
@@ -407,6 +407,7 @@
                     "models": ["advisor"],
                     "tools": ["parts"],
                     "default_budget": 1_000_000,
+                    "calls_ahead": calls_ahead,
                     "call_timeout_seconds": 8,
                 }
             },
