Read as a newcomer: rules of the fold, callers' module; lost release orders proved

The fold's rules repeated the fence and the look-up of a live program ten times: two kinds of rule do that now. callers.py (509 lines) held routes, the JSON of answers and the course of a call: three modules. No behaviour changed.

release_orders_lost: every release order lost, cache events 10 s late and with gaps; fails without the reconciliation (test_mutations), passes with it.

--- a/postspring/entry/callers.py
+++ b/postspring/entry/callers.py
@@ -1,19 +1,16 @@
 """The callers' HTTP interface: routes, refusals, streams."""
 
-import base64
-import binascii
 import logging
 import math
 import random
 import secrets
 from typing import Any
 
-from postspring import codec
 from postspring import coordination
+from postspring.entry import answers
 from postspring.entry import api_models
-from postspring.entry import attempts
+from postspring.entry import call_request
 from postspring.entry import event_stream
-from postspring.entry import grants
 from postspring import errors
 from postspring import identifiers
 from postspring import ownership
@@ -24,82 +21,12 @@
 
 LOG = logging.getLogger(__name__)
 ROUTE_SECONDS = 10.0
-FINISH_SECONDS = 20.0
 MAX_HISTORY_PAGE = 1000
 
 Reason = coordination.RefusalReason
 Ran = coordination.Ran
 router = web.Router()
 
-STATUS_BY_REASON = {
-    Reason.BAD_REQUEST: 400,
-    Reason.BODY_TOO_LARGE: 413,
-    Reason.BUDGET_TOO_LARGE: 400,
-    Reason.CONTEXT_TOO_LONG: 413,
-    Reason.DEADLINE_EXCEEDED: 504,
-    Reason.HELD_TURNS_FULL: 503,
-    Reason.ISOLATED: 503,
-    Reason.KEY_REUSED: 409,
-    Reason.LOG_UNAVAILABLE: 503,
-    Reason.NO_CONFIGURATION: 503,
-    Reason.NO_UPSTREAM: 503,
-    Reason.NOT_FOUND: 404,
-    Reason.NOT_PERMITTED: 403,
-    Reason.OVER_BUDGET: 402,
-    Reason.OVERLOADED: 429,
-    Reason.OWNER_UNREACHABLE: 503,
-    Reason.PARENT_MISMATCH: 409,
-    Reason.PROGRAM_ENDED: 410,
-    Reason.QUEUE_FULL: 429,
-    Reason.SHUTTING_DOWN: 503,
-    Reason.STEP_CONFLICT: 409,
-    Reason.STEP_GAP: 409,
-    Reason.SUPERSEDED: 409,
-    Reason.TOO_MANY_CALLS: 410,
-    Reason.TOO_MANY_PROGRAMS: 429,
-    Reason.UNKNOWN_PROGRAM: 404,
-    Reason.UNKNOWN_SERVICE: 404,
-    Reason.UNKNOWN_TARGET: 404,
-    Reason.UPSTREAM_FAILED: 502,
-}
-
-
-def refusal_body(refused: coordination.Refused) -> dict[str, Any]:
-    """Return a refusal as the caller's JSON."""
-    body = {
-        "refused": refused.reason.value,
-        "ran": refused.ran.value,
-        "detail": refused.detail,
-    }
-    if refused.retry_after_ms is not None:
-        body["retry_after_seconds"] = refused.retry_after_ms / 1000
-    return body
-
-
-def turn_body(turn: ownership.Turn, held: bool) -> dict[str, Any]:
-    """Return what a caller is told of its call's turn."""
-    body = {
-        "program": turn.program,
-        "step": turn.step,
-        "digest": turn.digest.hex(),
-        "kind": turn.kind.value,
-        "target": turn.target,
-        "status": turn.status.value,
-        "status_code": turn.status_code,
-        "cost": turn.cost,
-        "upstream": turn.upstream,
-        "usage": {
-            "prompt_tokens": turn.usage.prompt_tokens,
-            "completion_tokens": turn.usage.completion_tokens,
-            "cached_tokens": turn.usage.cached_tokens,
-        },
-        "held": held,
-    }
-    if held:
-        data = ownership.slot_records.encode(turn)
-        body["receipt"] = base64.b64encode(data).decode()
-    return body
-
 
 class CallerApi:
     """Answers callers' requests by asking owners and running grants.
@@ -145,7 +72,7 @@
     ) -> None:
         """Give the final answer that the request is refused."""
         self.node.meters.refused(refused.reason.value, refused.ran.value)
-        body = refusal_body(refused)
+        body = answers.refusal_body(refused)
         if incoming.streaming:
             incoming.send(event_stream.server_sent_event("refused", body))
             incoming.finish()
@@ -154,7 +81,7 @@
         if refused.retry_after_ms is not None:
             seconds = math.ceil(refused.retry_after_ms / 1000)
             headers["Retry-After"] = str(seconds)
-        status = STATUS_BY_REASON[refused.reason]
+        status = answers.STATUS_BY_REASON[refused.reason]
         incoming.respond_json(status, body, headers)
 
     def ask(
@@ -256,32 +183,11 @@
     message = coordination.ReadProgram(program=program)
 
     def replied(view: coordination.ProgramView) -> None:
-        incoming.respond_json(200, _view_body(view))
+        incoming.respond_json(200, answers.view_body(view))
 
     api.ask(incoming, program, message, replied)
 
 
-def _view_body(view: coordination.ProgramView) -> dict[str, Any]:
-    return {
-        "program": view.program,
-        "service": view.service,
-        "priority": view.priority,
-        "parent": view.parent,
-        "status": view.status.value,
-        "end_reason": view.end_reason and view.end_reason.value,
-        "owner": view.owner,
-        "epoch": view.epoch,
-        "step": view.step,
-        "digest": view.digest.hex(),
-        "budget": view.budget,
-        "spent": view.spent,
-        "reserved": view.reserved,
-        "held_turns": view.held_turns,
-        "open_intent": view.open_intent,
-        "children": list(view.children),
-    }
-
-
 @router.route("GET", "/v1/programs/<program>/history")
 def read_history(
     api: CallerApi, incoming: web.IncomingRequest, program: str
@@ -295,7 +201,7 @@
 
     def replied(view: coordination.ProgramView) -> None:
         turns = [
-            turn_body(turn, held=False)
+            answers.turn_body(turn, held=False)
             | {
                 "request": turn.request.decode(),
                 "answer": turn.answer.decode(errors="replace"),
@@ -359,131 +265,7 @@
     if _no_configuration(api, incoming):
         return
     identifiers.parse_program_id(program)
-    _CallRequest(api, incoming, program, body).start()
-
-
-def _decode_receipts(texts: list[str]) -> tuple[ownership.Turn, ...]:
-    receipts = []
-    for text in texts:
-        try:
-            data = base64.b64decode(text, validate=True)
-            receipt = ownership.slot_records.decode(data)
-        except (binascii.Error, ValueError, errors.CodecError) as error:
-            raise errors.CodecError(f"receipts: {error}") from error
-        if not isinstance(receipt, ownership.Turn):
-            raise errors.CodecError("receipts: not a turn")
-        receipts.append(receipt)
-    return tuple(receipts)
-
-
-class _CallRequest:
-    """One call request of a caller, from its body to its last byte."""
-
-    def __init__(
-        self,
-        api: CallerApi,
-        incoming: web.IncomingRequest,
-        program: str,
-        body: api_models.CallBody,
-    ):
-        self._api = api
-        self._node = api.node
-        self._incoming = incoming
-        self._program = program
-        self._body = body
-        self._attempts = 0
-        self._started = self._node.timers.now()
-        self._receipts = _decode_receipts(body.receipts)
-
-    def start(self) -> None:
-        """Ask the program's owner for the call."""
-        body = self._body
-        parent = None if body.parent is None else bytes.fromhex(body.parent)
-        message = coordination.CallProgram(
-            program=self._program,
-            service=body.service or "",
-            kind=body.kind,
-            target=body.target,
-            request=body.request(),
-            step=body.step,
-            key=body.key,
-            repeatable=body.repeatable,
-            parent=parent,
-            max_tokens=body.max_tokens,
-            timeout_ms=int(body.timeout_seconds * 1000),
-            receipts=self._receipts,
-        )
-        self._ask(message, body.timeout_seconds + ROUTE_SECONDS)
-
-    def _ask(self, message: Any, timeout: float) -> None:
-        self._api.ask(
-            self._incoming, self._program, message, self._replied, timeout
-        )
-
-    def _replied(self, reply: Any) -> None:
-        if isinstance(reply, coordination.Grant):
-            self._run(reply)
-        else:
-            self._answer(reply)
-
-    def _run(self, grant: coordination.Grant) -> None:
-        self._attempts += 1
-        sink = None
-        if self._body.stream:
-            self._begin_stream()
-            sink = attempts.CallerSink(
-                self._incoming,
-                self._node.web_limits.unsent,
-                self._node.meters,
-            )
-
-        def on_turn(turn: ownership.Turn) -> None:
-            self._node.grants.finish(grant, turn, self._finished)
-
-        def on_lost(sent: bool, detail: str) -> None:
-            lost = grants.lost_attempt(grant, sent, detail)
-            self._ask(lost, FINISH_SECONDS)
-
-        self._node.attempts.run(grant, on_turn, on_lost, sink)
-
-    def _begin_stream(self) -> None:
-        incoming = self._incoming
-        if not incoming.streaming:
-            incoming.start_stream("text/event-stream")
-        elif self._attempts > 1:
-            # What was streamed so far is void; the answer starts anew.
-            restart = {"attempt": self._attempts}
-            incoming.send(event_stream.server_sent_event("restart", restart))
-
-    def _finished(self, reply: Any) -> None:
-        if isinstance(reply, coordination.Refused):
-            self._api.refuse(self._incoming, reply)
-        else:
-            self._answer(reply)
-
-    def _answer(self, answered: coordination.CallAnswered) -> None:
-        """Give the call's final answer: its turn."""
-        turn = answered.turn
-        seconds = self._node.timers.now() - self._started
-        meters = self._node.meters
-        meters.calls.add(1, {"kind": turn.kind.value})
-        meters.call_seconds.record(seconds, {"kind": turn.kind.value})
-        if answered.held:
-            meters.held.add(1)
-            # Whoever gives a held answer keeps a copy of it, too.
-            self._node.grants.keep_copy(turn)
-        body = turn_body(turn, answered.held)
-        if not self._body.stream:
-            body["answer"] = codec.json_or_text(turn.answer)
-            self._incoming.respond_json(200, body)
-            return
-        if not self._incoming.streaming:
-            # Answered before: there is no stream to relay any more.
-            self._begin_stream()
-            body["answer"] = codec.json_or_text(turn.answer)
-        event = event_stream.server_sent_event("turn", body)
-        self._incoming.send(event + b"data: [DONE]\n\n")
-        self._incoming.finish()
+    call_request.CallRequest(api, incoming, program, body).start()
 
 
 @router.route("GET", "/healthz")
--- a/postspring/entry/node.py
+++ b/postspring/entry/node.py
@@ -10,7 +10,7 @@
 
 from postspring import coordination
 from postspring.daemon import settings as settings_module
-from postspring.entry import callers
+from postspring.entry import answers
 from postspring.entry import core as core_module
 from postspring import peers
 from postspring import transport
@@ -96,7 +96,7 @@
             reason=coordination.RefusalReason.BODY_TOO_LARGE
         )
         self.core.meters.refused(refused.reason.value, refused.ran.value)
-        return json.dumps(callers.refusal_body(refused)).encode()
+        return json.dumps(answers.refusal_body(refused)).encode()
 
     @handler("exception", channel="*")
     def _on_exception(self, error_type, value, traceback, **details):
--- a/postspring/ownership/fold.py
+++ b/postspring/ownership/fold.py
@@ -29,6 +29,36 @@
     return add
 
 
+def _sequenced_rule(record_type: type) -> Callable:
+    """Register a rule for a record that only the owner in force may write."""
+
+    def add(function: Callable) -> Callable:
+        def fenced_rule(slot: "SlotState", record: Any) -> Verdict:
+            fenced = _fenced(slot, record)
+            return function(slot, record) if fenced is None else fenced
+
+        _RULE_BY_TYPE[record_type] = fenced_rule
+        return function
+
+    return add
+
+
+def _program_rule(record_type: type) -> Callable:
+    """Register a sequenced rule about a program that must be live."""
+
+    def add(function: Callable) -> Callable:
+        @_sequenced_rule(record_type)
+        def live_rule(slot: "SlotState", record: Any) -> Verdict:
+            program, verdict = _live_program(slot, record.program)
+            if program is None:
+                return verdict
+            return function(slot, program, record)
+
+        return function
+
+    return add
+
+
 class SlotState:
     """One slot: its owner and epoch, and the programs that live in it."""
 
@@ -231,11 +261,8 @@
     return Verdict.COUNTED
 
 
-@_rule(records.Release)
+@_sequenced_rule(records.Release)
 def _apply_release(slot: SlotState, record: records.Release) -> Verdict:
-    fenced = _fenced(slot, record)
-    if fenced is not None:
-        return fenced
     slot.released = True
     slot.successor = record.successor
     for program in slot.program_by_id.values():
@@ -244,11 +271,8 @@
     return Verdict.COUNTED
 
 
-@_rule(records.Create)
+@_sequenced_rule(records.Create)
 def _apply_create(slot: SlotState, record: records.Create) -> Verdict:
-    fenced = _fenced(slot, record)
-    if fenced is not None:
-        return fenced
     if record.program in slot.program_by_id:
         return Verdict.PROGRAM_EXISTS
     if record.key and record.key in slot.program_by_create_key:
@@ -273,27 +297,19 @@
     return Verdict.COUNTED
 
 
-@_rule(records.Reserve)
-def _apply_reserve(slot: SlotState, record: records.Reserve) -> Verdict:
-    fenced = _fenced(slot, record)
-    if fenced is not None:
-        return fenced
-    program, verdict = _live_program(slot, record.program)
-    if program is None:
-        return verdict
+@_program_rule(records.Reserve)
+def _apply_reserve(
+    slot: SlotState, program: programs.Program, record: records.Reserve
+) -> Verdict:
     if not program.add_allowance(record.amount):
         return Verdict.OVER_BUDGET
     return Verdict.COUNTED
 
 
-@_rule(records.Intent)
-def _apply_intent(slot: SlotState, record: records.Intent) -> Verdict:
-    fenced = _fenced(slot, record)
-    if fenced is not None:
-        return fenced
-    program, verdict = _live_program(slot, record.program)
-    if program is None:
-        return verdict
+@_program_rule(records.Intent)
+def _apply_intent(
+    slot: SlotState, program: programs.Program, record: records.Intent
+) -> Verdict:
     if program.open_intent is not None:
         return Verdict.INTENT_OPEN
     if record.step != program.head.step + 1:
@@ -311,14 +327,10 @@
     return Verdict.COUNTED if program.open(intent) else Verdict.OVER_BUDGET
 
 
-@_rule(records.Abort)
-def _apply_abort(slot: SlotState, record: records.Abort) -> Verdict:
-    fenced = _fenced(slot, record)
-    if fenced is not None:
-        return fenced
-    program, verdict = _live_program(slot, record.program)
-    if program is None:
-        return verdict
+@_program_rule(records.Abort)
+def _apply_abort(
+    slot: SlotState, program: programs.Program, record: records.Abort
+) -> Verdict:
     intent = program.open_intent
     if intent is None or (intent.epoch, intent.sequence) != (
         record.epoch,
@@ -379,14 +391,10 @@
         program.add_allowance(turn.top_up)
 
 
-@_rule(records.End)
-def _apply_end(slot: SlotState, record: records.End) -> Verdict:
-    fenced = _fenced(slot, record)
-    if fenced is not None:
-        return fenced
-    program, verdict = _live_program(slot, record.program)
-    if program is None:
-        return verdict
+@_program_rule(records.End)
+def _apply_end(
+    slot: SlotState, program: programs.Program, record: records.End
+) -> Verdict:
     for member in slot.tree(record.program):
         if not member.live:
             continue
--- a/postspring/testing/scenario.py
+++ b/postspring/testing/scenario.py
@@ -42,6 +42,8 @@
 ?engine_state: "hangs" -> engine_hangs | "works" -> engine_works
     | "dies" INT "times" -> engine_dies
     | "crosses" INT "answers" -> engine_crosses
+    | "ignores" INT "orders" -> engine_ignores
+    | "skips" "events" "by" NUMBER -> engine_skips
 listing: "list" list_state
 ?list_state: "lags" NUMBER -> list_lags | NAME "leaving" -> list_leaving
 when: "when" EVENT [NAME] "then" action ("and" action)*
--- a/postspring/testing/tests/test_mutations.py
+++ b/postspring/testing/tests/test_mutations.py
@@ -180,6 +180,16 @@
                 contextlib.nullcontext(), "memory_released_at_the_end"
             )
 
+    def test_strays_are_not_looked_for(self):
+        self.assert_found(
+            mock.patch.object(
+                core.cache_keeper.CacheKeeper,
+                "_release_strays",
+                lambda keeper, host: None,
+            ),
+            "release_orders_lost",
+        )
+
     def test_the_log_is_not_relayed(self):
         self.assert_found(
             mock.patch.object(
--- a/postspring/testing/virtual/servers.py
+++ b/postspring/testing/virtual/servers.py
@@ -198,14 +198,24 @@
         self.started = 0
         self.held_by_session: collections.Counter = collections.Counter()
         self.events: list[dict] = []
+        self.ignore_orders = 0
+        self.events_late_by = 0.0
 
     def _note(self, kind: str, session: str) -> None:
-        event = {"offset": len(self.events), "kind": kind, "session": session}
+        event = {
+            "offset": len(self.events),
+            "kind": kind,
+            "session": session,
+            "at": self.clock.now,
+        }
         self.events.append(event)
 
     def handle(self, request: Any, responder: network_module.Responder):
         """Serve a chat completion, or take an order."""
         if request.path == "/orders":
+            if self.ignore_orders:
+                self.ignore_orders -= 1
+                return
             order = json.loads(request.body)
             self.held_by_session.pop(order["session"], None)
             self._note("released", order["session"])
@@ -213,7 +223,7 @@
             return
         if request.path.startswith("/cache/events"):
             first = int(request.path.rpartition("=")[2])
-            listed = {"next": len(self.events), "events": self.events[first:]}
+            listed = {"next": len(self.events), "events": self._since(first)}
             responder.respond(200, json.dumps(listed).encode())
             return
         self.started += 1
@@ -238,6 +248,16 @@
         responder.head(200)
         self._step(body["user"], request_id, tokens, words, doomed, responder)
 
+    def _since(self, first: int) -> list[dict]:
+        """Return events from an offset on, late and with gaps if so set."""
+        late_by = self.events_late_by
+        return [
+            event
+            for event in self.events[first:]
+            if event["at"] <= self.clock.now - late_by
+            and not (late_by and event["offset"] % 2)
+        ]
+
     def _step(
         self, program, request_id, prompt_tokens, words, doomed, responder
     ) -> None:
--- a/postspring/testing/virtual/stage.py
+++ b/postspring/testing/virtual/stage.py
@@ -148,6 +148,14 @@
         """Have an engine give so many answers to the wrong requests."""
         self.world.engine_by_name[name].cross_answers = int(count)
 
+    def engine_ignores(self, name: str, count: float) -> None:
+        """Have an engine neither take nor answer so many orders."""
+        self.world.engine_by_name[name].ignore_orders = int(count)
+
+    def engine_skips(self, name: str, seconds: float) -> None:
+        """Have an engine publish events late, and only every other one."""
+        self.world.engine_by_name[name].events_late_by = seconds
+
     def list_lags(self, seconds: float) -> None:
         """Have the list of VMs lag."""
         self.world.platform.list_lag = seconds
