Links cut at the sockets of real processes; the client leaves a VM that is cut off

A stand-in of a link forwards TCP until it is cut. data_centre_cut and vm_cut_from_platform run on real daemons. The first one failed: the client went back to a VM that could not reach the program's owner instead of trying another; owner_unreachable, no_configuration and shutting_down now move it on.

--- a/postspring/client/connection.py
+++ b/postspring/client/connection.py
@@ -27,6 +27,10 @@
         "upstream_failed",
     }
 )
+# Another VM may do better: this one is cut off, starting or leaving.
+OTHER_VM_REASONS = frozenset(
+    {"no_configuration", "owner_unreachable", "shutting_down"}
+)
 
 
 class RefusedError(errors.PostspringError):
@@ -141,6 +145,8 @@
             except RefusedError as error:
                 if error.reason not in RETRIED_REASONS:
                     raise
+                if error.reason in OTHER_VM_REASONS:
+                    self._next += 1
                 pause = error.retry_after or 0.2
                 failure: errors.PostspringError = error
             except (OSError, http.client.HTTPException) as error:
--- a/postspring/testing/__main__.py
+++ b/postspring/testing/__main__.py
@@ -5,6 +5,7 @@
 from postspring.daemon import settings
 from postspring.testing import base
 from postspring.testing import engine as engine_module
+from postspring.testing import link as link_module
 from postspring.testing import platform_service
 from postspring.testing import services
 
@@ -27,6 +28,16 @@
             engine_module.Engine(bind, tuple(names), **options)
         )
 
+    def link(self, listen: str, forward: str, to: str) -> None:
+        """Run a link that takes connections at ``forward``."""
+        base.run_until_signal(
+            link_module.Link(
+                settings.split_address(listen),
+                settings.split_address(forward),
+                settings.split_address(to),
+            )
+        )
+
     def tool(self, listen: str) -> None:
         """Run a tool service."""
         bind = settings.split_address(listen)
--- a/postspring/testing/process_stage.py
+++ b/postspring/testing/process_stage.py
@@ -47,8 +47,9 @@
 class ProcessStage:
     """Runs a scenario's steps on a :class:`Deployment`.
 
-    It knows no triggers and no cuts, and times are real: only what holds
-    whatever the timing is expected of it.
+    It knows no triggers, and times are real: only what holds whatever the
+    timing is expected of it.  With ``links=1`` a VM can be cut from the
+    platform, and from all other VMs at once (``cut VM from peers``).
     """
 
     replay = "timing is real; run the scenario again"
@@ -59,7 +60,9 @@
 
     def build(self, places: dict[str, int], options: dict) -> None:
         """Start the deployment."""
-        self.deployment = processes.Deployment(places, engines=2)
+        self.deployment = processes.Deployment(
+            places, engines=2, links=bool(options.get("links"))
+        )
         self.deployment.begin()
 
     def close(self) -> None:
@@ -124,6 +127,14 @@
         self.deployment.start_vm(vm)
         processes.wait_until(vm, lambda: self.deployment.ready(vm))
 
+    def cut(self, vm: str, side: str) -> None:
+        """Cut a VM from ``platform`` or from its ``peers``."""
+        self.deployment.cut(f"{side}-{vm}")
+
+    def heal(self) -> None:
+        """Mend all links."""
+        self.deployment.mend_links()
+
     def log_down(self) -> None:
         """Take the log down."""
         self.deployment.faults("platform", down=True)
@@ -173,6 +184,7 @@
     def settle(self) -> list[str]:
         """Mend everything, wait for all calls, and return what is wrong."""
         self.log_up()
+        self.heal()
         self.tool_works()
         for name in self._caller_by_name:
             self.join(name)
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -163,6 +163,9 @@
         Further settings of the entry VMs.
     retain : int
         Records that the platform keeps of each stream.
+    links : bool
+        Whether each VM reaches the platform, and is reached by the other
+        VMs, through links that can be cut.
     """
 
     def __init__(
@@ -175,6 +178,7 @@
         entry_flags: dict[str, Any] | None = None,
         engine_flags: dict[str, Any] | None = None,
         retain: int = 1_000_000,
+        links: bool = False,
     ):
         super().__init__()
         self.slots = slots
@@ -182,10 +186,15 @@
         self.engine_flags = engine_flags or {}
         self.platform = _address()
         self.vm_by_name: dict[str, _Vm] = {}
+        self._with_links = links
+        self._faults_by_link: dict[str, str] = {}
+        self._forward_by_link: dict[str, str] = {}
         self.address_by_upstream: dict[str, str] = {}
         self.document = self._build(data_centers, engines, tools, plain)
         self._start_stand_in("platform", self.platform, retain=retain)
         self._start_upstreams()
+        if links:
+            self._start_links()
 
     def begin(self) -> None:
         """Publish the configuration, start the VMs and wait for them."""
@@ -206,7 +215,9 @@
         vm = self.vm_by_name[name]
         entry = {
             "data_center": vm.data_center,
-            "address": vm.peer_listen,
+            "address": self._forward_by_link.get(
+                f"peers-{name}", vm.peer_listen
+            ),
             "state": state,
         }
         fetch(self.platform, "PUT", f"/vms/{name}", entry)
@@ -233,7 +244,9 @@
             "data_center": vm.data_center,
             "listen": vm.listen,
             "peer_listen": vm.peer_listen,
-            "platform": self.platform,
+            "platform": self._forward_by_link.get(
+                f"platform-{name}", self.platform
+            ),
             "slots": self.slots,
         } | self.entry_flags
         arguments = ["postspring.daemon.main", "entry"]
@@ -271,6 +284,16 @@
         )
         fetch(address, "POST", "/faults", faults)
 
+    def cut(self, link: str, cut: bool = True) -> None:
+        """Cut or mend a link: ``platform-VM`` or ``peers-VM``."""
+        address = self._faults_by_link[link]
+        fetch(address, "POST", "/faults", {"cut": cut})
+
+    def mend_links(self) -> None:
+        """Mend all links."""
+        for link in self._faults_by_link:
+            self.cut(link, False)
+
     def executions(self) -> dict[str, int]:
         """Return how often each tool call ran, over all tool services."""
         counts: dict[str, int] = {}
@@ -354,6 +377,22 @@
             else:
                 self._start_stand_in(stand_in_by_kind[kind], address, name)
 
+    def _start_links(self) -> None:
+        for name, vm in self.vm_by_name.items():
+            for link, target in (
+                (f"platform-{name}", self.platform),
+                (f"peers-{name}", vm.peer_listen),
+            ):
+                self._faults_by_link[link] = _address()
+                self._forward_by_link[link] = _address()
+                self._start_stand_in(
+                    "link",
+                    self._faults_by_link[link],
+                    f"link-{link}",
+                    forward=self._forward_by_link[link],
+                    to=target,
+                )
+
     def _start_stand_in(
         self, kind: str, address: str, name: str = "", **flags: Any
     ) -> None:
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -145,6 +145,12 @@
         """Stop reading a paced connection."""
         self._paced.pop(sock, None)
 
+    def hold(self, sock: socket.socket) -> None:
+        """Stop reading a connection; :meth:`unpace` goes on."""
+        self._paced.pop(sock, None)
+        if self._poller.isReading(sock):
+            self._poller.removeReader(sock)
+
     def unpace(self, sock: socket.socket) -> None:
         """Read the connection as its packets come again."""
         if sock in self._handler_by_socket and not self._poller.isReading(
