A VM that can't reach a call's owner does not say that it did not run

Only an owner knows what was asked for elsewhere: the refusal says unknown now. Creations are safe by their key and stay 'not run'.

Ruled out: leaving it, since 'this request' was not run indeed; whoever reads the refusal means the call.

--- a/postspring/entry/router.py
+++ b/postspring/entry/router.py
@@ -193,7 +193,9 @@
 
     def _give_up(self) -> None:
         ran = coordination.Ran.NOT_RUN
-        if self._maybe_ran:
+        # Only an owner knows whether a call was asked for before, elsewhere.
+        is_call = isinstance(self._message, coordination.CallProgram)
+        if self._maybe_ran or is_call:
             ran = coordination.Ran.UNKNOWN
         self._on_reply(
             coordination.Refused(
