max_programs of a service is enforced, by data centre

It stood in the schema and did nothing. Every VM folds all slots of its data centre, so the owner of any slot can count; a creation over the bound is refused at once with when to come back. The count walks the programs: cheap at today's sizes, to be a counter in the fold at the target's.

--- a/postspring/configuration/schema.py
+++ b/postspring/configuration/schema.py
@@ -66,11 +66,11 @@
     """A service of agent programs, or a plain service.
 
     ``default_budget`` and ``max_budget`` are micro-units a program.
-    ``max_calls`` ends a program that loops, ``idle_seconds`` one whose
-    caller was not heard of for that long.  ``calls_ahead`` is for how many
-    calls' worst case money is reserved ahead: more go on while the log is
-    out, more is charged unused when an owner dies, and less is left for
-    sub-agents at the same time.
+    ``max_programs`` may live in one data centre. ``max_calls`` ends a program
+    that loops, ``idle_seconds`` one whose caller was not heard of for that
+    long. ``calls_ahead`` is for how many calls' worst case money is reserved
+    ahead: more go on while the log is out, more is charged unused when an
+    owner dies, and less is left for sub-agents at the same time.
     """
 
     priority: Annotated[int, pydantic.Field(ge=0, le=9)] = 5
--- a/postspring/coordination/lifecycle.py
+++ b/postspring/coordination/lifecycle.py
@@ -3,6 +3,7 @@
 from postspring import configuration
 from postspring.coordination import desk
 from postspring.coordination import effects
+from postspring.coordination import limits
 from postspring.coordination import messages
 from postspring.coordination import refusals
 from postspring.coordination import runtime
@@ -43,7 +44,9 @@
         service = self._desk.configuration.services.get(message.service)
         fault = self._creation_fault(slot, message, service)
         if fault is not None:
-            return self._desk.refuse(to, fault)
+            return self._desk.refuse(
+                to, fault, retry_after_ms=limits.retry_for(fault)
+            )
         if not self._desk.log_up:
             return self._desk.refuse_log(to)
         budget = message.budget
@@ -76,6 +79,8 @@
             return Reason.UNKNOWN_SERVICE
         if message.budget is not None and message.budget > service.max_budget:
             return Reason.BUDGET_TOO_LARGE
+        if self._live_programs(message.service) >= service.max_programs:
+            return Reason.TOO_MANY_PROGRAMS
         if message.parent is None:
             return None
         parent = slot.program_by_id.get(message.parent)
@@ -83,6 +88,14 @@
             return Reason.UNKNOWN_PROGRAM
         return None if parent.live else Reason.PROGRAM_ENDED
 
+    def _live_programs(self, service: str) -> int:
+        """Return how many programs of a service live in this data centre."""
+        return sum(
+            program.live and program.service == service
+            for slot in self._desk.fold.slot_by_number.values()
+            for program in slot.program_by_id.values()
+        )
+
     def _created(
         self,
         record: ownership.Create,
--- a/postspring/coordination/limits.py
+++ b/postspring/coordination/limits.py
@@ -48,6 +48,7 @@
     Reason.QUEUE_FULL: 500,
     Reason.STEP_GAP: 200,
     Reason.SUPERSEDED: 100,
+    Reason.TOO_MANY_PROGRAMS: 5000,
     Reason.UPSTREAM_FAILED: 1000,
 }
 
--- a/postspring/coordination/tests/harness.py
+++ b/postspring/coordination/tests/harness.py
@@ -29,6 +29,7 @@
                 "default_budget": 10_000,
                 "max_budget": 50_000,
                 "max_calls": 20,
+                "max_programs": 12,
             }
         },
     }
--- a/postspring/coordination/tests/test_owner.py
+++ b/postspring/coordination/tests/test_owner.py
@@ -524,6 +524,17 @@
         call = self.bench.model_call(self.program, target="none")
         self.assert_refused(self.bench.ask(call), Reason.UNKNOWN_TARGET)
 
+    def test_too_many_programs_of_a_service(self):
+        made = [self.bench.create() for _ in range(11)]
+        number = self.bench.ask(
+            coordination.CreateProgram(slot=0, service="agentes")
+        )
+        reply = self.assert_refused(number, Reason.TOO_MANY_PROGRAMS)
+        self.assertIsNotNone(reply.retry_after_ms)
+        self.bench.ask(coordination.EndProgram(program=made[0]))
+        self.bench.log()
+        self.bench.create()
+
     def test_a_creation_with_a_known_key_finds_the_first(self):
         first = self.bench.create(key="x")
         self.assertEqual(first, self.bench.create(key="x"))
