--- a/postspring/codec.py
+++ b/postspring/codec.py
@@ -70,10 +70,6 @@
 
         return add
 
-    def kind_of(self, item: Any) -> str:
-        """Return the kind under which the type of ``item`` is registered."""
-        return self._kind_by_type[type(item)]
-
     def pack(self, item: Any) -> list:
         """Return ``[kind, fields]`` for embedding in a larger message."""
         kind = self._kind_by_type[type(item)]
--- a/postspring/coordination/__init__.py
+++ b/postspring/coordination/__init__.py
@@ -27,7 +27,6 @@
 from postspring.coordination.refusals import RefusalReason
 from postspring.coordination.refusals import Refused
 from postspring.coordination.turns import answered_turn
-from postspring.coordination.turns import unknown_turn
 
 __all__ = [
     "Append",
@@ -57,5 +56,4 @@
     "Run",
     "answered_turn",
     "owner_messages",
-    "unknown_turn",
 ]
--- a/postspring/coordination/attempt_flow.py
+++ b/postspring/coordination/attempt_flow.py
@@ -170,7 +170,7 @@
             return self._desk.reply_not_owner(slot, to)
         call = self._attempt_of(message.attempt, state)
         if call is not None:
-            self.forget(call, failed=False, now=now)
+            self.forget(call)
             state.active = None
             self._desk.turns.commit(
                 state,
@@ -198,6 +198,19 @@
         fits = state.program.account.fits(top_up)
         return dataclasses.replace(turn, top_up=top_up if fits else 0)
 
+    def set_aside(
+        self, state: runtime.ProgramRuntime, call: runtime.Call
+    ) -> None:
+        """Give up the active call; what is running may still cost."""
+        if call.state is CallState.RUNNING:
+            self.forget(call)
+            if call.intent is None:
+                state.lost_cost += call.bound
+        else:
+            call.abandoned = True
+            self._desk.pool.withdraw(call.message.target, state.program.id)
+        state.active = None
+
     def lose(
         self, message: messages.LoseAttempt, to: effects.ReplyTo, now: float
     ) -> None:
@@ -306,6 +319,8 @@
             return None
         return call if call.state is CallState.RUNNING else None
 
-    def forget(self, call: runtime.Call, *, failed: bool, now: float) -> None:
-        """Give back the room that an attempt took."""
+    def forget(
+        self, call: runtime.Call, *, failed: bool = False, now: float = 0.0
+    ) -> None:
+        """Give back the room that an attempt took; ``now`` if it failed."""
         self._desk.pool.release(call.upstream, failed=failed, now=now)
--- a/postspring/coordination/call_flow.py
+++ b/postspring/coordination/call_flow.py
@@ -424,7 +424,7 @@
         call.abandoned = True
         self._desk.pool.withdraw(call.message.target, state.program.id)
         if call.state is CallState.RUNNING:
-            self._desk.attempts.forget(call, failed=False, now=now)
+            self._desk.attempts.forget(call)
         for to in call.waiters:
             self._desk.reply_not_owner(
                 self._desk.slot_of(state.program.id), to
--- a/postspring/coordination/lifecycle.py
+++ b/postspring/coordination/lifecycle.py
@@ -261,12 +261,5 @@
             self._desk.effects.append(
                 effects.CancelAttempt(call.runner, program_id, call.attempt)
             )
-            self._desk.attempts.forget(call, failed=False, now=0.0)
-            if call.intent is None:
-                state.lost_cost += call.bound
-            self._desk.refuse_all(call, Reason.PROGRAM_ENDED)
-        else:
-            self._desk.pool.withdraw(call.message.target, program_id)
-            call.abandoned = True
-            self._desk.refuse_all(call, Reason.PROGRAM_ENDED)
-        state.active = None
+        self._desk.attempts.set_aside(state, call)
+        self._desk.refuse_all(call, Reason.PROGRAM_ENDED)
--- a/postspring/coordination/turn_flow.py
+++ b/postspring/coordination/turn_flow.py
@@ -14,7 +14,6 @@
 Reason = refusals.RefusalReason
 Ran = refusals.Ran
 Verdict = ownership.Verdict
-CallState = runtime.CallState
 
 
 class TurnFlow:
@@ -60,16 +59,9 @@
             return False
         call = state.active
         waiters = []
-        if call is not None and call.state is CallState.RUNNING:
-            self._desk.attempts.forget(call, failed=False, now=now)
-            if call.intent is None:
-                state.lost_cost += call.bound
+        if call is not None:
             waiters = call.waiters
-        elif call is not None:
-            call.abandoned = True
-            self._desk.pool.withdraw(call.message.target, state.program.id)
-            waiters = call.waiters
-        state.active = None
+            self._desk.attempts.set_aside(state, call)
         self.commit(state, turn, waiters, now)
         return True
 
@@ -141,13 +133,7 @@
         call = state.active
         overtaken = []
         if call is not None and call.message.step == turn.step:
-            if call.state is CallState.RUNNING:
-                self._desk.attempts.forget(call, failed=False, now=now)
-                if call.intent is None:
-                    state.lost_cost += call.bound
-            self._desk.pool.withdraw(call.message.target, turn.program)
-            call.abandoned = True
-            state.active = None
+            self._desk.attempts.set_aside(state, call)
             overtaken.append(call)
         queued = state.queue_by_step.pop(turn.step, None)
         if queued is not None:
--- a/postspring/coordination/turns.py
+++ b/postspring/coordination/turns.py
@@ -7,7 +7,12 @@
 from postspring import ownership
 from postspring import programs
 
-__all__ = ["UNKNOWN_ANSWER", "answered_turn", "build_prompt", "unknown_turn"]
+__all__ = [
+    "UNKNOWN_ANSWER",
+    "abandoned_intent_turn",
+    "answered_turn",
+    "build_prompt",
+]
 
 UNKNOWN_ANSWER = b'{"outcome":"unknown"}'
 
@@ -19,25 +24,32 @@
     usage: programs.Usage = programs.Usage(),
 ) -> ownership.Turn:
     """Return the turn of an attempt that got its whole answer."""
-    return _turn(
-        grant,
-        answer,
-        programs.TurnStatus.ANSWERED,
-        status_code,
-        usage,
-        pricing.attempt_cost(grant, usage),
+    request_digest = programs.request_digest(
+        grant.kind, grant.target, grant.request
     )
-
-
-def unknown_turn(grant: messages.Grant) -> ownership.Turn:
-    """Return the turn of a dispatched attempt whose outcome is lost."""
-    return _turn(
-        grant,
-        UNKNOWN_ANSWER,
-        programs.TurnStatus.UNKNOWN,
-        0,
-        programs.Usage(),
-        grant.cost_bound,
+    digest = programs.chain_digest(
+        grant.parent, grant.step, request_digest, answer
+    )
+    return ownership.Turn(
+        slot=grant.slot,
+        epoch=grant.epoch,
+        program=grant.program,
+        step=grant.step,
+        parent=grant.parent,
+        digest=digest,
+        kind=grant.kind,
+        target=grant.target,
+        key=grant.key,
+        request_digest=request_digest,
+        request=grant.request,
+        answer=answer,
+        status=programs.TurnStatus.ANSWERED,
+        status_code=status_code,
+        usage=usage,
+        cost=min(pricing.attempt_cost(grant, usage), grant.cost_bound),
+        intent_epoch=grant.intent_epoch,
+        intent_sequence=grant.intent_sequence,
+        upstream=grant.upstream,
     )
 
 
@@ -101,40 +113,3 @@
 def _inner(array: bytes) -> bytes:
     """Return the inside of a JSON array."""
     return array.strip()[1:-1].strip()
-
-
-def _turn(
-    grant: messages.Grant,
-    answer: bytes,
-    status: programs.TurnStatus,
-    status_code: int,
-    usage: programs.Usage,
-    cost: int,
-) -> ownership.Turn:
-    request_digest = programs.request_digest(
-        grant.kind, grant.target, grant.request
-    )
-    digest = programs.chain_digest(
-        grant.parent, grant.step, request_digest, answer
-    )
-    return ownership.Turn(
-        slot=grant.slot,
-        epoch=grant.epoch,
-        program=grant.program,
-        step=grant.step,
-        parent=grant.parent,
-        digest=digest,
-        kind=grant.kind,
-        target=grant.target,
-        key=grant.key,
-        request_digest=request_digest,
-        request=grant.request,
-        answer=answer,
-        status=status,
-        status_code=status_code,
-        usage=usage,
-        cost=min(cost, grant.cost_bound),
-        intent_epoch=grant.intent_epoch,
-        intent_sequence=grant.intent_sequence,
-        upstream=grant.upstream,
-    )
--- a/postspring/platform/vm_list.py
+++ b/postspring/platform/vm_list.py
@@ -6,7 +6,6 @@
 
 from collections.abc import Callable
 import enum
-import json
 import logging
 
 import pydantic
@@ -131,8 +130,3 @@
             timeout=2.0,
         )
         self._http.send(request, self)
-
-
-def encode_entries(entries: list[VmEntry]) -> bytes:
-    """Return the list as the platform serves it."""
-    return json.dumps([entry.model_dump() for entry in entries]).encode()
--- a/postspring/testing/scenario.py
+++ b/postspring/testing/scenario.py
@@ -6,12 +6,17 @@
 """
 
 import dataclasses
-import typing
 from typing import Any
 
 import lark
 
-__all__ = ["GRAMMAR", "Scenario", "ScenarioError", "Stage", "parse_scenario"]
+__all__ = [
+    "GRAMMAR",
+    "Scenario",
+    "ScenarioError",
+    "ScenarioRun",
+    "parse_scenario",
+]
 
 GRAMMAR = r"""
 start: (step? _NEWLINE)* step?
@@ -84,7 +89,6 @@
 """
 
 _PARSER = lark.Lark(GRAMMAR, parser="earley", maybe_placeholders=True)
-PATIENCE_SECONDS = 150.0
 
 
 class ScenarioError(AssertionError):
@@ -117,29 +121,13 @@
     return Scenario(text, tuple(step.children[0] for step in tree.children))
 
 
-class Stage(typing.Protocol):
-    """What a scenario needs of a deployment, virtual or real."""
-
-    def build(self, places: dict[str, int], options: dict) -> None:
-        """Start the deployment."""
-
-    def create(self, name, vm, budget, parent) -> None:
-        """Create a program."""
-
-    def call(self, name: str, kind: str, key: str, mode: str) -> None:
-        """Issue a call."""
-
-    def fault(self, kind: str, vm: str) -> None:
-        """Kill, freeze, thaw, restart or shut down a VM."""
-
-
 class ScenarioRun:
     """Runs a scenario's steps on a stage.
 
     Parameters
     ==========
 
-    stage : Stage
+    stage : VirtualStage or ProcessStage
         The deployment.
     scenario : Scenario
         What to do.
