--- a/postspring/entry/configuration_host.py
+++ b/postspring/entry/configuration_host.py
@@ -8,7 +8,7 @@
 from postspring import configuration
 from postspring import errors
 from postspring import peers
-from postspring import platform
+from postspring import sharedlog
 from postspring import transport
 
 __all__ = ["CONFIGURATION_STREAM", "ConfigurationHost"]
@@ -47,7 +47,7 @@
 
     def __init__(
         self,
-        client: platform.LogClient,
+        client: sharedlog.LogClient,
         timers: transport.Timers,
         on_change: Callable[[], None],
         carry_every: float,
@@ -60,7 +60,7 @@
         self._publishing: list[_Publishing] = []
         self.fold = configuration.ConfigurationFold()
         self.record = b""
-        self.tail = platform.StreamTail(
+        self.tail = sharedlog.StreamTail(
             client,
             CONFIGURATION_STREAM,
             timers,
@@ -183,7 +183,7 @@
                     )
                 )
 
-    def _apply_page(self, page: platform.LogPage) -> None:
+    def _apply_page(self, page: sharedlog.LogPage) -> None:
         if page.first > self.fold.next_offset:
             self.fold.skip_to(page.first)
         for offset, data in page.records:
--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -22,8 +22,8 @@
 from postspring import metrics
 from postspring import ownership
 from postspring import peers
-from postspring import platform
 from postspring import scheduling
+from postspring import sharedlog
 from postspring import transport
 from postspring import upstreams
 from postspring import web
@@ -83,11 +83,11 @@
         self.meters = metrics.Metrics()
         platform_address = settings_module.split_address(settings.platform)
         self.log_client = relayed_log.RelayedLogClient(
-            platform.LogClient(http, platform_address),
+            sharedlog.LogClient(http, platform_address),
             timers,
             self._log_helpers,
         )
-        self.vm_list = platform.VmList(
+        self.vm_list = sharedlog.VmList(
             http, platform_address, timers, self._vms_changed
         )
         self.pool = scheduling.UpstreamPool(
@@ -309,7 +309,7 @@
         for name, upstream in self.pool.upstream_by_id.items():
             entry = self.vm_list.entry_by_vm.get(name)
             listed = (
-                entry is not None and entry.state is platform.VmState.LEAVING
+                entry is not None and entry.state is sharedlog.VmState.LEAVING
             )
             upstream.leaving = listed or configured[name].draining
 
--- a/postspring/entry/grants.py
+++ b/postspring/entry/grants.py
@@ -11,7 +11,7 @@
 from postspring import identifiers
 from postspring import ownership
 from postspring import peers
-from postspring import platform
+from postspring import sharedlog
 from postspring import transport
 
 __all__ = ["GrantRunner"]
@@ -49,7 +49,7 @@
         router: router_module.OwnerRouter,
         hosts: slot_hosts.SlotHosts,
         hub: peers.PeerHub,
-        client: platform.LogClient,
+        client: sharedlog.LogClient,
         timers: transport.Timers,
     ):
         self._vm = vm
@@ -59,7 +59,7 @@
         self._hub = hub
         self._client = client
         self._timers = timers
-        self._appender_by_data_center: dict[str, platform.StreamAppender] = {}
+        self._appender_by_data_center: dict[str, sharedlog.StreamAppender] = {}
 
     def finish(
         self,
@@ -128,7 +128,7 @@
             return False
         appender = self._appender_by_data_center.get(home)
         if appender is None:
-            appender = platform.StreamAppender(
+            appender = sharedlog.StreamAppender(
                 self._client,
                 slots.slot_stream_name(home),
                 self._timers,
--- a/postspring/entry/relayed_log.py
+++ b/postspring/entry/relayed_log.py
@@ -5,7 +5,7 @@
 
 from postspring import errors
 from postspring import peers
-from postspring import platform
+from postspring import sharedlog
 from postspring import transport
 
 __all__ = ["RelayedLogClient"]
@@ -37,7 +37,7 @@
 
     def __init__(
         self,
-        direct: platform.LogClient,
+        direct: sharedlog.LogClient,
         timers: transport.Timers,
         helpers: Callable[[], list[str]],
     ):
@@ -83,7 +83,7 @@
         stream: str,
         offset: int,
         wait: float,
-        on_page: Callable[[platform.LogPage], None],
+        on_page: Callable[[sharedlog.LogPage], None],
         on_error: Callable[[errors.PlatformError], None],
         limit: int = 2000,
     ) -> Any:
@@ -93,7 +93,7 @@
         )
 
         def got(reply: Any) -> None:
-            on_page(platform.LogPage(reply.first, reply.next, reply.records))
+            on_page(sharedlog.LogPage(reply.first, reply.next, reply.records))
 
         def relay(error: errors.PlatformError) -> None:
             self._relay(message, wait, got, on_error)
@@ -122,7 +122,7 @@
     def serve_read(self, message: Any, reply: Callable[[Any], None]) -> None:
         """Read for another VM, by the direct way only."""
 
-        def got(page: platform.LogPage) -> None:
+        def got(page: sharedlog.LogPage) -> None:
             reply(
                 peers.RecordsRead(
                     first=page.first, next=page.next, records=page.records
--- a/postspring/entry/router.py
+++ b/postspring/entry/router.py
@@ -9,7 +9,7 @@
 from postspring.entry import slot_hosts
 from postspring import errors
 from postspring import peers
-from postspring import platform
+from postspring import sharedlog
 from postspring import transport
 
 __all__ = ["OwnerRouter"]
@@ -51,7 +51,7 @@
         data_center: str,
         hosts: slot_hosts.SlotHosts,
         hub: peers.PeerHub,
-        vm_list: platform.VmList,
+        vm_list: sharedlog.VmList,
         timers: transport.Timers,
     ):
         self._vm = vm
--- a/postspring/entry/slot_hosts.py
+++ b/postspring/entry/slot_hosts.py
@@ -8,7 +8,7 @@
 from postspring import configuration
 from postspring.entry import slots
 from postspring import peers
-from postspring import platform
+from postspring import sharedlog
 
 __all__ = ["SlotHosts"]
 
@@ -43,7 +43,7 @@
         vm: str,
         data_center: str,
         build: Callable[[str, Callable], slots.SlotHost],
-        vm_list: platform.VmList,
+        vm_list: sharedlog.VmList,
     ):
         self._vm = vm
         self._data_center = data_center
@@ -132,9 +132,9 @@
         entry = self._vm_list.entry_by_vm.get(vm)
         return None if entry is None else entry.data_center
 
-    def _responds(self, entry: platform.VmEntry) -> bool:
+    def _responds(self, entry: sharedlog.VmEntry) -> bool:
         return (
-            entry.state is platform.VmState.LIVE
+            entry.state is sharedlog.VmState.LIVE
             and self._hub is not None
             and self._hub.responsive(entry.vm)
             and not self._hub.leaving(entry.vm)
--- a/postspring/entry/slots.py
+++ b/postspring/entry/slots.py
@@ -10,8 +10,8 @@
 from postspring import errors
 from postspring import metrics
 from postspring import ownership
-from postspring import platform
 from postspring import scheduling
+from postspring import sharedlog
 from postspring import transport
 
 __all__ = ["SlotHost", "slot_stream_name"]
@@ -71,7 +71,7 @@
         incarnation: str,
         data_center: str,
         slots: int,
-        client: platform.LogClient,
+        client: sharedlog.LogClient,
         timers: transport.Timers,
         pool: scheduling.UpstreamPool,
         run: Callable[[coordination.Grant], None],
@@ -100,7 +100,7 @@
             vm, incarnation, data_center, self.fold, pool, limits
         )
         stream = slot_stream_name(data_center)
-        self._appender = platform.StreamAppender(
+        self._appender = sharedlog.StreamAppender(
             client,
             stream,
             timers,
@@ -108,7 +108,7 @@
             self._append_health,
             batch_delay,
         )
-        self.tail = platform.StreamTail(
+        self.tail = sharedlog.StreamTail(
             client,
             stream,
             timers,
@@ -264,7 +264,7 @@
             self._apply(offset + position, record)
         self._carry_out()
 
-    def _apply_page(self, page: platform.LogPage) -> None:
+    def _apply_page(self, page: sharedlog.LogPage) -> None:
         if page.first > self.fold.next_offset:
             LOG.error(
                 "records expired before they were read",
--- /dev/null
+++ b/postspring/forwarding/__init__.py
@@ -0,0 +1,27 @@
+"""Forwarding: callers' requests to upstreams, and the answers back."""
+
+from postspring.forwarding.delivery import Delivery
+from postspring.forwarding.delivery import Dispatcher
+from postspring.forwarding.delivery import Receiver
+from postspring.forwarding.event_splitter import EventSplitter
+from postspring.forwarding.forwarder import Forwarder
+from postspring.forwarding.ports import AnswerFacts
+from postspring.forwarding.ports import CallFacts
+from postspring.forwarding.ports import HeaderGetter
+from postspring.forwarding.ports import UpstreamExtra
+from postspring.forwarding.ports import WireFormat
+from postspring.forwarding.refusals import Refusal
+
+__all__ = [
+    "AnswerFacts",
+    "CallFacts",
+    "Delivery",
+    "Dispatcher",
+    "EventSplitter",
+    "Forwarder",
+    "HeaderGetter",
+    "Receiver",
+    "Refusal",
+    "UpstreamExtra",
+    "WireFormat",
+]
--- /dev/null
+++ b/postspring/forwarding/forwarder.py
@@ -0,0 +1,96 @@
+"""Takes callers' requests: finds the route and starts the call."""
+
+from collections.abc import Callable
+
+from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import outcome as outcome_module
+from postspring.forwarding import plain
+from postspring.forwarding import refusals
+from postspring.forwarding import relay
+from postspring.forwarding import turn_call
+from postspring import histories
+from postspring import routing
+from postspring import transport
+
+__all__ = ["Forwarder"]
+
+
+class Forwarder:
+    """Starts a call for each request.
+
+    Parameters
+    ==========
+
+    dispatcher : Dispatcher
+        What all deliveries share.
+    journal : Journal
+        Keeps turns.
+    current : callable
+        Returns the configuration in force, or None.
+    inputs : callable
+        Returns what decisions rest on, for the log: versions and ages.
+    """
+
+    def __init__(
+        self,
+        dispatcher: delivery_module.Dispatcher,
+        journal: histories.Journal,
+        current: Callable[[], routing.Snapshot | None],
+        inputs: Callable[[], dict] = dict,
+    ):
+        self._dispatcher = dispatcher
+        self._journal = journal
+        self._current = current
+        self._inputs = inputs
+        self._last_upstreams = turn_call.LastUpstreams()
+
+    def handle(self, call: transport.IncomingCall) -> None:
+        """Start a call."""
+        facts = self._dispatcher.wire.decode_call(call.header)
+        snapshot = self._current()
+        route = None
+        if snapshot is not None:
+            route = snapshot.table.find(call.header("Host"), call.target)
+        outcome = outcome_module.Outcome(
+            call, facts, route, self._dispatcher.metrics, self._inputs()
+        )
+        if route is None:
+            refusal = refusals.Refusal.NO_ROUTE
+            if snapshot is None:
+                refusal = refusals.Refusal.NO_CONFIGURATION
+            refused = relay.CallerRelay(self._dispatcher, call, facts, outcome)
+            refused.refuse(refusal)
+            return
+        self._start(call, facts, route, snapshot, outcome)
+
+    def _start(self, call, facts, route, snapshot, outcome) -> None:
+        patience = route.timeout
+        if facts.deadline is not None:
+            patience = min(patience, facts.deadline)
+        deadline = call.received_at + patience
+        if route.keeps_history and facts.request:
+            turn_call.TurnCall(
+                self._dispatcher,
+                self._journal,
+                self._last_upstreams,
+                call,
+                facts,
+                route,
+                _tokens_per_event(route, snapshot),
+                deadline,
+                outcome,
+            ).start()
+            return
+        plain.PlainCall(
+            self._dispatcher, call, facts, route, deadline, outcome
+        ).start()
+
+
+def _tokens_per_event(route: routing.Route, snapshot: routing.Snapshot) -> int:
+    """Return the most tokens that one event of a route may count as."""
+    counts = [1]
+    for share in route.shares:
+        service = snapshot.service_by_name.get(share.service)
+        if service is not None and service.engine is not None:
+            counts.append(service.engine.tokens_per_event)
+    return max(counts)
--- /dev/null
+++ b/postspring/forwarding/plain.py
@@ -0,0 +1,56 @@
+"""Plain calls: passed on as they are, with no record."""
+
+from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import outcome as outcome_module
+from postspring.forwarding import ports
+from postspring.forwarding import refusals
+from postspring.forwarding import relay
+from postspring import routing
+from postspring import transport
+
+__all__ = ["PlainCall"]
+
+
+class PlainCall(relay.CallerRelay):
+    """A call of a tool or a plain service, or a stream without history."""
+
+    def __init__(
+        self,
+        dispatcher: delivery_module.Dispatcher,
+        call: transport.IncomingCall,
+        facts: ports.CallFacts,
+        route: routing.Route,
+        deadline: float,
+        outcome: outcome_module.Outcome,
+    ):
+        super().__init__(dispatcher, call, facts, outcome)
+        self._route = route
+        self.delivery = delivery_module.Delivery(
+            dispatcher, call, facts, route, call.body, deadline, self
+        )
+
+    def start(self) -> None:
+        """Send the call."""
+        self._call.on_gone = self._gone
+        self.delivery.start()
+
+    def stream_ended(self) -> None:
+        """Complete the stream."""
+        self._call.finish()
+        self.report("answered")
+
+    def _gone(self) -> None:
+        """The caller left: work that nobody waits for is broken off.
+
+        A call that may not be repeated goes on: its effect may be wanted
+        all the same.
+        """
+        if self._route.kind is routing.CallKind.ONCE:
+            self.delivery.detach()
+        else:
+            self.delivery.cancel()
+        self.report("caller_gone")
+
+    def refused(self, refusal: refusals.Refusal) -> None:
+        """Answer that the call was given up."""
+        self.refuse(refusal)
--- /dev/null
+++ b/postspring/forwarding/ports.py
@@ -0,0 +1,130 @@
+"""What forwarding needs to know of calls and answers, and of their format.
+
+The adapter of the users' platform and the stand-ins implement
+:class:`WireFormat`.
+"""
+
+import abc
+from collections.abc import Callable
+import dataclasses
+
+from postspring import histories
+
+__all__ = [
+    "AnswerFacts",
+    "CallFacts",
+    "HeaderGetter",
+    "UpstreamExtra",
+    "WireFormat",
+]
+
+# Returns the value of a header field, or an empty text.
+HeaderGetter = Callable[[str], str]
+Fields = list[tuple[str, str]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallFacts:
+    """What a call says of itself; times in seconds.
+
+    Parameters
+    ==========
+
+    request : str
+        Id of this attempt of the caller.
+    deadline : float or None
+        How long the caller will wait.
+    prompt_tokens, ceiling : int
+        Tokens of the prompt; most tokens that may be generated.
+    prompt_parts : tuple of (str, int)
+        Id and tokens of each part of the prompt, in order.
+    line : str
+        The line of turns that a turn belongs to.
+    program_deadline : float or None
+        Time left until the program should be finished.
+    budget : int or None
+        Tokens that all turns of the program may generate.
+    previous : TurnId or None
+        The turn that this one continues.
+    """
+
+    request: str
+    deadline: float | None = None
+    prompt_tokens: int = 0
+    ceiling: int = 0
+    prompt_parts: tuple[tuple[str, int], ...] = ()
+    affinity_key: str = ""
+    program: histories.ProgramId = histories.ProgramId("")
+    line: str = ""
+    program_deadline: float | None = None
+    budget: int | None = None
+    previous: histories.TurnId | None = None
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class AnswerFacts:
+    """What an upstream's answer says.
+
+    Parameters
+    ==========
+
+    request : str
+        Id of the request that it answers, or empty.
+    not_run : bool
+        The upstream states that it did not run the request.
+    wrong_upstream : bool
+        Another upstream has the address now.
+    sealed : bool
+        The answer bears the upstream's signature.
+    """
+
+    request: str = ""
+    not_run: bool = False
+    wrong_upstream: bool = False
+    sealed: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UpstreamExtra:
+    """What the system adds to a call.
+
+    Parameters
+    ==========
+
+    remaining : float or None
+        Seconds that the upstream has.
+    upstream : str
+        Id of the only upstream that may run the call.
+    urgency : int or None
+        Rank among other calls there, 0 first.
+    """
+
+    remaining: float | None = None
+    upstream: str = ""
+    urgency: int | None = None
+
+
+class WireFormat(abc.ABC):
+    """Header fields of calls and answers."""
+
+    @abc.abstractmethod
+    def decode_call(self, header: HeaderGetter) -> CallFacts:
+        """Return what a call's header fields say."""
+
+    @abc.abstractmethod
+    def upstream_fields(self, fields: Fields, extra: UpstreamExtra) -> Fields:
+        """Return the header fields to send to an upstream."""
+
+    @abc.abstractmethod
+    def decode_answer(
+        self, status: int, headers: dict[str, str]
+    ) -> AnswerFacts:
+        """Return what an answer says; header names are in lower case."""
+
+    @abc.abstractmethod
+    def caller_fields(self, fields: Fields, sealed: bool) -> Fields:
+        """Return the header fields of an upstream's answer to pass on."""
+
+    @abc.abstractmethod
+    def own_fields(self, request: str, retry_after: float | None) -> Fields:
+        """Return the header fields of an answer of our own."""
--- /dev/null
+++ b/postspring/forwarding/refusals.py
@@ -0,0 +1,37 @@
+"""Why a call gets an answer of our own, and which one."""
+
+import enum
+
+__all__ = ["Refusal"]
+
+
+class Refusal(enum.Enum):
+    """A reason, its status, and when the caller may come back.
+
+    Explanation
+    ===========
+
+    Status 503 promises that the call did not run and never will; 502 and
+    504 promise nothing.  ``retry_after`` is in seconds.
+    """
+
+    NO_CONFIGURATION = ("no_configuration", 503, 0.5)
+    NO_ROUTE = ("no_route", 404, None)
+    NO_UPSTREAM = ("no_upstream", 503, 0.3)
+    UPSTREAMS_REFUSED = ("upstreams_refused", 503, 0.1)
+    JOURNAL_UNAVAILABLE = ("journal_unavailable", 503, 0.4)
+    BUDGET_SPENT = ("budget_spent", 402, None)
+    NO_SUCH_TURN = ("no_such_turn", 404, None)
+    TIMED_OUT_UNSENT = ("timed_out_unsent", 503, 0.1)
+    TIMED_OUT = ("timed_out", 504, None)
+    UNKNOWN_OUTCOME = ("unknown_outcome", 502, None)
+
+    def __init__(self, reason: str, status: int, retry_after: float | None):
+        self.reason = reason
+        self.status = status
+        self.retry_after = retry_after
+
+    @property
+    def did_not_run(self) -> bool:
+        """Whether the answer promises that the call did not run."""
+        return self.status in (402, 404, 503)
--- /dev/null
+++ b/postspring/forwarding/relay.py
@@ -0,0 +1,74 @@
+"""What all receivers that answer a caller have in common."""
+
+from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import outcome as outcome_module
+from postspring.forwarding import ports
+from postspring.forwarding import refusals
+from postspring import transport
+
+__all__ = ["CallerRelay"]
+
+
+class CallerRelay(delivery_module.Receiver):
+    """Passes an upstream's answer on to the caller."""
+
+    def __init__(
+        self,
+        dispatcher: delivery_module.Dispatcher,
+        call: transport.IncomingCall,
+        facts: ports.CallFacts,
+        outcome: outcome_module.Outcome,
+    ):
+        self._dispatcher = dispatcher
+        self._call = call
+        self._facts = facts
+        self._outcome = outcome
+        self._status = 0
+        self.delivery: delivery_module.Delivery | None = None
+
+    def answered(self, status: int, fields: list, body: bytes) -> None:
+        """Pass a whole answer on."""
+        self._status = status
+        self._call.respond(status, fields, body)
+        self.report("answered")
+
+    def stream_started(self, status: int, fields: list) -> None:
+        """Begin the answer."""
+        self._status = status
+        self._call.start(status, fields)
+
+    def stream_events(self, events: list[bytes]) -> None:
+        """Pass events on."""
+        self._call.send(b"".join(events))
+
+    def stream_broken(self, reason: str) -> None:
+        """Close the connection: the answer must not look complete."""
+        self._call.abort()
+        self.report("broken_off", reason=reason)
+
+    def refuse(self, refusal: refusals.Refusal) -> None:
+        """Give an answer of our own."""
+        fields = self._dispatcher.wire.own_fields(
+            self._facts.request, refusal.retry_after
+        )
+        self._call.respond(refusal.status, fields)
+        self._add_delivery()
+        now = self._dispatcher.timers.now()
+        self._outcome.report_refusal(refusal, now)
+
+    def report(self, text: str, **fields) -> None:
+        """Log and count the call's outcome."""
+        self._add_delivery()
+        now = self._dispatcher.timers.now()
+        self._outcome.report(text, now, status=self._status, **fields)
+
+    def _add_delivery(self) -> None:
+        delivery = self.delivery
+        if delivery is None:
+            return
+        upstream = delivery.upstream
+        self._outcome.add(
+            upstream=upstream.id if upstream else "",
+            attempts=delivery.attempts,
+            unsent=delivery.unsent,
+        )
--- /dev/null
+++ b/postspring/front/node.py
@@ -0,0 +1,218 @@
+"""A front VM: everything it consists of, on one loop."""
+
+from collections.abc import Callable
+import logging
+import time
+
+from circuits import BaseComponent
+from circuits.core import pollers
+
+from postspring import forwarding
+from postspring.front import configuration
+from postspring.front import settings as settings_module
+from postspring.front import shutdown
+from postspring.front import upstream_watch
+from postspring import histories
+from postspring import keyedlog
+from postspring import metrics as metrics_module
+from postspring import platform
+from postspring import routing
+from postspring.scheduling import placement
+from postspring import transport
+from postspring import upstreams
+
+__all__ = ["FrontNode"]
+
+LOG = logging.getLogger(__name__)
+
+CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
+UPSTREAMS_PLACE = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
+# A read of the configuration waits this long for a change, in seconds.
+CONFIGURATION_WAIT_SECONDS = 10.0
+# Upstreams write every heartbeat; reading them once in this many seconds
+# keeps within the 2 s in which a leaving one has to be left alone.
+UPSTREAMS_PACE_SECONDS = 0.9
+MISSING_SWEEP_SECONDS = 0.5
+
+
+class FrontNode(BaseComponent):
+    """Serves callers on the users' platform.
+
+    Parameters
+    ==========
+
+    vm : VmSettings
+        What the platform says of this VM.
+    own : FrontSettings
+        What operators chose.
+    on_stopped : callable
+        Called when a graceful shutdown is done.
+    """
+
+    channel = "front"
+
+    def __init__(
+        self,
+        vm: platform.VmSettings,
+        own: settings_module.FrontSettings,
+        on_stopped: Callable[[], None],
+    ):
+        super().__init__()
+        pollers.EPoll().register(self)
+        self.vm = vm
+        self.metrics = metrics_module.Metrics()
+        self.timers = transport.Timers().register(self)
+        self._hub = transport.SocketHub(self.timers).register(self)
+        self.http = transport.HttpClient(self._hub, self.timers)
+        self.store = platform.Store(
+            transport.HttpClient(self._hub, self.timers),
+            vm.store,
+            vm.partitions,
+            self._count_store_call,
+        )
+        self.directory = upstreams.Directory(
+            self.timers.now, self._upstream_gone
+        )
+        self.configuration = configuration.ConfigurationKeeper(
+            platform.CONFIGURATION_KEY,
+            platform.decode_snapshot,
+            self._configuration_changed,
+        )
+        self.journal = histories.Journal(self.store, self.timers)
+        self._limits = transport.ServerLimits()
+        self._follow()
+        self._serve(own)
+        self.shutdown = shutdown.Shutdown(
+            self.timers, self.callers, vm.grace, on_stopped
+        )
+
+    def start(self) -> None:
+        """Begin to follow the log."""
+        LOG.info("started", extra={"first_start": self.vm.first_start})
+        self._configuration_follower.start()
+        self._upstream_follower.start()
+        self.timers.call_every(
+            MISSING_SWEEP_SECONDS, self.directory.drop_missing
+        )
+
+    @property
+    def is_ready(self) -> bool:
+        """Whether new callers should come here."""
+        return (
+            not self.shutdown.leaving
+            and self.configuration.snapshot is not None
+            and bool(self.directory.by_id)
+        )
+
+    # -- parts ----------------------------------------------------------------
+
+    def _follow(self) -> None:
+        watch = upstream_watch.UpstreamWatch(
+            self.directory, platform.decode_announcement
+        )
+        self._configuration_follower = keyedlog.Follower(
+            self.store,
+            self.timers,
+            CONFIGURATION_PLACE,
+            self.configuration.take,
+            self.configuration.take,
+            wait=CONFIGURATION_WAIT_SECONDS,
+        )
+        self._upstream_follower = keyedlog.Follower(
+            self.store,
+            self.timers,
+            UPSTREAMS_PLACE,
+            watch.reset,
+            watch.take,
+            pace=UPSTREAMS_PACE_SECONDS,
+            on_regained=self._log_regained,
+        )
+
+    def _serve(self, own: settings_module.FrontSettings) -> None:
+        dispatcher = forwarding.Dispatcher(
+            self.http,
+            self.timers,
+            self.directory,
+            placement.placement_by_name[own.placement](),
+            platform.PlatformWireFormat(),
+            self.metrics,
+        )
+        self.forwarder = forwarding.Forwarder(
+            dispatcher,
+            self.journal,
+            lambda: self.configuration.snapshot,
+            self._decision_inputs,
+        )
+        self.callers = transport.HttpServer(
+            self.timers,
+            self.forwarder.handle,
+            self._limits,
+            self._count_unreadable,
+        )
+        self.callers.listen(self, self.vm.callers, "callers")
+        self.readiness = transport.HttpServer(
+            self.timers, self._answer_readiness, transport.ServerLimits()
+        )
+        self.readiness.listen(self, self.vm.readiness, "readiness")
+        if own.metrics_port:
+            page = transport.HttpServer(
+                self.timers, self._answer_metrics, transport.ServerLimits()
+            )
+            bind = (self.vm.callers[0], own.metrics_port)
+            page.listen(self, bind, "metrics")
+        self._observe()
+
+    def _observe(self) -> None:
+        self.metrics.observe(
+            "configuration_age_seconds",
+            "Seconds since the log last answered about the configuration",
+            lambda: self._configuration_follower.age,
+        )
+        self.metrics.observe(
+            "upstreams_age_seconds",
+            "Seconds since the log last answered about upstreams",
+            lambda: self._upstream_follower.age,
+        )
+        self.metrics.observe(
+            "upstream_connections_opened",
+            "Connections opened to upstreams",
+            lambda: self.http.connections_opened,
+        )
+        self.metrics.observe(
+            "processor_seconds", "Processor time used", time.process_time
+        )
+
+    # -- events ---------------------------------------------------------------
+
+    def _decision_inputs(self) -> dict:
+        return {
+            "configuration": self.configuration.version,
+            "upstreams_age": round(self._upstream_follower.age, 2),
+        }
+
+    def _configuration_changed(self, snapshot: routing.Snapshot) -> None:
+        self._limits.header_bytes = snapshot.limits.header_bytes
+        self._limits.body_bytes = snapshot.limits.body_bytes
+        self._limits.header_seconds = snapshot.limits.header_seconds
+        self._limits.idle_seconds = snapshot.limits.idle_seconds
+
+    def _log_regained(self, seconds: float) -> None:
+        self.directory.tolerate_missing()
+        self._configuration_follower.read_now()
+
+    def _upstream_gone(self, upstream: upstreams.Upstream) -> None:
+        self.http.discard(upstream.address)
+
+    def _answer_readiness(self, call: transport.IncomingCall) -> None:
+        call.respond(200 if self.is_ready else 503, [])
+
+    def _answer_metrics(self, call: transport.IncomingCall) -> None:
+        fields = [("Content-Type", "text/plain; version=0.0.4")]
+        call.respond(200, fields, self.metrics.scrape())
+
+    def _count_store_call(self, name: str, outcome: str) -> None:
+        self.metrics.store_calls.add(1, {"call": name, "outcome": outcome})
+
+    def _count_unreadable(self, status: int) -> None:
+        self.metrics.refused(f"unreadable_{status}", "no")
+        LOG.info("request not readable", extra={"status": status})
--- /dev/null
+++ b/postspring/histories/fold.py
@@ -0,0 +1,75 @@
+"""Folds: what the records of one partition add up to.
+
+No clock and no I/O: the same records in the same order give the same state
+on every VM.
+"""
+
+import logging
+
+from postspring.histories import errors
+from postspring.histories import program as program_module
+from postspring.histories import records
+
+__all__ = ["LocationFold", "ProgramFold"]
+
+LOG = logging.getLogger(__name__)
+
+
+def _decode(value: bytes) -> records.Record | None:
+    try:
+        return records.decode_record(value)
+    except errors.MalformedRecord as error:
+        LOG.warning("record skipped", extra={"error": str(error)})
+        return None
+
+
+class ProgramFold:
+    """The programs of one partition."""
+
+    def __init__(self):
+        self.program_by_id: dict[
+            records.ProgramId, program_module.Program
+        ] = {}
+
+    def apply(self, value: bytes) -> None:
+        """Fold one record; an empty one drops its key and changes nothing.
+
+        A dropped turn has outlived its retention, and with it every turn
+        that may name it.
+        """
+        record = _decode(value) if value else None
+        if record is None:
+            return
+        program = self.program(record.program)
+        if isinstance(record, records.OpenedTurn):
+            program.open(record)
+        elif isinstance(record, records.WholeTurn):
+            program.complete(record)
+        elif isinstance(record, records.EndedTurn):
+            program.end(record)
+
+    def program(self, program: records.ProgramId) -> program_module.Program:
+        """Return a program, which may have no turns yet."""
+        found = self.program_by_id.get(program)
+        if found is None:
+            found = program_module.Program(program)
+            self.program_by_id[program] = found
+        return found
+
+    def whole_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
+        """Return a turn of the history, or None if it is not known."""
+        found = self.program_by_id.get(ref.program)
+        return None if found is None else found.whole_turn(ref.turn)
+
+
+class LocationFold:
+    """Where whole turns stand, for callers that know only a turn's id."""
+
+    def __init__(self):
+        self.program_by_turn: dict[records.TurnId, records.ProgramId] = {}
+
+    def apply(self, value: bytes) -> None:
+        """Fold one record."""
+        record = _decode(value) if value else None
+        if isinstance(record, records.TurnLocation):
+            self.program_by_turn[record.turn] = record.program
--- /dev/null
+++ b/postspring/histories/partition.py
@@ -0,0 +1,252 @@
+"""One partition as this VM sees it: what it folded, what it appends.
+
+Appends are not conditional.  The answer tells the offset; if others
+appended in between, what they wrote is read and folded first, and the fold
+says what counts.  With one VM at work on a partition that is one call.
+"""
+
+from collections.abc import Callable
+import dataclasses
+import logging
+from typing import Any
+
+from postspring.histories import errors
+from postspring import keyedlog
+from postspring.transport import timers as timers_module
+
+__all__ = ["Partition"]
+
+LOG = logging.getLogger(__name__)
+
+# An append without an answer is sent once more after these many seconds:
+# behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
+RESEND_SECONDS = (0.15, 0.6, 1.2)
+# Pause after a refused call, in seconds.
+RETRY_SECONDS = 0.1
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Waiter:
+    """Somebody who waits for an append, or for a read to the end."""
+
+    entry: keyedlog.LogEntry | None
+    on_done: Callable[[Any], None]
+    on_error: Callable[[errors.HistoryError], None]
+    expiry: timers_module.TimerHandle | None = None
+
+
+class Partition:
+    """Appends to a partition and folds it, one step at a time.
+
+    Parameters
+    ==========
+
+    fold_type : type
+        Makes the fold, anew when the records have to be read from the
+        start.
+    """
+
+    def __init__(
+        self,
+        log: keyedlog.KeyedLog,
+        timers: timers_module.Timers,
+        place: keyedlog.LogPlace,
+        fold_type: type,
+    ):
+        self._log = log
+        self._timers = timers
+        self._place = place
+        self._fold_type = fold_type
+        self.fold: Any = fold_type()
+        self.end: int | None = None
+        self.used_at = timers.now()
+        self._commits: list[_Waiter] = []
+        self._refreshes: list[_Waiter] = []
+        self._busy = False
+
+    @property
+    def idle(self) -> bool:
+        """Whether nobody waits for this partition."""
+        return not (self._busy or self._commits or self._refreshes)
+
+    def commit(
+        self,
+        entry: keyedlog.LogEntry,
+        patience: float,
+        on_done: Callable[[Any], None],
+        on_error: Callable[[errors.HistoryError], None],
+    ) -> None:
+        """Append an entry; ``on_done`` gets the fold that includes it.
+
+        Parameters
+        ----------
+        patience : float
+            Seconds after which to give up; the entry may be appended all
+            the same.
+        """
+        waiter = _Waiter(entry, on_done, on_error)
+        self._wait(self._commits, waiter, patience)
+
+    def refresh(
+        self,
+        patience: float,
+        on_done: Callable[[Any], None],
+        on_error: Callable[[errors.HistoryError], None],
+    ) -> None:
+        """Fold all that is in the partition now."""
+        waiter = _Waiter(None, on_done, on_error)
+        self._wait(self._refreshes, waiter, patience)
+
+    # -- own ------------------------------------------------------------------
+
+    def _wait(
+        self, waiters: list[_Waiter], waiter: _Waiter, patience: float
+    ) -> None:
+        waiters.append(waiter)
+        waiter.expiry = self._timers.call_later(
+            patience, self._expire, waiters, waiter
+        )
+        self._work()
+
+    def _expire(self, waiters: list[_Waiter], waiter: _Waiter) -> None:
+        if waiter in waiters:
+            waiters.remove(waiter)
+            waiter.on_error(errors.JournalUnavailable("timeout"))
+
+    def _release(self, waiters: list[_Waiter], done: list[_Waiter]) -> None:
+        try:
+            for waiter in done:
+                if waiter in waiters:
+                    waiters.remove(waiter)
+                    waiter.expiry.cancel()
+                    waiter.on_done(self.fold)
+        finally:
+            self._go_on()
+
+    def _work(self) -> None:
+        self.used_at = self._timers.now()
+        if self._busy:
+            return
+        if self._commits:
+            self._busy = True
+            _Append(self, self._commits[:]).start()
+        elif self._refreshes:
+            self._busy = True
+            waiting = self._refreshes[:]
+            self._read_to(
+                None, lambda: self._release(self._refreshes, waiting)
+            )
+
+    def appended(self, commits: list[_Waiter], first: int) -> None:
+        """Take note that a batch stands in the log."""
+        end = first + len(commits)
+        if self.end is None and first == 0 or self.end == first:
+            for commit in commits:
+                self.fold.apply(commit.entry.value)
+            self.end = end
+            self._release(self._commits, commits)
+        else:
+            self._read_to(end, lambda: self._release(self._commits, commits))
+
+    def not_appended(self, error: keyedlog.KeyedLogError) -> None:
+        """Take note that a batch was not accepted; try again."""
+        LOG.info("append failed", extra={"reason": str(error)})
+        self._timers.call_later(RETRY_SECONDS, self._go_on)
+
+    def _go_on(self) -> None:
+        self._busy = False
+        self._work()
+
+    # -- reading --------------------------------------------------------------
+
+    def _read_to(self, end: int | None, then: Callable[[], None]) -> None:
+        """Read until ``end``, or until the partition's end as of now."""
+
+        def on_page(page: keyedlog.LogPage) -> None:
+            for entry in page.entries:
+                self.fold.apply(entry.value)
+            self.end = page.next
+            target = page.end if end is None else end
+            if self.end >= target:
+                then()
+            else:
+                self._read_to(target, then)
+
+        def on_error(error: keyedlog.KeyedLogError) -> None:
+            if isinstance(error, keyedlog.LogExpired):
+                self._read_newest(end, then)
+            else:
+                self._read_failed(error, end, then)
+
+        self._log.read(self._place, self.end or 0, on_page, on_error)
+
+    def _read_newest(self, end: int | None, then: Callable) -> None:
+        def on_page(page: keyedlog.LogPage) -> None:
+            self.fold = self._fold_type()
+            for entry in page.entries:
+                self.fold.apply(entry.value)
+            self.end = page.next
+            self._read_to(end, then)
+
+        self._log.read_newest(
+            self._place,
+            on_page,
+            lambda error: self._read_failed(error, end, then),
+        )
+
+    def _read_failed(self, error, end, then) -> None:
+        LOG.info("read failed", extra={"reason": str(error)})
+        if self._commits or self._refreshes:
+            self._timers.call_later(RETRY_SECONDS, self._read_to, end, then)
+        else:
+            self._timers.call_later(0, self._go_on)
+
+
+class _Append:
+    """One batch on its way; sent again while no answer has come.
+
+    The fold ignores what stands in the log twice.
+    """
+
+    def __init__(self, partition: Partition, commits: list[_Waiter]):
+        self._partition = partition
+        self._commits = commits
+        self._open = 0
+        self._done = False
+        self._sent = 0
+        self._resend: timers_module.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Send the batch, and plan to send it again."""
+        partition = self._partition
+        self._open += 1
+        if self._sent < len(RESEND_SECONDS):
+            seconds = RESEND_SECONDS[self._sent]
+            self._resend = partition._timers.call_later(seconds, self._again)
+        self._sent += 1
+        entries = [commit.entry for commit in self._commits]
+        partition._log.append(
+            partition._place, entries, self._appended, self._failed
+        )
+
+    def _again(self) -> None:
+        if not self._done:
+            self.start()
+
+    def _appended(self, first: int) -> None:
+        if self._done:
+            return
+        self._finish()
+        self._partition.appended(self._commits, first)
+
+    def _failed(self, error: keyedlog.KeyedLogError) -> None:
+        self._open -= 1
+        if self._done or self._open:
+            return
+        self._finish()
+        self._partition.not_appended(error)
+
+    def _finish(self) -> None:
+        self._done = True
+        if self._resend is not None:
+            self._resend.cancel()
--- /dev/null
+++ b/postspring/keyedlog/__init__.py
@@ -0,0 +1,23 @@
+"""Keyed log: partitions of keyed records, and how they are followed."""
+
+from postspring.keyedlog.errors import KeyedLogError
+from postspring.keyedlog.errors import LogExpired
+from postspring.keyedlog.errors import LogUnavailable
+from postspring.keyedlog.follower import Follower
+from postspring.keyedlog.ports import KeyedLog
+from postspring.keyedlog.ports import LogEntry
+from postspring.keyedlog.ports import LogPage
+from postspring.keyedlog.ports import LogPlace
+from postspring.keyedlog.ports import Subject
+
+__all__ = [
+    "Follower",
+    "KeyedLog",
+    "KeyedLogError",
+    "LogEntry",
+    "LogExpired",
+    "LogPage",
+    "LogPlace",
+    "LogUnavailable",
+    "Subject",
+]
--- /dev/null
+++ b/postspring/keyedlog/errors.py
@@ -0,0 +1,27 @@
+"""Errors of the keyed log."""
+
+from postspring import errors
+
+__all__ = ["KeyedLogError", "LogExpired", "LogUnavailable"]
+
+
+class KeyedLogError(errors.PostspringError):
+    """A call to the log did not succeed."""
+
+
+class LogUnavailable(KeyedLogError):
+    """The log did not answer, or refused; an append may still happen.
+
+    Parameters
+    ----------
+    reason : str
+        A short word for counters.
+    """
+
+    def __init__(self, reason: str):
+        super().__init__(f"the log is not available: {reason}")
+        self.reason = reason
+
+
+class LogExpired(KeyedLogError):
+    """The records that were asked for have expired."""
--- /dev/null
+++ b/postspring/keyedlog/follower.py
@@ -0,0 +1,149 @@
+"""Follows a partition: all there is, then what is added."""
+
+from collections.abc import Callable
+import logging
+
+from postspring.keyedlog import errors
+from postspring.keyedlog import ports
+from postspring.transport import timers as timers_module
+
+__all__ = ["Follower"]
+
+LOG = logging.getLogger(__name__)
+
+# Pause after a failed call, in seconds.
+RETRY_SECONDS = 0.3
+
+
+class Follower:
+    """Keeps a VM's view of one partition up to date.
+
+    Explanation
+    ===========
+
+    A follower that silently stops would look like a bad policy, so it says
+    how old its view is, and when it lost and regained the log.
+
+    Parameters
+    ==========
+
+    pace : float
+        Least seconds between two reads: each call is paid for, and records
+        of no interest end a waiting read as well.
+    wait : float
+        Seconds that a read waits for a record.
+    on_reset : callable
+        Called with the newest record of each key, which is all there is.
+    on_entries : callable
+        Called with what was added since.
+    on_regained : callable
+        Called when the log answers again, with how many seconds it was
+        away.
+    """
+
+    def __init__(
+        self,
+        log: ports.KeyedLog,
+        timers: timers_module.Timers,
+        place: ports.LogPlace,
+        on_reset: Callable[[list[ports.LogEntry]], None],
+        on_entries: Callable[[list[ports.LogEntry]], None],
+        pace: float = 0.0,
+        wait: float = 0.0,
+        on_regained: Callable[[float], None] = lambda seconds: None,
+    ):
+        self._log = log
+        self._timers = timers
+        self._place = place
+        self._on_reset = on_reset
+        self._on_entries = on_entries
+        self._on_regained = on_regained
+        self._pace = pace
+        self._wait = wait
+        self._next: int | None = None
+        self._round = 0
+        self.fresh_at = timers.now()
+        self.lost_since: float | None = None
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self._read()
+
+    def read_now(self) -> None:
+        """Drop a read that may hang, and read at once."""
+        self._read()
+
+    @property
+    def age(self) -> float:
+        """Seconds since the log last answered."""
+        return self._timers.now() - self.fresh_at
+
+    # -- own ------------------------------------------------------------------
+
+    def _read(self) -> None:
+        self._round += 1
+        number = self._round
+
+        def on_page(page: ports.LogPage) -> None:
+            if number == self._round:
+                self._take(page)
+
+        def on_error(error: errors.KeyedLogError) -> None:
+            if number == self._round:
+                self._failed(error)
+
+        if self._next is None:
+            self._log.read_newest(self._place, on_page, on_error)
+        else:
+            wait = self._wait if self.lost_since is None else 0.0
+            self._log.read(self._place, self._next, on_page, on_error, wait)
+
+    def _take(self, page: ports.LogPage) -> None:
+        was_reset = self._next is None
+        self._next = page.next
+        self._note_success()
+        if was_reset:
+            self._on_reset(page.entries)
+        elif page.entries:
+            self._on_entries(page.entries)
+        behind = page.next < page.end
+        self._plan(0.0 if behind else self._pace)
+
+    def _failed(self, error: errors.KeyedLogError) -> None:
+        if isinstance(error, errors.LogExpired):
+            self._next = None
+            self._plan(0.0)
+            return
+        if self.lost_since is None:
+            self.lost_since = self._timers.now()
+            LOG.warning(
+                "log lost",
+                extra={
+                    "subject": self._place.subject.value,
+                    "reason": str(error),
+                },
+            )
+        self._plan(RETRY_SECONDS)
+
+    def _note_success(self) -> None:
+        self.fresh_at = self._timers.now()
+        if self.lost_since is None:
+            return
+        seconds = self.fresh_at - self.lost_since
+        self.lost_since = None
+        LOG.info(
+            "log regained",
+            extra={
+                "subject": self._place.subject.value,
+                "seconds": round(seconds, 3),
+            },
+        )
+        self._on_regained(seconds)
+
+    def _plan(self, seconds: float) -> None:
+        number = self._round
+        self._timers.call_later(seconds, self._read_if, number)
+
+    def _read_if(self, number: int) -> None:
+        if number == self._round:
+            self._read()
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -53,6 +53,9 @@
         self.stalled_callers = self._counter(
             "stalled_callers", "Streams paused for a slow caller"
         )
+        self.store_calls = self._counter(
+            "store_calls", "Calls to the platform's store, by outcome"
+        )
         self.call_seconds = self._meter.create_histogram(
             "postspring_call_seconds", unit="s", description="Call latency"
         )
--- a/postspring/platform/__init__.py
+++ b/postspring/platform/__init__.py
@@ -1,19 +1,24 @@
-"""Platform: clients of the append-only log and of the list of VMs."""
+"""Platform: the names, formats and calls of the users' platform.
 
-from postspring.platform.appender import StreamAppender
-from postspring.platform.log_client import LogClient
-from postspring.platform.log_client import LogPage
-from postspring.platform.tail import StreamTail
-from postspring.platform.vm_list import VmEntry
-from postspring.platform.vm_list import VmList
-from postspring.platform.vm_list import VmState
+Nothing in this package decides, and nothing outside it knows the platform's
+names.  It decodes what comes into the project's own types, once, and
+encodes what goes out.
+"""
+
+from postspring.platform.documents import CONFIGURATION_KEY
+from postspring.platform.documents import decode_announcement
+from postspring.platform.documents import decode_snapshot
+from postspring.platform.headers import PlatformWireFormat
+from postspring.platform.settings import load_settings
+from postspring.platform.settings import VmSettings
+from postspring.platform.store import Store
 
 __all__ = [
-    "LogClient",
-    "LogPage",
-    "StreamAppender",
-    "StreamTail",
-    "VmEntry",
-    "VmList",
-    "VmState",
+    "CONFIGURATION_KEY",
+    "PlatformWireFormat",
+    "Store",
+    "VmSettings",
+    "decode_announcement",
+    "decode_snapshot",
+    "load_settings",
 ]
--- /dev/null
+++ b/postspring/platform/headers.py
@@ -0,0 +1,143 @@
+"""Header fields of calls and answers, decoded once."""
+
+from collections.abc import Iterable
+
+from postspring import forwarding
+from postspring import histories
+from postspring.platform import names
+
+__all__ = ["PlatformWireFormat"]
+
+# Fields that concern one connection only, and those that are set anew.
+_HOP_BY_HOP = frozenset(
+    (
+        "connection",
+        "content-length",
+        "expect",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "proxy-connection",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+    )
+)
+_SYSTEM_ONLY = frozenset(
+    name.lower()
+    for name in (
+        names.DEADLINE_MS,
+        names.EXPECTED_VERSION,
+        names.HOLD,
+        names.KV_BACKUP,
+        names.KV_FETCH,
+        names.KV_FROM,
+        names.NOT_EXECUTED,
+        names.PIN_MS,
+        names.TARGET_INSTANCE,
+        names.URGENCY,
+    )
+)
+
+Fields = list[tuple[str, str]]
+
+
+class PlatformWireFormat(forwarding.WireFormat):
+    """The platform's header fields, in both directions."""
+
+    def decode_call(self, header: forwarding.HeaderGetter):
+        """Return what a call's header fields say."""
+        prompt_tokens, ceiling = _pair(header(names.TOKEN_USAGE))
+        previous = header(names.PREVIOUS_TURN)
+        return forwarding.CallFacts(
+            request=header(names.REQUEST_ID),
+            deadline=_seconds(header(names.DEADLINE_MS)),
+            prompt_tokens=prompt_tokens,
+            ceiling=ceiling,
+            prompt_parts=_parts(header(names.PROMPT_PREFIX)),
+            affinity_key=header(names.AFFINITY_KEY),
+            program=histories.ProgramId(header(names.PROGRAM_ID)),
+            line=header(names.SESSION_ID),
+            program_deadline=_seconds(header(names.PROGRAM_DEADLINE_MS)),
+            budget=_integer(header(names.TOKEN_BUDGET)),
+            previous=histories.TurnId(previous) if previous else None,
+        )
+
+    def upstream_fields(self, fields: Fields, extra) -> Fields:
+        """Return the header fields to send to an upstream."""
+        kept = _end_to_end(fields, _SYSTEM_ONLY)
+        if extra.remaining is not None:
+            milliseconds = max(1, int(extra.remaining * 1000))
+            kept.append((names.DEADLINE_MS, str(milliseconds)))
+        if extra.upstream:
+            kept.append((names.TARGET_INSTANCE, extra.upstream))
+        if extra.urgency is not None:
+            kept.append((names.URGENCY, str(extra.urgency)))
+        return kept
+
+    def decode_answer(self, status: int, headers: dict[str, str]):
+        """Return what an upstream's answer says, names in lower case."""
+        return forwarding.AnswerFacts(
+            request=headers.get(names.REQUEST_ID.lower(), ""),
+            not_run=(names.NOT_EXECUTED.lower() in headers or status == 421),
+            wrong_upstream=status == 421,
+            sealed=names.SERVER_SEAL.lower() in headers,
+        )
+
+    def caller_fields(self, fields: Fields, sealed: bool) -> Fields:
+        """Return the header fields of an upstream's answer to pass on."""
+        dropped = frozenset(() if sealed else (names.SERVER_SEAL.lower(),))
+        return _end_to_end(fields, dropped)
+
+    def own_fields(self, request: str, retry_after: float | None) -> Fields:
+        """Return the header fields of an answer of our own."""
+        fields = []
+        if request:
+            fields.append((names.REQUEST_ID, request))
+        if retry_after is not None:
+            fields.append((names.RETRY_AFTER, f"{retry_after:.2f}"))
+        return fields
+
+
+def _end_to_end(fields: Iterable, dropped: frozenset) -> Fields:
+    """Return the fields that do not concern one connection only."""
+    fields = list(fields)
+    named: set[str] = set()
+    for name, value in fields:
+        if name.lower() == "connection":
+            named.update(token.strip().lower() for token in value.split(","))
+    return [
+        (name, value)
+        for name, value in fields
+        if name.lower() not in _HOP_BY_HOP
+        and name.lower() not in dropped
+        and name.lower() not in named
+    ]
+
+
+def _seconds(text: str) -> float | None:
+    """Return milliseconds in a header as seconds; None if there are none."""
+    try:
+        return float(text) / 1000 if text else None
+    except ValueError:
+        return None
+
+
+def _integer(text: str) -> int | None:
+    return int(text) if text.isdigit() else None
+
+
+def _pair(text: str) -> tuple[int, int]:
+    first, _, second = text.partition(",")
+    return _integer(first.strip()) or 0, _integer(second.strip()) or 0
+
+
+def _parts(text: str) -> tuple[tuple[str, int], ...]:
+    """Return the parts of a prompt: id and tokens of each, in order."""
+    parts = []
+    for item in text.split(","):
+        part, _, tokens = item.strip().rpartition(":")
+        if part and tokens.isdigit():
+            parts.append((part, int(tokens)))
+    return tuple(parts)
--- /dev/null
+++ b/postspring/platform/settings.py
@@ -0,0 +1,109 @@
+"""Settings of a process, as the platform lays them on the VM.
+
+``deploy/settings.json`` is the template: the platform writes its fields as
+JSON.  Fields that are not known here are ignored.
+"""
+
+from collections.abc import Mapping
+import dataclasses
+import json
+import pathlib
+
+from postspring import errors
+from postspring.platform import names
+
+__all__ = ["VmSettings", "load_settings"]
+
+Address = tuple[str, int]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class VmSettings:
+    """What a VM is told when it starts; times in seconds.
+
+    Parameters
+    ==========
+
+    callers, readiness : tuple of (str, int)
+        Where to listen for callers, and for the balancer's question.
+    store : tuple of (str, int)
+        The platform's store.
+    partitions : int
+        Partitions of each of the store's topics.
+    drain : float
+        Within this time a leaving upstream gets no more work.
+    grace : float
+        Time from SIGTERM to SIGKILL.
+    """
+
+    vm: str
+    data_center: str
+    callers: Address
+    readiness: Address
+    store: Address
+    partitions: int
+    record_bytes: int
+    drain: float
+    grace: float
+    memory_mb: int = 0
+    first_start: bool = False
+
+
+def load_settings(environment: Mapping[str, str]) -> VmSettings:
+    """Read the settings file that the environment names.
+
+    Raises
+    ------
+    SettingsError
+        If there is no such file, or if fields are missing or wrong; the
+        text names the file and the field.
+    """
+    path = environment.get(names.SETTINGS_VARIABLE)
+    if not path:
+        raise errors.SettingsError(f"{names.SETTINGS_VARIABLE} is not set")
+    try:
+        raw = json.loads(pathlib.Path(path).read_bytes())
+    except (OSError, ValueError) as error:
+        raise errors.SettingsError(f"{path}: {error}") from error
+    try:
+        return decode_settings(raw)
+    except KeyError as error:
+        text = f"{path}: the field {error} is missing"
+        raise errors.SettingsError(text) from error
+    except (TypeError, ValueError, AttributeError) as error:
+        raise errors.SettingsError(f"{path}: {error}") from error
+
+
+def decode_settings(raw: dict) -> VmSettings:
+    """Return the settings in the platform's fields."""
+    listen = raw["listen"]
+    store = raw["platform"]
+    bounds = raw["bounds"]
+    limits = raw.get("limits") or {}
+    return VmSettings(
+        vm=str(raw["node_name"]),
+        data_center=str(raw["zone"]),
+        callers=split_address(listen["front"]),
+        readiness=split_address(listen["ready"]),
+        store=split_address(store["address"]),
+        partitions=int(store["parts"]),
+        record_bytes=int(store["record_bytes"]),
+        drain=float(bounds["drain_ms"]) / 1000,
+        grace=float(bounds["grace_s"]),
+        memory_mb=int(limits.get("memory_mb") or 0),
+        first_start=bool(raw.get("bootstrap")),
+    )
+
+
+def split_address(text: str) -> Address:
+    """Return host and port of ``IP:PORT``.
+
+    Examples
+    --------
+    >>> split_address("10.1.0.38:8149")
+    ('10.1.0.38', 8149)
+    """
+    host, separator, port = text.rpartition(":")
+    if not separator or not port.isdigit():
+        raise ValueError(f"{text!r} is not IP:PORT")
+    return host, int(port)
--- /dev/null
+++ b/postspring/routing/routes.py
@@ -0,0 +1,136 @@
+"""Routes by host and path prefix."""
+
+from collections.abc import Iterable
+import dataclasses
+import enum
+
+__all__ = ["CallKind", "Route", "RouteTable", "ServiceShare"]
+
+
+class CallKind(enum.Enum):
+    """What may be repeated.
+
+    ``IDEMPOTENT`` calls may run more than once.  ``ONCE`` calls run at most
+    once for each attempt of the caller; so do ``STREAM`` calls, whose
+    answer is a series of events.
+    """
+
+    IDEMPOTENT = "idempotent"
+    ONCE = "once"
+    STREAM = "stream"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class ServiceShare:
+    """A service that gets a share of a route's calls, by weight."""
+
+    service: str
+    weight: float = 1.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Route:
+    """One route; times in seconds.
+
+    Parameters
+    ==========
+
+    prefix : str
+        Begins and ends with a slash.
+    shares : tuple of ServiceShare
+        The services that calls go to.
+    timeout : float
+        Longest time that a caller is kept waiting.
+    objective : float
+        Time within which an answer has its full worth.
+    max_attempts : int
+        Upstreams to which one call may be sent.
+    priority : int
+        Rank, 0 first.
+    keeps_history : bool
+        Calls are turns: a turn carries new input only and names the turn
+        that it continues.
+    retention : float
+        How long a turn and its chain are kept.
+    """
+
+    name: str
+    host: str
+    prefix: str
+    kind: CallKind
+    shares: tuple[ServiceShare, ...]
+    timeout: float
+    objective: float
+    max_attempts: int = 1
+    priority: int = 0
+    keeps_history: bool = False
+    retention: float = 0.0
+    sticky: bool = False
+    pause_objective: float = 0.0
+
+    @property
+    def may_repeat(self) -> bool:
+        """Whether a call may run more than once."""
+        return self.kind is CallKind.IDEMPOTENT
+
+    def choose_service(self, draw: float) -> str:
+        """Return the service for a draw from 0 to 1.
+
+        Examples
+        --------
+        >>> shares = (ServiceShare("a", 3), ServiceShare("b", 1))
+        >>> route = Route("r", "h", "/", CallKind.ONCE, shares, 1, 1)
+        >>> route.choose_service(0.5), route.choose_service(0.9)
+        ('a', 'b')
+        """
+        total = sum(share.weight for share in self.shares)
+        point = draw * total
+        for share in self.shares:
+            point -= share.weight
+            if point < 0:
+                return share.service
+        return self.shares[-1].service
+
+
+class RouteTable:
+    """Finds the route of a call: longest prefix of the host's routes.
+
+    Examples
+    ========
+
+    >>> shares = (ServiceShare("s"),)
+    >>> a = Route("a", "h", "/x/", CallKind.ONCE, shares, 1, 1)
+    >>> b = Route("b", "h", "/x/y/", CallKind.ONCE, shares, 1, 1)
+    >>> table = RouteTable([a, b])
+    >>> table.find("H:80", "/x/y/z?q=/").name, table.find("h", "/x/y").name
+    ('b', 'a')
+    >>> table.find("h", "/x") is None
+    True
+    """
+
+    def __init__(self, routes: Iterable[Route]):
+        self._by_prefix_by_host: dict[str, dict[str, Route]] = {}
+        for route in routes:
+            by_prefix = self._by_prefix_by_host.setdefault(
+                route.host.lower(), {}
+            )
+            by_prefix[route.prefix] = route
+
+    def find(self, host: str, target: str) -> Route | None:
+        """Return the route for a Host header and a request target."""
+        name = host.rsplit(":", 1)[0] if ":" in host else host
+        by_prefix = self._by_prefix_by_host.get(name.lower())
+        if not by_prefix:
+            return None
+        path = target.split("?", 1)[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = by_prefix.get(path[: end + 1])
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+    def __iter__(self):
+        for by_prefix in self._by_prefix_by_host.values():
+            yield from by_prefix.values()
--- /dev/null
+++ b/postspring/routing/snapshot.py
@@ -0,0 +1,37 @@
+"""One version of the whole configuration."""
+
+import dataclasses
+import functools
+
+from postspring.routing import routes
+from postspring.routing import services
+
+__all__ = ["CallerLimits", "Snapshot"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class CallerLimits:
+    """What a caller may send; sizes in bytes, times in seconds."""
+
+    header_bytes: int = 16 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    header_seconds: float = 5.0
+    idle_seconds: float = 60.0
+
+
+@dataclasses.dataclass(frozen=True)
+class Snapshot:
+    """The operator's configuration at one version.
+
+    Versions increase in uneven steps; a lower one never replaces a higher.
+    """
+
+    version: int
+    routes: tuple[routes.Route, ...]
+    service_by_name: dict[str, services.RoutedService]
+    limits: CallerLimits = CallerLimits()
+
+    @functools.cached_property
+    def table(self) -> routes.RouteTable:
+        """The routes, ready for look-up."""
+        return routes.RouteTable(self.routes)
--- a/postspring/scheduling/placement.py
+++ b/postspring/scheduling/placement.py
@@ -2,6 +2,7 @@
 
 import abc
 from collections.abc import Sequence
+import random
 from typing import Any
 
 from postspring import registry
@@ -11,6 +12,7 @@
     "LeastLoad",
     "Placement",
     "PrefixAffinity",
+    "Random",
     "RoundRobin",
     "placement_by_name",
 ]
@@ -28,6 +30,15 @@
         """Return the upstream to use, or None to wait for a better one."""
 
 
+@placement_by_name.register("random")
+class Random(Placement):
+    """Baseline: any upstream."""
+
+    def choose(self, ticket, candidates):
+        """Return any candidate."""
+        return random.choice(candidates)
+
+
 @placement_by_name.register("round_robin")
 class RoundRobin(Placement):
     """Baseline: each upstream in turn."""
--- a/postspring/platform/appender.py
+++ b/postspring/sharedlog/appender.py
@@ -4,7 +4,7 @@
 from collections.abc import Hashable
 
 from postspring import errors
-from postspring.platform import log_client
+from postspring.sharedlog import log_client
 from postspring import transport
 
 __all__ = ["StreamAppender"]
--- a/postspring/platform/tail.py
+++ b/postspring/sharedlog/tail.py
@@ -4,7 +4,7 @@
 import logging
 
 from postspring import errors
-from postspring.platform import log_client
+from postspring.sharedlog import log_client
 from postspring import transport
 
 __all__ = ["StreamTail"]
@@ -28,7 +28,7 @@
     timers : Timers
         For retries.
     on_page : callable
-        Called with each :class:`~postspring.platform.LogPage`.
+        Called with each :class:`~postspring.sharedlog.LogPage`.
     on_health : callable
         Called with True or False after each answer or failure.
     next_offset : callable
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -4,6 +4,9 @@
 from postspring.transport.http_client import HttpClient
 from postspring.transport.http_client import HttpListener
 from postspring.transport.http_client import HttpRequest
+from postspring.transport.http_server import HttpServer
+from postspring.transport.http_server import IncomingCall
+from postspring.transport.http_server import ServerLimits
 from postspring.transport.sockets import ConnectionHandler
 from postspring.transport.sockets import SocketHub
 from postspring.transport.timers import TimerHandle
@@ -15,6 +18,9 @@
     "HttpClient",
     "HttpListener",
     "HttpRequest",
+    "HttpServer",
+    "IncomingCall",
+    "ServerLimits",
     "SocketHub",
     "TimerHandle",
     "Timers",
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -4,7 +4,9 @@
 answers; streams need h11, its nearest kin, instead.
 """
 
+from collections.abc import Callable
 import dataclasses
+import math
 import socket
 
 import h11
@@ -17,6 +19,9 @@
 
 MAX_IDLE_PER_ADDRESS = 8
 IDLE_SECONDS = 30.0
+# A server that says "Keep-Alive: timeout=N" counts whole seconds; we close
+# this much earlier, so that no request crosses its close.
+KEEP_ALIVE_MARGIN_SECONDS = 0.5
 MAX_HEADER_BYTES = 16 * 1024
 
 
@@ -36,6 +41,12 @@
         whether the request ran.
     paced : bool
         Read the answer at intervals, for streams of many small chunks.
+    max_idle : float
+        Reuse only a connection that was idle for less than this.
+    is_answer : callable, optional
+        Told the headers of a response (names in lower case); returns
+        whether it answers this request.  A response that does not is
+        skipped: it is a late one to an earlier request.
     """
 
     address: tuple[str, int]
@@ -47,6 +58,20 @@
     timeout: float = 30.0
     fresh: bool = False
     paced: bool = False
+    max_idle: float = math.inf
+    is_answer: Callable[[dict[str, str]], bool] | None = None
+
+    @property
+    def fields(self) -> list[tuple[str, str]]:
+        """The header fields to send, with Host and Content-Length."""
+        names = {name.lower() for name, value in self.headers}
+        fields = list(self.headers)
+        if "host" not in names:
+            host = f"{self.address[0]}:{self.address[1]}"
+            fields.insert(0, ("Host", host))
+        if self.body or self.method in ("POST", "PUT"):
+            fields.append(("Content-Length", str(len(self.body))))
+        return fields
 
 
 class HttpListener:
@@ -71,6 +96,8 @@
     def __init__(self, client: "HttpClient", request: HttpRequest, listener):
         self.request = request
         self.sent = False
+        self.header_fields: list[tuple[bytes, bytes]] = []
+        self._skipping = False
         self._client = client
         self._listener = listener
         self._socket: socket.socket | None = None
@@ -115,22 +142,21 @@
         self._socket = sock
         self._connection = connection
         self._reused = reused
+        data = self._serialize(connection)
+        self.sent = True
+        # The hub knows this connection only after this function returns.
+        self._client.timers.call_later(0, self._transmit, data)
+        return self
+
+    def _serialize(self, connection: h11.Connection) -> bytes:
         request = self.request
-        host = f"{request.address[0]}:{request.address[1]}"
-        headers = [("Host", host), *request.headers]
-        if request.body or request.method in ("POST", "PUT"):
-            headers.append(("Content-Length", str(len(request.body))))
         event = h11.Request(
-            method=request.method, target=request.path, headers=headers
+            method=request.method, target=request.path, headers=request.fields
         )
         data = connection.send(event)
         if request.body:
             data += connection.send(h11.Data(data=request.body))
-        data += connection.send(h11.EndOfMessage())
-        self.sent = True
-        # The hub knows this connection only after this function returns.
-        self._client.timers.call_later(0, self._transmit, data)
-        return self
+        return data + connection.send(h11.EndOfMessage())
 
     def _transmit(self, data: bytes) -> None:
         if self._socket is not None:
@@ -148,12 +174,19 @@
         self._connection.receive_data(data)
         self._parse()
 
+    def was_reset(self) -> None:
+        """Take note that the connection broke: no answer ends with it."""
+        self._socket = None
+        if self.done or self._retry_on_fresh():
+            return
+        self._fail("connection reset")
+
     def closed(self) -> None:
         """Take note that the connection is gone."""
         self._socket = None
         if self.done:
             return
-        if self._reused and not self._got_bytes and self._retry_on_fresh():
+        if self._retry_on_fresh():
             return
         try:
             self._connection.receive_data(b"")
@@ -167,6 +200,8 @@
 
     def _retry_on_fresh(self) -> bool:
         """Ask again if a kept connection was closed under a safe request."""
+        if not self._reused or self._got_bytes:
+            return False
         if self.request.method not in ("GET", "HEAD", "PUT", "DELETE"):
             return False
         self._reused = False
@@ -185,28 +220,55 @@
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
             if isinstance(event, h11.Response):
-                headers = {
-                    name.decode("latin-1"): value.decode("latin-1")
-                    for name, value in event.headers
-                }
-                self._listener.head(event.status_code, headers)
-                if self.request.paced and self._socket is not None:
-                    self._client.hub.pace(self._socket)
+                self._take_head(event)
             elif isinstance(event, h11.Data):
-                self._listener.data(bytes(event.data))
+                if not self._skipping:
+                    self._listener.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
-                self._complete()
+                if self._skipping:
+                    self._await_next_answer()
+                else:
+                    self._complete()
             elif isinstance(event, h11.ConnectionClosed):
                 return
 
+    def _take_head(self, event: h11.Response) -> None:
+        headers = {
+            name.decode("latin-1"): value.decode("latin-1")
+            for name, value in event.headers
+        }
+        is_answer = self.request.is_answer
+        if is_answer is not None and not is_answer(headers):
+            self._skipping = True
+            return
+        self.header_fields = event.headers.raw_items()
+        self._listener.head(event.status_code, headers)
+        if self.request.paced and self._socket is not None:
+            self._client.hub.pace(self._socket)
+
+    def _await_next_answer(self) -> None:
+        """Read on behind a response that answered another request."""
+        self._skipping = False
+        surplus, at_end = self._connection.trailing_data
+        self._connection = _new_connection()
+        self._serialize(self._connection)
+        if surplus:
+            self._connection.receive_data(surplus)
+
     def _complete(self) -> None:
         listener = self._listener
         self._listener = None
         self._deadline.cancel()
         if self.request.paced and self._socket is not None:
             self._client.hub.unpace(self._socket)
-        self._client.keep(self.request.address, self._socket, self._connection)
-        self._socket = None
+        headers = {
+            name.lower().decode("latin-1"): value.decode("latin-1")
+            for name, value in self.header_fields
+        }
+        sock, self._socket = self._socket, None
+        self._client.keep(
+            self.request.address, sock, self._connection, headers
+        )
         listener.end()
 
     def _fail(self, text: str) -> None:
@@ -234,18 +296,51 @@
 class _IdleConnection(sockets.ConnectionHandler):
     """A kept connection: whatever it says, it is not used again."""
 
-    def __init__(self, client: "HttpClient", address, sock):
+    def __init__(
+        self, client: "HttpClient", address, sock, connection, expiry
+    ):
+        self.sock = sock
+        self.connection = connection
+        self.expiry = expiry
+        self.since = client.timers.now()
         self._client = client
         self._address = address
-        self._sock = sock
 
     def received(self, data: bytes) -> None:
         """Close: the other side may not speak now."""
-        self._client.hub.shut(self._sock)
+        self._client.forget(self._address, self.sock)
+        self._client.hub.shut(self.sock)
 
     def closed(self) -> None:
         """Forget the connection."""
-        self._client.forget(self._address, self._sock)
+        self.expiry.cancel()
+        self._client.forget(self._address, self.sock)
+
+
+def _new_connection() -> h11.Connection:
+    return h11.Connection(
+        our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+    )
+
+
+def _may_reuse(connection: h11.Connection) -> bool:
+    """Both sides are done, and nothing follows the answer."""
+    surplus, closed = connection.trailing_data
+    return (
+        connection.our_state is h11.DONE
+        and connection.their_state is h11.DONE
+        and not surplus
+        and not closed
+    )
+
+
+def _idle_seconds(headers: dict[str, str]) -> float:
+    """Return how long the connection may be kept idle, in seconds."""
+    for part in headers.get("keep-alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return min(IDLE_SECONDS, int(value) - KEEP_ALIVE_MARGIN_SECONDS)
+    return IDLE_SECONDS
 
 
 class HttpClient:
@@ -263,30 +358,44 @@
     def __init__(self, hub: sockets.SocketHub, timers: timers.Timers):
         self.hub = hub
         self.timers = timers
-        self._idle_by_address: dict[tuple, list] = {}
+        self.connections_opened = 0
+        self._idle_by_address: dict[tuple, list[_IdleConnection]] = {}
 
     def send(self, request: HttpRequest, listener: HttpListener) -> Exchange:
         """Send a request; the listener hears the answer or the failure."""
         exchange = Exchange(self, request, listener)
-        idle = self._idle_by_address.get(request.address)
-        if idle and not request.fresh:
-            sock, connection, timer = idle.pop()
-            timer.cancel()
-            self.hub.adopt(sock, exchange)
-            exchange.attach(sock, connection, reused=True)
+        idle = self._take_idle(request)
+        if idle is not None:
+            self.hub.adopt(idle.sock, exchange)
+            exchange.attach(idle.sock, idle.connection, reused=True)
         else:
             self.connect(exchange)
         return exchange
 
+    def _take_idle(self, request: HttpRequest) -> "_IdleConnection | None":
+        idle = self._idle_by_address.get(request.address)
+        if not idle or request.fresh:
+            return None
+        newest = idle[-1]
+        if self.timers.now() - newest.since > request.max_idle:
+            return None
+        idle.pop()
+        newest.expiry.cancel()
+        return newest
+
+    def discard(self, address: tuple[str, int]) -> None:
+        """Close the idle connections to an address that nobody uses."""
+        for idle in list(self._idle_by_address.pop(address, ())):
+            idle.expiry.cancel()
+            self.hub.shut(idle.sock)
+
     def connect(self, exchange: Exchange) -> None:
         """Run the exchange on a new connection."""
 
+        self.connections_opened += 1
+
         def on_open(sock: socket.socket) -> Exchange:
-            connection = h11.Connection(
-                our_role=h11.CLIENT,
-                max_incomplete_event_size=MAX_HEADER_BYTES,
-            )
-            return exchange.attach(sock, connection, reused=False)
+            return exchange.attach(sock, _new_connection(), reused=False)
 
         request = exchange.request
         self.hub.open(
@@ -296,24 +405,30 @@
             exchange.connect_failed,
         )
 
-    def keep(self, address, sock, connection: h11.Connection) -> None:
+    def keep(
+        self,
+        address: tuple[str, int],
+        sock: socket.socket | None,
+        connection: h11.Connection,
+        headers: dict[str, str],
+    ) -> None:
         """Keep a connection whose exchange is complete, if it may be."""
         if sock is None:
             return
         idle = self._idle_by_address.setdefault(address, [])
-        reusable = (
-            connection.our_state is h11.DONE
-            and connection.their_state is h11.DONE
-        )
-        if not reusable or len(idle) >= MAX_IDLE_PER_ADDRESS:
+        seconds = _idle_seconds(headers)
+        if len(idle) >= MAX_IDLE_PER_ADDRESS or not _may_reuse(connection):
+            seconds = 0.0
+        if seconds <= 0:
             self.hub.shut(sock)
             return
         connection.start_next_cycle()
-        timer = self.timers.call_later(IDLE_SECONDS, self.hub.shut, sock)
-        idle.append((sock, connection, timer))
-        self.hub.adopt(sock, _IdleConnection(self, address, sock))
+        expiry = self.timers.call_later(seconds, self.hub.shut, sock)
+        kept = _IdleConnection(self, address, sock, connection, expiry)
+        idle.append(kept)
+        self.hub.adopt(sock, kept)
 
     def forget(self, address, sock) -> None:
         """Drop a kept connection that was closed."""
         idle = self._idle_by_address.get(address, [])
-        idle[:] = [item for item in idle if item[0] is not sock]
+        idle[:] = [item for item in idle if item.sock is not sock]
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -25,6 +25,9 @@
 LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
 PACE_SECONDS = 0.01
+# Bytes that the other side does not acknowledge for this long mean that the
+# path is gone; a partition otherwise hangs the connection for minutes.
+UNACKNOWLEDGED_MILLISECONDS = 3000
 
 
 class ConnectionHandler:
@@ -36,6 +39,10 @@
     def closed(self) -> None:
         """Take note that the connection is gone, from either side."""
 
+    def was_reset(self) -> None:
+        """Take note that the connection broke; by default as closed."""
+        self.closed()
+
 
 class SocketHub(sockets.TCPServer):
     """Opens, accepts, reads and writes TCP connections.
@@ -94,6 +101,11 @@
         sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock.setsockopt(
+            socket.IPPROTO_TCP,
+            socket.TCP_USER_TIMEOUT,
+            UNACKNOWLEDGED_MILLISECONDS,
+        )
         code = sock.connect_ex(address)
         if code not in (0, errno.EINPROGRESS):
             sock.close()
@@ -241,7 +253,8 @@
         except BlockingIOError:
             return
         except OSError:
-            data = b""
+            self._close(sock, was_reset=True)
+            return
         if not data:
             self._close(sock)
             return
@@ -251,11 +264,15 @@
             LOG.exception("a connection's handler failed")
             self._close(sock)
 
-    def _close(self, sock):
+    def _close(self, sock, was_reset=False):
         connection = self._handler_by_socket.pop(sock, None)
         self._paced.pop(sock, None)
         super()._close(sock)
-        if connection is not None:
+        if connection is None:
+            return
+        if was_reset:
+            connection.was_reset()
+        else:
             connection.closed()
 
     # -- own ------------------------------------------------------------------
--- a/postspring/upstreams/__init__.py
+++ b/postspring/upstreams/__init__.py
@@ -1,5 +1,17 @@
-"""Upstreams: engines, tools and plain services as the system sees them."""
+"""Upstreams: engines, tools and plain services that calls are sent to."""
 
+from postspring.upstreams.directory import Announcement
+from postspring.upstreams.directory import Directory
+from postspring.upstreams.directory import Upstream
+from postspring.upstreams.directory import UpstreamId
+from postspring.upstreams.load import UpstreamLoad
 from postspring.upstreams.state import UpstreamState
 
-__all__ = ["UpstreamState"]
+__all__ = [
+    "Announcement",
+    "Directory",
+    "Upstream",
+    "UpstreamId",
+    "UpstreamLoad",
+    "UpstreamState",
+]
--- /dev/null
+++ b/postspring/upstreams/directory.py
@@ -0,0 +1,170 @@
+"""The upstreams that announced themselves, by id and by service."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+import logging
+from typing import NewType
+
+from postspring.upstreams import load as load_module
+
+__all__ = ["Announcement", "Directory", "Upstream", "UpstreamId"]
+
+LOG = logging.getLogger(__name__)
+
+UpstreamId = NewType("UpstreamId", str)
+
+# Entries that lapsed while the log was away come back within about 2 s of
+# its return (the platform's page); one still missing then is gone.
+RETURN_SECONDS = 2.3
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Announcement:
+    """What an upstream says of itself; each start has a new id.
+
+    Parameters
+    ==========
+
+    address : tuple of (str, int)
+        IP number and port; may be another upstream's later.
+    slots : int
+        Calls that it runs at once.
+    leaving : bool
+        It will exit soon and gets no more work.
+    warm_up : float
+        Seconds for which it stays slow after its start.
+    """
+
+    id: UpstreamId
+    service: str
+    address: tuple[str, int]
+    data_center: str = ""
+    slots: int = 1
+    leaving: bool = False
+    warm_up: float = 0.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True, eq=False)
+class Upstream(load_module.UpstreamLoad):
+    """An upstream: what it announced, and what was observed of it.
+
+    ``missing`` ones have no entry any more, while it is too early to say
+    that they are gone.
+    """
+
+    id: UpstreamId
+    service: str
+    address: tuple[str, int]
+    data_center: str
+    warm_at: float = 0.0
+    missing: bool = False
+
+
+class Directory:
+    """Upstreams by id.
+
+    Parameters
+    ==========
+
+    now : callable
+        Monotonic time in seconds.
+    on_gone : callable
+        Called with an upstream that gets no more work.
+    """
+
+    def __init__(
+        self,
+        now: Callable[[], float],
+        on_gone: Callable[[Upstream], None] = lambda upstream: None,
+    ):
+        self._now = now
+        self._on_gone = on_gone
+        self.by_id: dict[UpstreamId, Upstream] = {}
+        self._tolerant_until = 0.0
+
+    def announce(self, entry: Announcement) -> None:
+        """Take an upstream's entry, a first one or a changed one."""
+        upstream = self.by_id.get(entry.id)
+        if upstream is None:
+            upstream = Upstream(
+                id=entry.id,
+                service=entry.service,
+                address=entry.address,
+                data_center=entry.data_center,
+                concurrency=entry.slots,
+            )
+            self.by_id[entry.id] = upstream
+            self._log("upstream announced", upstream)
+        upstream.missing = False
+        upstream.concurrency = entry.slots
+        upstream.warm_at = self._now() + entry.warm_up
+        if entry.leaving and not upstream.leaving:
+            upstream.leaving = True
+            self._log("upstream leaving", upstream)
+            self._on_gone(upstream)
+
+    def withdraw(self, upstream_id: UpstreamId) -> None:
+        """Take note that an entry was removed."""
+        upstream = self.by_id.get(upstream_id)
+        if upstream is None:
+            return
+        if self._now() < self._tolerant_until:
+            upstream.missing = True
+            self._log("upstream missing", upstream)
+        else:
+            self._drop(upstream)
+
+    def replace_all(self, entries: Iterable[Announcement]) -> None:
+        """Take all entries that there are; others were removed."""
+        entries = list(entries)
+        for entry in entries:
+            self.announce(entry)
+        announced = {entry.id for entry in entries}
+        for upstream_id in list(self.by_id):
+            if upstream_id not in announced:
+                self.withdraw(upstream_id)
+
+    def tolerate_missing(self) -> None:
+        """The log has just come back: entries may have lapsed meanwhile."""
+        self._tolerant_until = self._now() + RETURN_SECONDS
+
+    def drop_missing(self) -> None:
+        """Drop what is still missing some time after the log's return."""
+        if self._now() < self._tolerant_until:
+            return
+        for upstream in list(self.by_id.values()):
+            if upstream.missing:
+                self._drop(upstream)
+
+    def usable(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service that may get new work."""
+        now = self._now()
+        return [
+            upstream
+            for upstream in self.by_id.values()
+            if upstream.service == service and upstream.accepts(now)
+        ]
+
+    def not_leaving(self, service: str) -> list[Upstream]:
+        """Return the upstreams of a service, suspended ones too."""
+        return [
+            upstream
+            for upstream in self.by_id.values()
+            if upstream.service == service and not upstream.leaving
+        ]
+
+    # -- own ------------------------------------------------------------------
+
+    def _drop(self, upstream: Upstream) -> None:
+        del self.by_id[upstream.id]
+        upstream.leaving = True
+        self._log("upstream gone", upstream)
+        self._on_gone(upstream)
+
+    @staticmethod
+    def _log(text: str, upstream: Upstream) -> None:
+        LOG.info(
+            text,
+            extra={"upstream": upstream.id, "service": upstream.service},
+        )
--- /dev/null
+++ b/postspring/upstreams/load.py
@@ -0,0 +1,59 @@
+"""What a VM observes of an upstream while it sends work there."""
+
+import dataclasses
+
+__all__ = ["UpstreamLoad"]
+
+FAILURES_TO_SUSPEND = 3
+FIRST_SUSPENSION_SECONDS = 1.0
+LONGEST_SUSPENSION_SECONDS = 30.0
+
+
+@dataclasses.dataclass(slots=True, kw_only=True)
+class UpstreamLoad:
+    """Work in flight and recent failures of one upstream.
+
+    Parameters
+    ==========
+
+    concurrency : int
+        Calls that the upstream runs, or gets from this VM, at once.
+    in_flight : int
+        Calls that this VM has running there.
+    leaving : bool
+        An upstream that is leaving gets no new work.
+    suspended_until : float
+        After repeated failures, until when it gets no work; seconds.
+    """
+
+    concurrency: int
+    in_flight: int = 0
+    leaving: bool = False
+    failures: int = 0
+    suspended_until: float = 0.0
+
+    @property
+    def load(self) -> float:
+        """Share of the upstream's room that this VM uses, from 0 to 1."""
+        return self.in_flight / self.concurrency
+
+    def accepts(self, now: float) -> bool:
+        """Return whether the upstream may get new work."""
+        return not self.leaving and now >= self.suspended_until
+
+    def has_room(self, now: float) -> bool:
+        """Return whether one more call fits now."""
+        return self.accepts(now) and self.in_flight < self.concurrency
+
+    def note_failure(self, now: float) -> None:
+        """Count a failed call; suspend the upstream when they repeat."""
+        self.failures += 1
+        if self.failures < FAILURES_TO_SUSPEND:
+            return
+        doublings = min(self.failures - FAILURES_TO_SUSPEND, 10)
+        pause = FIRST_SUSPENSION_SECONDS * 2**doublings
+        self.suspended_until = now + min(pause, LONGEST_SUSPENSION_SECONDS)
+
+    def note_success(self) -> None:
+        """Count a call that was answered."""
+        self.failures = 0
