--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -120,6 +120,7 @@
             self._facts.budget,
         )
         self._opened = True
+        self._outcome.add(ceiling=record.ceiling, budget=record.budget)
         self._journal.open_turn(
             record,
             OPEN_PATIENCE_SECONDS,
