--- a/postspring/front/configuration.py
+++ b/postspring/front/configuration.py
@@ -43,11 +43,10 @@
         return -1 if self.snapshot is None else self.snapshot.version
 
     def take(self, entries: list[keyedlog.LogEntry]) -> None:
-        """Apply the newest configuration among some records."""
-        for entry in reversed(entries):
+        """Apply the configurations among some records, in their order."""
+        for entry in entries:
             if entry.key == self._key and entry.value:
                 self._apply(entry.value)
-                return
 
     def _apply(self, value: bytes) -> None:
         try:
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -10,6 +10,8 @@
 from postspring.histories.program import Program
 from postspring.histories.program import Turn
 from postspring.histories.program import TurnState
+from postspring.histories.records import decode_record
+from postspring.histories.records import encode_record
 from postspring.histories.records import EndedTurn
 from postspring.histories.records import OpenedTurn
 from postspring.histories.records import ProgramId
@@ -36,4 +38,6 @@
     "TurnRef",
     "TurnState",
     "WholeTurn",
+    "decode_record",
+    "encode_record",
 ]
--- /dev/null
+++ b/postspring/histories/tests/test_journal.py
@@ -0,0 +1,196 @@
+"""The journal over a log that fails, in virtual time."""
+
+import unittest
+
+from postspring import histories
+from postspring.testing.fleet import memory_log
+from postspring.testing.virtual import clock as clock_module
+
+OPEN = histories.TurnState.OPEN
+REFUSED = histories.TurnState.REFUSED
+PATIENCE = 1.0
+
+
+class Vm:
+    """One VM's journal, and what it heard."""
+
+    def __init__(self, clock, data, name):
+        process = clock_module.VirtualProcess(name)
+        timers = clock_module.VirtualTimers(clock, process)
+        self.log = memory_log.MemoryLog(data, timers)
+        self.journal = histories.Journal(self.log, timers)
+        self.clock = clock
+
+    def wait_for(self, start, patience=PATIENCE):
+        """Start a call that takes two functions; return what came."""
+        heard = []
+        start(patience, heard.append, heard.append)
+        self.clock.run_until(lambda: heard, 30)
+        return heard[0] if heard else None
+
+    def open(self, turn, program="p", ceiling=10, budget=25, patience=1.0):
+        """Open a turn; return its state or the error."""
+        record = histories.OpenedTurn(program, turn, ceiling, budget)
+        return self.wait_for(
+            lambda *rest: self.journal.open_turn(record, *rest), patience
+        )
+
+    def complete(self, turn, parent=None, program="p", patience=PATIENCE):
+        """Complete a turn; return True or the error."""
+        record = histories.WholeTurn(
+            program, turn, parent, 4, b"<" + turn.encode(), b">"
+        )
+
+        def start(patience, done, failed):
+            self.journal.complete_turn(
+                record, patience, lambda: done(True), failed
+            )
+
+        return self.wait_for(start, patience)
+
+    def chain(self, turn, program="p", patience=PATIENCE):
+        """Return a turn's history, None, or the error."""
+        found = []
+        self.journal.find_chain(
+            program, turn, patience, found.append, found.append
+        )
+        self.clock.run_until(lambda: found, 30)
+        if isinstance(found[0], histories.Chain):
+            return b"".join(found[0].parts)
+        return found[0]
+
+
+class JournalCase(unittest.TestCase):
+    """Two VMs on one log."""
+
+    def setUp(self):
+        self.clock = clock_module.VirtualClock()
+        self.data = memory_log.LogData()
+        self.one = self.vm("one")
+        self.two = self.vm("two")
+
+    def vm(self, name):
+        """Start a VM that knows nothing."""
+        return Vm(self.clock, self.data, name)
+
+
+class OpenTurnTest(JournalCase):
+    """A turn is reserved before it runs."""
+
+    def test_one_call_while_nobody_else_writes(self):
+        self.assertIs(OPEN, self.one.open("a"))
+        self.assertIs(OPEN, self.one.open("b"))
+        self.assertEqual(["append", "append"], self.one.log.calls)
+
+    def test_two_vms_share_one_budget(self):
+        self.one.open("a")
+        self.two.open("b")
+        self.assertIs(REFUSED, self.one.open("c"))
+
+    def test_turns_opened_at_once_do_not_pass_the_budget(self):
+        states = []
+        for number in range(6):
+            vm = (self.one, self.two)[number % 2]
+            record = histories.OpenedTurn("p", f"t{number}", 10, 25)
+            vm.journal.open_turn(record, 1.0, states.append, states.append)
+        self.clock.run_for(1)
+        self.assertEqual(2, states.count(OPEN))
+        self.assertEqual(4, states.count(REFUSED))
+
+    def test_a_lost_answer_is_made_up_for(self):
+        self.one.log.faults.lose_answers = 1
+        self.assertIs(OPEN, self.one.open("a"))
+        self.assertIs(OPEN, self.two.open("b"))
+        self.assertIs(REFUSED, self.two.open("c"))
+
+    def test_a_log_that_is_down_is_reported_in_time(self):
+        self.one.log.faults.down = True
+        error = self.one.open("a", patience=0.5)
+        self.assertIsInstance(error, histories.JournalUnavailable)
+
+    def test_a_log_that_is_silent_is_reported_in_time(self):
+        self.one.log.faults.silent = True
+        error = self.one.open("a", patience=0.5)
+        self.assertIsInstance(error, histories.JournalUnavailable)
+
+    def test_a_log_that_comes_back_is_used(self):
+        self.one.log.faults.down = True
+        self.clock.call_later(0.4, setattr, self.one.log.faults, "down", False)
+        self.assertIs(OPEN, self.one.open("a", patience=2.0))
+
+    def test_a_late_append_does_not_stay_charged(self):
+        self.one.log.faults.late_appends = 9
+        self.one.open("a", ceiling=20, patience=0.3)
+        self.one.log.faults.late_appends = 0
+        ended = histories.EndedTurn("p", "a", 0)
+        self.one.journal.end_turn(ended, 5.0, print)
+        self.clock.run_for(10)
+        self.assertIs(OPEN, self.two.open("b", ceiling=20))
+
+    def test_expired_records_are_read_as_the_newest_of_each_key(self):
+        self.one.open("a")
+        self.one.complete("a")
+        for place in list(self.data.records_by_place):
+            self.data.expire(place)
+        self.assertIs(OPEN, self.two.open("b", ceiling=21))
+        self.assertIs(REFUSED, self.two.open("c", ceiling=1))
+
+
+class ChainTest(JournalCase):
+    """A history is a tree, and any VM can put a chain together."""
+
+    def setUp(self):
+        super().setUp()
+        self.one.complete("a")
+        self.one.complete("b", ("p", "a"))
+        self.one.complete("c", ("p", "a"))
+
+    def test_the_vm_that_answered_needs_no_call(self):
+        before = len(self.one.log.calls)
+        self.assertEqual(b"<a><b>", self.one.chain("b"))
+        self.assertEqual(before, len(self.one.log.calls))
+
+    def test_another_vm_reads_it(self):
+        self.assertEqual(b"<a><c>", self.two.chain("c"))
+
+    def test_another_program_may_go_on_from_it(self):
+        self.assertEqual(b"<a><b>", self.two.chain("b", program="q"))
+
+    def test_a_chain_across_programs(self):
+        self.two.complete("d", ("p", "b"), program="q")
+        self.assertEqual(b"<a><b><d>", self.vm("3").chain("d", "q"))
+        self.assertEqual(b"<a><b><d>", self.vm("4").chain("d", "r"))
+
+    def test_a_turn_that_does_not_exist(self):
+        self.assertIsNone(self.two.chain("x"))
+
+    def test_an_open_turn_can_not_be_continued(self):
+        self.one.open("o")
+        self.assertIsNone(self.two.chain("o"))
+
+    def test_nobody_says_it_does_not_exist_while_the_log_is_down(self):
+        self.two.log.faults.down = True
+        error = self.two.chain("b", patience=0.5)
+        self.assertIsInstance(error, histories.JournalUnavailable)
+
+    def test_all_vms_may_be_replaced(self):
+        self.one = self.two = None
+        self.assertEqual(b"<a><b>", self.vm("new").chain("b"))
+
+    def test_a_partition_that_nobody_uses_is_read_again(self):
+        self.clock.run_for(300)
+        self.assertEqual(b"<a><b>", self.one.chain("b"))
+
+
+class SharedPartitionTest(JournalCase):
+    """Programs that share a partition don't disturb each other."""
+
+    def test_many_programs(self):
+        names = [f"p{number}" for number in range(60)]
+        for name in names:
+            self.one.open("a", program=name)
+            self.two.complete("a", program=name)
+        fresh = self.vm("fresh")
+        for name in names:
+            self.assertEqual(b"<a>", fresh.chain("a", name))
+            self.assertIs(OPEN, fresh.open("b", program=name, budget=14))
--- /dev/null
+++ b/postspring/testing/fleet/caller.py
@@ -0,0 +1,95 @@
+"""A caller on plain sockets, turned by hand with the loops."""
+
+import dataclasses
+import socket
+
+import h11
+
+__all__ = ["Caller", "CallerAnswer"]
+
+
+@dataclasses.dataclass(slots=True)
+class CallerAnswer:
+    """What came back; ``whole`` only with a proper end."""
+
+    status: int = 0
+    headers: dict[str, str] = dataclasses.field(default_factory=dict)
+    body: bytes = b""
+    whole: bool = False
+    closed: bool = False
+
+    @property
+    def settled(self) -> bool:
+        """Whether nothing more will come."""
+        return self.whole or self.closed
+
+
+class Caller:
+    """One connection to an entry VM."""
+
+    def __init__(self, address: tuple[str, int]):
+        self._socket = socket.create_connection(address)
+        self._socket.setblocking(False)
+        self._http = h11.Connection(our_role=h11.CLIENT)
+        self.answer = CallerAnswer()
+
+    def send(
+        self,
+        method: str,
+        target: str,
+        headers: dict[str, str],
+        body: bytes = b"",
+    ) -> None:
+        """Send a request; the answer to the one before is forgotten."""
+        if self._http.our_state is h11.DONE:
+            self._http.start_next_cycle()
+        self.answer = CallerAnswer()
+        fields = list(headers.items())
+        if body:
+            fields.append(("Content-Length", str(len(body))))
+        request = h11.Request(method=method, target=target, headers=fields)
+        data = self._http.send(request)
+        if body:
+            data += self._http.send(h11.Data(data=body))
+        self._socket.sendall(data + self._http.send(h11.EndOfMessage()))
+
+    def send_raw(self, data: bytes) -> None:
+        """Send bytes as they are."""
+        self._socket.sendall(data)
+
+    def poll(self) -> None:
+        """Take what has come."""
+        try:
+            data = self._socket.recv(65536)
+        except BlockingIOError:
+            return
+        except OSError:
+            self.answer.closed = True
+            return
+        if not data:
+            self.answer.closed = True
+        try:
+            self._http.receive_data(data)
+            self._parse()
+        except h11.RemoteProtocolError:
+            self.answer.closed = True
+
+    def _parse(self) -> None:
+        while True:
+            event = self._http.next_event()
+            if isinstance(event, h11.Response):
+                self.answer.status = event.status_code
+                self.answer.headers = {
+                    name.decode(): value.decode()
+                    for name, value in event.headers
+                }
+            elif isinstance(event, h11.Data):
+                self.answer.body += bytes(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self.answer.whole = True
+            else:
+                return
+
+    def close(self) -> None:
+        """Leave."""
+        self._socket.close()
--- /dev/null
+++ b/postspring/testing/fleet/engine_service.py
@@ -0,0 +1,168 @@
+"""An upstream in the platform's protocol: an engine or a plain service."""
+
+import dataclasses
+
+from postspring.platform import names
+from postspring import transport
+
+__all__ = ["EngineFaults", "EngineService"]
+
+LIMITS = transport.ServerLimits(body_bytes=64 * 1024 * 1024)
+
+
+@dataclasses.dataclass(slots=True)
+class EngineFaults:
+    """What goes wrong; each count is used up by one request.
+
+    Parameters
+    ==========
+
+    shed : int
+        Requests that are refused as not run.
+    lose_answer : int
+        Requests that are run, and the connection closed.
+    cut : int
+        Streams that are cut off in the middle of an event.
+    stale_answer : int
+        Answers that come behind one to another request.
+    busy_status : int
+        Status of an answer that does not say "not run".
+    wrong_instance : bool
+        Another upstream has the address now.
+    hang : bool
+        Requests run and are never answered.
+    """
+
+    shed: int = 0
+    lose_answer: int = 0
+    cut: int = 0
+    stale_answer: int = 0
+    busy_status: int = 0
+    wrong_instance: bool = False
+    hang: bool = False
+
+    def take(self, name: str) -> bool:
+        """Use up one of a count."""
+        left = getattr(self, name)
+        if left:
+            setattr(self, name, left - 1)
+        return bool(left)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Arrival:
+    """A request that ran."""
+
+    method: str
+    target: str
+    fields: tuple[tuple[str, str], ...]
+    body: bytes
+
+    def header(self, name: str) -> str:
+        """Return a header's value, or an empty text."""
+        for key, value in self.fields:
+            if key.lower() == name.lower():
+                return value
+        return ""
+
+
+class EngineService:
+    """Answers streams with ``events`` events, other requests with a body.
+
+    A request whose path contains ``stream`` gets a stream.
+    """
+
+    def __init__(self, parent, timers: transport.Timers, name: str):
+        self.id = name
+        self.faults = EngineFaults()
+        self.events = 3
+        self.event_seconds = 0.0
+        self.runs: list[Arrival] = []
+        self.gone = 0
+        self._timers = timers
+        self._server = transport.HttpServer(timers, self._handle, LIMITS)
+        self._server.listen(parent, ("127.0.0.1", 0), f"engine-{name}")
+
+    @property
+    def address(self) -> str:
+        """``ip:port``."""
+        host, port = self._server.address
+        return f"{host}:{port}"
+
+    @property
+    def connections(self) -> int:
+        """Open connections."""
+        return self._server.connection_count
+
+    def entry(self, service: str, state: str = "ready") -> dict:
+        """Return what it writes into the store."""
+        return {
+            "service": service,
+            "address": self.address,
+            "zone": "z1",
+            "slots": 8,
+            "state": state,
+            "warmup_remaining_ms": 0,
+        }
+
+    # -- requests -------------------------------------------------------------
+
+    def _handle(self, call: transport.IncomingCall) -> None:
+        request = call.header(names.REQUEST_ID)
+        target = call.header(names.TARGET_INSTANCE)
+        if self.faults.wrong_instance or target not in ("", self.id):
+            call.respond(421, [(names.INSTANCE_ID, self.id)])
+            return
+        if self.faults.take("shed"):
+            call.respond(503, [(names.NOT_EXECUTED, "1")])
+            return
+        if self.faults.busy_status:
+            call.respond(self.faults.busy_status, [])
+            return
+        self.runs.append(
+            Arrival(call.method, call.target, tuple(call.fields), call.body)
+        )
+        call.on_gone = self._count_gone
+        if self.faults.hang:
+            return
+        if self.faults.take("lose_answer"):
+            call.abort()
+            return
+        fields = [
+            (names.REQUEST_ID, request),
+            (names.SERVER_SEAL, f"seal-{self.id}"),
+        ]
+        if "stream" in call.target:
+            fields.append(("Content-Type", "text/event-stream"))
+            call.start(200, fields)
+            self._send_event(call, 1)
+        else:
+            self._answer(call, fields)
+
+    def _answer(self, call, fields) -> None:
+        if self.faults.take("stale_answer"):
+            call._connection._server.hub.send(
+                call._connection._sock,
+                b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n"
+                + names.REQUEST_ID.encode()
+                + b": another\r\n\r\nstale",
+            )
+        call.respond(200, fields, b"answer of " + self.id.encode())
+
+    def _send_event(self, call, number: int) -> None:
+        if call.gone:
+            return
+        if number > self.events:
+            call.finish()
+            return
+        if number > 1 and self.faults.take("cut"):
+            call.send(b"id: %d\nda" % number)
+            call.abort()
+            return
+        call.send(b"id: %d\ndata: w%d\n\n" % (number, number))
+        self._timers.call_later(
+            self.event_seconds, self._send_event, call, number + 1
+        )
+
+    def _count_gone(self) -> None:
+        self.gone += 1
--- /dev/null
+++ b/postspring/testing/fleet/store_service.py
@@ -0,0 +1,126 @@
+"""The platform's store as an HTTP service, with faults."""
+
+import base64
+import json
+import struct
+import urllib.parse
+
+from postspring import keyedlog
+from postspring.platform import names
+from postspring.platform import store as store_module
+from postspring.testing.fleet import memory_log
+from postspring import transport
+
+__all__ = ["StoreService"]
+
+LIMITS = transport.ServerLimits(body_bytes=64 * 1024 * 1024)
+JSON_FIELDS = [("Content-Type", "application/json")]
+
+
+class StoreService:
+    """Serves a log in the platform's protocol.
+
+    Explanation
+    ===========
+
+    ``refuse`` is a status with which calls are turned away, ``silent``
+    leaves them unanswered, ``lose_answers`` appends are done and not
+    answered.  ``refused_callers`` are IP numbers that alone get the
+    refusal.
+
+    Parameters
+    ==========
+
+    parent : Component
+        Whose loop it runs on.
+    """
+
+    def __init__(self, parent, timers: transport.Timers):
+        self.data = memory_log.LogData()
+        self.refuse = 0
+        self.silent = False
+        self.lose_answers = 0
+        self.calls: list[str] = []
+        self._timers = timers
+        self._server = transport.HttpServer(timers, self._handle, LIMITS)
+        self._server.listen(parent, ("127.0.0.1", 0), "store-service")
+
+    @property
+    def address(self) -> tuple[str, int]:
+        """Where it listens."""
+        return self._server.address
+
+    def put(self, topic: str, key: str, value: dict | None) -> None:
+        """Write an operator's or an upstream's record."""
+        data = b"" if value is None else json.dumps(value).encode()
+        entry = keyedlog.LogEntry(key, data)
+        self.data.append(_place(topic, 0), [entry])
+
+    # -- calls ----------------------------------------------------------------
+
+    def _handle(self, call: transport.IncomingCall) -> None:
+        path, _, text = call.target.partition("?")
+        query = dict(urllib.parse.parse_qsl(text))
+        self.calls.append(f"{path} {query.get('topic', '')}")
+        if self.silent:
+            return
+        if self.refuse:
+            call.respond(self.refuse, [])
+            return
+        place = _place(query["topic"], int(query["part"]))
+        if path == names.LOG_APPEND_PATH:
+            self._append(call, place)
+        elif path == names.LOG_READ_PATH:
+            self._read(call, place, query)
+        elif path == names.LOG_NEWEST_PATH:
+            self._newest(call, place, query)
+        else:
+            call.respond(404, [])
+
+    def _append(self, call, place) -> None:
+        entries = store_module.unpack_records(call.body)
+        first = self.data.append(place, entries)
+        if self.lose_answers:
+            self.lose_answers -= 1
+            return
+        answer = {"offset": first, "end": first + len(entries)}
+        call.respond(200, JSON_FIELDS, json.dumps(answer).encode())
+
+    def _read(self, call, place, query) -> None:
+        start = int(query["from"])
+        first = self.data.first_by_place.get(place, 0)
+        if start < first:
+            body = json.dumps({"first": first}).encode()
+            call.respond(410, JSON_FIELDS, body)
+            return
+        records = self.data.records_by_place.get(place, [])
+        wait = int(query.get("wait_ms", 0)) / 1000
+        if start >= len(records) and wait > 0:
+            query = query | {"wait_ms": str(int((wait - 0.02) * 1000))}
+            self._timers.call_later(0.02, self._read, call, place, query)
+            return
+        head = struct.pack(">QQ", len(records), first)
+        body = head + store_module.pack_records(records[start:])
+        call.respond(200, [], body)
+
+    def _newest(self, call, place, query) -> None:
+        items = [
+            {
+                "key": entry.key,
+                "value": base64.b64encode(entry.value).decode(),
+                "offset": offset,
+            }
+            for offset, entry in self.data.newest(place)
+        ]
+        items.sort(key=lambda item: item["key"])
+        after = query.get("after", "")
+        items = [item for item in items if item["key"] > after]
+        page, rest = items[:500], items[500:]
+        end = len(self.data.records_by_place.get(place, ()))
+        answer = {"items": page, "more_pages": bool(rest), "end": end}
+        call.respond(200, JSON_FIELDS, json.dumps(answer).encode())
+
+
+def _place(topic: str, part: int) -> tuple[str, int]:
+    """Return a partition's key: here the topic's name is the subject."""
+    return topic, part
