--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -7,7 +7,10 @@
 from postspring.forwarding.forwarder import Forwarder
 from postspring.forwarding.ports import AnswerFacts
 from postspring.forwarding.ports import CallFacts
+from postspring.forwarding.ports import Finding
 from postspring.forwarding.ports import HeaderGetter
+from postspring.forwarding.ports import Neighbours
+from postspring.forwarding.ports import NoNeighbours
 from postspring.forwarding.ports import UpstreamExtra
 from postspring.forwarding.ports import WireFormat
 from postspring.forwarding.refusals import Refusal
@@ -18,8 +21,11 @@
     "Delivery",
     "Dispatcher",
     "EventSplitter",
+    "Finding",
     "Forwarder",
     "HeaderGetter",
+    "Neighbours",
+    "NoNeighbours",
     "Receiver",
     "Refusal",
     "UpstreamExtra",
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -111,6 +111,10 @@
         Monotonic time by which there has to be an answer.
     preferred : str
         Id of the upstream that has the call's history in memory.
+    only : Upstream, optional
+        The one place that the call may be sent to: another VM.
+    extra_fields : tuple
+        Header fields to add.
     """
 
     def __init__(
@@ -123,7 +127,11 @@
         deadline: float,
         receiver: Receiver,
         preferred: str = "",
+        only: upstreams.Upstream | None = None,
+        extra_fields: tuple[tuple[str, str], ...] = (),
     ):
+        self._only = only
+        self._extra_fields = extra_fields
         self._dispatcher = dispatcher
         self._call = call
         self._facts = facts
@@ -191,6 +199,8 @@
         )
 
     def _choose(self) -> upstreams.Upstream | None:
+        if self._only is not None:
+            return None if self._only.id in self._tried else self._only
         directory = self._dispatcher.directory
         candidates = directory.usable(self._service)
         if not candidates:
@@ -212,7 +222,10 @@
             method=self._call.method,
             path=self._call.target,
             body=self._body,
-            headers=tuple(wire.upstream_fields(self._call.fields, extra)),
+            headers=(
+                *wire.upstream_fields(self._call.fields, extra),
+                *self._extra_fields,
+            ),
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
             timeout=max(0.0, remaining) + 2 * DEADLINE_SLACK_SECONDS,
             is_answer=self._is_answer,
@@ -305,15 +318,25 @@
             self.upstream.note_failure(self._dispatcher.timers.now())
         else:
             self.upstream.note_success()
-        if self._status in NOT_RUN_STATUSES and not self._route.may_repeat:
-            # The upstream does not say that it did not run the call, and
-            # this status would promise it.
+        if self._promises_wrongly:
             self._refuse(refusals.Refusal.UNKNOWN_OUTCOME)
             return
         fields = self._fields()
         self._finish()
         self._receiver.answered(self._status, fields, bytes(self._buffer))
 
+    @property
+    def _promises_wrongly(self) -> bool:
+        """Whether the status would promise what the upstream does not say.
+
+        Another VM's promise is as good as ours.
+        """
+        return (
+            self._status in NOT_RUN_STATUSES
+            and not self._route.may_repeat
+            and self._only is None
+        )
+
     def _not_run(self) -> None:
         """The upstream did not run the call: it is full, or another one."""
         if self._answer.wrong_upstream:
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -1,10 +1,12 @@
 """Takes callers' requests: finds the route and starts the call."""
 
 from collections.abc import Callable
+import dataclasses
 
 from postspring.forwarding import delivery as delivery_module
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import plain
+from postspring.forwarding import ports
 from postspring.forwarding import refusals
 from postspring.forwarding import relay
 from postspring.forwarding import turn_call
@@ -27,6 +29,8 @@
         Keeps turns.
     current : callable
         Returns the configuration in force, or None.
+    neighbours : Neighbours
+        The other VMs.
     inputs : callable
         Returns what decisions rest on, for the log: versions and ages.
     """
@@ -37,12 +41,16 @@
         journal: histories.Journal,
         current: Callable[[], routing.Snapshot | None],
         inputs: Callable[[], dict] = dict,
+        neighbours: ports.Neighbours | None = None,
     ):
         self._dispatcher = dispatcher
-        self._journal = journal
+        self._turn_services = turn_call.TurnServices(
+            journal,
+            neighbours or ports.NoNeighbours(),
+            turn_call.LastUpstreams(),
+        )
         self._current = current
         self._inputs = inputs
-        self._last_upstreams = turn_call.LastUpstreams()
 
     def handle(self, call: transport.IncomingCall) -> None:
         """Start a call."""
@@ -69,10 +77,12 @@
             patience = min(patience, facts.deadline)
         deadline = call.received_at + patience
         if route.keeps_history and facts.request:
+            if not facts.program:
+                alone = histories.ProgramId(f"-{facts.request}")
+                facts = dataclasses.replace(facts, program=alone)
             turn_call.TurnCall(
                 self._dispatcher,
-                self._journal,
-                self._last_upstreams,
+                self._turn_services,
                 call,
                 facts,
                 route,
--- a/postspring/forwarding/plain.py
+++ b/postspring/forwarding/plain.py
@@ -12,7 +12,14 @@
 
 
 class PlainCall(relay.CallerRelay):
-    """A call of a tool or a plain service, or a stream without history."""
+    """A call of a tool or a plain service, or a stream without history.
+
+    Parameters
+    ==========
+
+    options : dict
+        Further arguments of the :class:`Delivery`.
+    """
 
     def __init__(
         self,
@@ -22,11 +29,19 @@
         route: routing.Route,
         deadline: float,
         outcome: outcome_module.Outcome,
+        **options,
     ):
         super().__init__(dispatcher, call, facts, outcome)
         self._route = route
         self.delivery = delivery_module.Delivery(
-            dispatcher, call, facts, route, call.body, deadline, self
+            dispatcher,
+            call,
+            facts,
+            route,
+            call.body,
+            deadline,
+            self,
+            **options,
         )
 
     def start(self) -> None:
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -9,11 +9,15 @@
 import dataclasses
 
 from postspring import histories
+from postspring import upstreams
 
 __all__ = [
     "AnswerFacts",
     "CallFacts",
+    "Finding",
     "HeaderGetter",
+    "Neighbours",
+    "NoNeighbours",
     "UpstreamExtra",
     "WireFormat",
 ]
@@ -104,6 +108,56 @@
     urgency: int | None = None
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Finding:
+    """What other VMs know of a program.
+
+    Parameters
+    ==========
+
+    taker : Upstream or None
+        A VM that can run the turn.
+    is_known_turn : bool
+        Some VM keeps the turn that is to be continued.
+    all_answered : bool
+        Every VM answered, or certainly does not run any more.
+    is_new : bool
+        No VM that could know the program does.
+    """
+
+    taker: upstreams.Upstream | None = None
+    is_known_turn: bool = False
+    all_answered: bool = False
+    is_new: bool = False
+
+
+class Neighbours(abc.ABC):
+    """The other VMs, as far as callers' requests need them."""
+
+    # Marks a request that another VM has passed on.
+    relayed_field: tuple[str, str] = ("X-Relayed-By", "vm")
+
+    @abc.abstractmethod
+    def find(
+        self,
+        facts: CallFacts,
+        on_done: Callable[[Finding], None],
+    ) -> None:
+        """Ask the other VMs about a turn's program and its chain."""
+
+    def is_relayed(self, header: HeaderGetter) -> bool:
+        """Return whether another VM has passed a request on."""
+        return bool(header(self.relayed_field[0]))
+
+
+class NoNeighbours(Neighbours):
+    """A VM alone."""
+
+    def find(self, facts, on_done) -> None:
+        """Report that there is nobody."""
+        on_done(Finding(all_answered=True))
+
+
 class WireFormat(abc.ABC):
     """Header fields of calls and answers."""
 
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -1,30 +1,29 @@
 """Turns: calls whose history and budget the system keeps."""
 
 import collections
+from collections.abc import Callable
+import dataclasses
 import logging
 
 from postspring.forwarding import delivery as delivery_module
 from postspring.forwarding import event_splitter
 from postspring.forwarding import outcome as outcome_module
+from postspring.forwarding import plain
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
 from postspring.forwarding import relay
 from postspring import histories
 from postspring import routing
 from postspring import transport
+from postspring import upstreams
 
-__all__ = ["LastUpstreams", "TurnCall"]
+__all__ = ["LastUpstreams", "TurnCall", "TurnServices"]
 
 LOG = logging.getLogger(__name__)
 
-# How long a turn waits for the journal before it is refused, in seconds;
-# above the slow store's 0.25 s for two calls.
-OPEN_PATIENCE_SECONDS = 0.8
-# How long the end of an answer waits to be recorded; callers leave a
-# silent stream after 2 to 3.2 s.
-COMPLETE_PATIENCE_SECONDS = 10.0
-# How long the end of a failed turn is offered to the journal.
-END_PATIENCE_SECONDS = 30.0
+# How long a turn waits for the journal before other VMs are asked, in
+# seconds; above the slow store's 0.25 s for two calls.
+OPEN_PATIENCE_SECONDS = 0.6
 REMEMBERED_TURNS = 20_000
 
 
@@ -54,16 +53,19 @@
     Explanation
     ===========
 
-    A turn is reserved in the journal before any upstream sees it, and
-    recorded as whole before the end of its answer is passed on.  Whatever
-    else happens to it, it is settled with what the caller was handed.
+    A turn has its ceiling reserved before any upstream sees it, and is
+    recorded as whole, or kept by other VMs, before the end of its answer
+    is passed on.  Whatever else happens to it, it is settled with what the
+    caller was handed.
+
+    While the log is away, a VM that knows the program runs its turns; the
+    others pass them on to it.
     """
 
     def __init__(
         self,
         dispatcher: delivery_module.Dispatcher,
-        journal: histories.Journal,
-        last_upstreams: LastUpstreams,
+        shared: "TurnServices",
         call: transport.IncomingCall,
         facts: ports.CallFacts,
         route: routing.Route,
@@ -72,20 +74,19 @@
         outcome: outcome_module.Outcome,
     ):
         super().__init__(dispatcher, call, facts, outcome)
-        self._journal = journal
-        self._last_upstreams = last_upstreams
+        self._shared = shared
+        self._journal = shared.journal
         self._route = route
         self._tokens_per_event = tokens_per_event
         self._deadline = deadline
         self._chain = histories.Chain(None)
+        self._ticket: histories.Ticket | None = None
         self._output: list[bytes] = []
         self._events = 0
-        self._opened = False
         self._closed = False
+        self._tried_home = False
         self._turn = histories.TurnId(facts.request)
-        self._program = facts.program or histories.ProgramId(
-            f"-{facts.request}"
-        )
+        self._program = facts.program
 
     # -- before it runs -------------------------------------------------------
 
@@ -100,45 +101,50 @@
             self._facts.previous,
             OPEN_PATIENCE_SECONDS,
             self._chain_found,
-            self._journal_failed,
+            lambda error: self._ask_others(self._unavailable),
         )
 
     def _chain_found(self, chain: histories.Chain | None) -> None:
         if self._closed:
             return
         if chain is None:
-            self._close(refusals.Refusal.NO_SUCH_TURN)
+            self._ask_others(self._not_found)
             return
         self._chain = chain
         self._open()
 
     def _open(self) -> None:
-        record = histories.OpenedTurn(
+        facts = self._facts
+        self._outcome.add(ceiling=facts.ceiling, budget=facts.budget)
+        self._journal.open_turn(
             self._program,
             self._turn,
-            self._facts.ceiling,
-            self._facts.budget,
-        )
-        self._opened = True
-        self._outcome.add(ceiling=record.ceiling, budget=record.budget)
-        self._journal.open_turn(
-            record,
+            facts.ceiling,
+            facts.budget,
             OPEN_PATIENCE_SECONDS,
             self._turn_opened,
-            self._journal_failed,
+            lambda error: self._ask_others(self._begin_home),
         )
 
-    def _turn_opened(self, state: histories.TurnState) -> None:
+    def _turn_opened(
+        self, state: histories.TurnState, ticket: histories.Ticket
+    ) -> None:
+        if state is histories.TurnState.OPEN:
+            self._ticket = ticket
+            self._outcome.add(charged_to=ticket.origin.value)
         if self._closed:
             self._settle()
-            return
-        if state is histories.TurnState.REFUSED:
+        elif state is histories.TurnState.OPEN:
+            self._deliver()
+        elif state is histories.TurnState.REFUSED:
             self._close(refusals.Refusal.BUDGET_SPENT)
-            return
-        if state is not histories.TurnState.OPEN:
+        elif state is histories.TurnState.DEFERRED:
+            self._ask_others(self._reserved)
+        else:
             # The caller used a request id twice.
             self._close(refusals.Refusal.UNKNOWN_OUTCOME)
-            return
+
+    def _deliver(self) -> None:
         body = b"".join((*self._chain.parts, self._call.body))
         self.delivery = delivery_module.Delivery(
             self._dispatcher,
@@ -148,22 +154,72 @@
             body,
             self._deadline,
             self,
-            self._last_upstreams.find(self._facts.previous),
+            self._shared.last_upstreams.find(self._facts.previous),
         )
         self.delivery.start()
 
-    def _journal_failed(self, error: histories.HistoryError) -> None:
+    def _close(self, refusal: refusals.Refusal) -> None:
+        self._closed = True
+        self.refuse(refusal)
+
+    # -- with the help of other VMs -------------------------------------------
+
+    def _ask_others(self, otherwise: Callable[[ports.Finding], None]) -> None:
+        """Pass the turn on to a VM that can run it, or go on otherwise."""
         if self._closed:
             return
-        self._outcome.add(journal=str(error))
-        self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
-        if self._opened:
-            # The record may still be appended: it must not stay charged.
-            self._settle()
+        neighbours = self._shared.neighbours
+        if neighbours.is_relayed(self._call.header):
+            otherwise(ports.Finding())
+            return
 
-    def _close(self, refusal: refusals.Refusal) -> None:
+        def found(finding: ports.Finding) -> None:
+            if self._closed:
+                return
+            if finding.taker is not None:
+                self._pass_on(finding.taker)
+            else:
+                otherwise(finding)
+
+        neighbours.find(self._facts, found)
+
+    def _pass_on(self, taker: upstreams.Upstream) -> None:
         self._closed = True
-        self.refuse(refusal)
+        self._outcome.add(passed_to=taker.id)
+        passed = plain.PlainCall(
+            self._dispatcher,
+            self._call,
+            self._facts,
+            self._route,
+            self._deadline,
+            self._outcome,
+            only=taker,
+            extra_fields=(self._shared.neighbours.relayed_field,),
+        )
+        passed.start()
+
+    def _unavailable(self, finding: ports.Finding) -> None:
+        self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
+
+    def _reserved(self, finding: ports.Finding) -> None:
+        self._close(refusals.Refusal.BUDGET_RESERVED)
+
+    def _not_found(self, finding: ports.Finding) -> None:
+        """The log has no such turn; another VM might still keep it."""
+        if finding.all_answered and not finding.is_known_turn:
+            self._close(refusals.Refusal.NO_SUCH_TURN)
+        else:
+            self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
+
+    def _begin_home(self, finding: ports.Finding) -> None:
+        """The log is away: a new program may begin here all the same."""
+        may_begin = finding.is_new and not self._tried_home
+        if self._facts.previous is not None or not may_begin:
+            self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
+            return
+        self._tried_home = True
+        self._journal.begin_home(self._program, self._facts.budget)
+        self._open()
 
     # -- from the delivery ----------------------------------------------------
 
@@ -175,7 +231,8 @@
 
     def stream_started(self, status: int, fields: list) -> None:
         """Begin the answer."""
-        self._last_upstreams.remember(self._turn, self.delivery.upstream.id)
+        upstream = self.delivery.upstream
+        self._shared.last_upstreams.remember(self._turn, upstream.id)
         super().stream_started(status, fields)
 
     def stream_events(self, events: list[bytes]) -> None:
@@ -187,33 +244,21 @@
 
     def stream_ended(self) -> None:
         """Record the turn; only then the answer is complete."""
-        record = histories.WholeTurn(
-            self._program,
-            self._turn,
+        self._journal.complete_turn(
+            self._ticket,
             self._chain.head,
             self._tokens,
             self._call.body,
             b"".join(self._output),
-        )
-        self._journal.complete_turn(
-            record,
-            COMPLETE_PATIENCE_SECONDS,
-            self._recorded,
-            self._not_recorded,
+            self._safe,
         )
 
-    def _recorded(self) -> None:
+    def _safe(self, how: str) -> None:
         if self._closed:
             return
         self._closed = True
         self._call.finish()
-        self.report("answered", tokens=self._tokens)
-
-    def _not_recorded(self, error: histories.HistoryError) -> None:
-        if not self._closed:
-            self._closed = True
-            self._call.abort()
-            self.report("broken_off", reason=str(error))
+        self.report("answered", tokens=self._tokens, kept=how)
 
     def stream_broken(self, reason: str) -> None:
         """Break the answer off, and settle the turn."""
@@ -241,18 +286,19 @@
             return
         self._closed = True
         self.report("caller_gone", tokens=self._tokens)
-        if self.delivery is None or not self.delivery.is_done:
-            if self.delivery is not None:
-                self.delivery.cancel()
-                self._settle()
+        if self.delivery is not None and not self.delivery.is_done:
+            self.delivery.cancel()
+            self._settle()
 
     def _settle(self) -> None:
-        record = histories.EndedTurn(self._program, self._turn, self._tokens)
-        self._journal.end_turn(
-            record,
-            END_PATIENCE_SECONDS,
-            lambda error: LOG.warning(
-                "turn not settled",
-                extra={"request": self._turn, "reason": str(error)},
-            ),
-        )
+        if self._ticket is not None:
+            self._journal.end_turn(self._ticket, self._tokens)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class TurnServices:
+    """What all turns of a VM share."""
+
+    journal: histories.Journal
+    neighbours: ports.Neighbours
+    last_upstreams: LastUpstreams
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import os
 import time
 
 from circuits import BaseComponent
@@ -15,6 +16,7 @@
 from postspring import histories
 from postspring import keyedlog
 from postspring import metrics as metrics_module
+from postspring import peering
 from postspring import platform
 from postspring import routing
 from postspring.scheduling import placement
@@ -33,6 +35,9 @@
 # keeps within the 2 s in which a leaving one has to be left alone.
 UPSTREAMS_PACE_SECONDS = 0.9
 MISSING_SWEEP_SECONDS = 0.5
+# A VM that has been up for this long knows all that began here within the
+# retention of turns, 60 s on the users' routes; in seconds.
+COMPLETE_SECONDS = 65.0
 
 
 class FrontNode(BaseComponent):
@@ -64,11 +69,16 @@
         self.timers = transport.Timers().register(self)
         self._hub = transport.SocketHub(self.timers).register(self)
         self.http = transport.HttpClient(self._hub, self.timers)
+        self._peer_http = transport.HttpClient(self._hub, self.timers)
         self.store = platform.Store(
-            transport.HttpClient(self._hub, self.timers),
-            vm.store,
-            vm.partitions,
-            self._count_store_call,
+            self._peer_http, vm.store, vm.partitions, self._count_store_call
+        )
+        self.log = peering.FailoverLog(
+            self.store,
+            self._store_through,
+            lambda: self.members.nearest_first(),
+            self.timers,
+            self._direct_way_changed,
         )
         self.directory = upstreams.Directory(
             self.timers.now, self._upstream_gone
@@ -78,9 +88,15 @@
             platform.decode_snapshot,
             self._configuration_changed,
         )
-        self.journal = histories.Journal(self.store, self.timers)
+        self.incarnation = f"{vm.vm}/{os.urandom(4).hex()}"
+        self.journal = histories.Journal(
+            self.log, self.timers, self.incarnation
+        )
+        self._started_at = self.timers.now()
         self._limits = transport.ServerLimits()
         self._follow()
+        self._listen()
+        self._join()
         self._serve(own)
         self.shutdown = shutdown.Shutdown(
             self.timers, self.callers, vm.grace, on_stopped
@@ -88,7 +104,14 @@
 
     def start(self) -> None:
         """Begin to follow the log."""
-        LOG.info("started", extra={"first_start": self.vm.first_start})
+        LOG.info(
+            "started",
+            extra={
+                "first_start": self.vm.first_start,
+                "incarnation": self.incarnation,
+            },
+        )
+        self.members.start()
         self._configuration_follower.start()
         self._upstream_follower.start()
         self.timers.call_every(
@@ -111,7 +134,7 @@
             self.directory, platform.decode_announcement
         )
         self._configuration_follower = keyedlog.Follower(
-            self.store,
+            self.log,
             self.timers,
             CONFIGURATION_PLACE,
             self.configuration.take,
@@ -119,7 +142,7 @@
             wait=CONFIGURATION_WAIT_SECONDS,
         )
         self._upstream_follower = keyedlog.Follower(
-            self.store,
+            self.log,
             self.timers,
             UPSTREAMS_PLACE,
             watch.reset,
@@ -128,6 +151,46 @@
             on_regained=self._log_regained,
         )
 
+    def _listen(self) -> None:
+        limits = transport.ServerLimits()
+        self.callers = transport.HttpServer(
+            self.timers,
+            lambda call: self.forwarder.handle(call),
+            self._limits,
+            self._count_unreadable,
+        )
+        self.callers.listen(self, self.vm.callers, "callers")
+        self.readiness = transport.HttpServer(
+            self.timers, self._answer_readiness, limits
+        )
+        self.readiness.listen(self, self.vm.readiness, "readiness")
+        self.peers = transport.HttpServer(
+            self.timers, lambda call: self._peer_service.handle(call), limits
+        )
+        self.peers.listen(self, self.vm.peers, "peers")
+
+    def _join(self) -> None:
+        """Find the other VMs, and be found by them."""
+        own = peering.Member(
+            self.vm.vm,
+            self.incarnation,
+            self.vm.data_center,
+            self.peers.address,
+            self.callers.address,
+        )
+        self.members = peering.Members(self.log, self.timers, own)
+        self.neighbourhood = peering.Neighbourhood(
+            self._peer_http, self.members, self._is_complete
+        )
+        self.journal.companions = self.neighbourhood
+        self._peer_service = peering.PeerService(
+            self.vm.vm,
+            self.journal,
+            self.store.pass_on,
+            self.neighbourhood.asking,
+            self._is_complete,
+        )
+
     def _serve(self, own: settings_module.FrontSettings) -> None:
         dispatcher = forwarding.Dispatcher(
             self.http,
@@ -142,18 +205,8 @@
             self.journal,
             lambda: self.configuration.snapshot,
             self._decision_inputs,
+            self.neighbourhood,
         )
-        self.callers = transport.HttpServer(
-            self.timers,
-            self.forwarder.handle,
-            self._limits,
-            self._count_unreadable,
-        )
-        self.callers.listen(self, self.vm.callers, "callers")
-        self.readiness = transport.HttpServer(
-            self.timers, self._answer_readiness, transport.ServerLimits()
-        )
-        self.readiness.listen(self, self.vm.readiness, "readiness")
         if own.metrics_port:
             page = transport.HttpServer(
                 self.timers, self._answer_metrics, transport.ServerLimits()
@@ -178,6 +231,11 @@
             "Connections opened to upstreams",
             lambda: self.http.connections_opened,
         )
+        self.metrics.observe(
+            "held_turns",
+            "Whole turns that are not in the log yet",
+            lambda: self.journal.held,
+        )
         self.metrics.observe(
             "processor_seconds", "Processor time used", time.process_time
         )
@@ -196,6 +254,23 @@
         self._limits.header_seconds = snapshot.limits.header_seconds
         self._limits.idle_seconds = snapshot.limits.idle_seconds
 
+    def _is_complete(self) -> bool:
+        """Whether this VM knows all that began here lately."""
+        uptime = self.timers.now() - self._started_at
+        return self.vm.first_start or uptime > COMPLETE_SECONDS
+
+    def _store_through(self, member: peering.Member) -> platform.Store:
+        return platform.Store(
+            self._peer_http,
+            member.peers,
+            self.vm.partitions,
+            path_prefix=peering.STORE_PREFIX,
+        )
+
+    def _direct_way_changed(self) -> None:
+        """A read that waits for a change may hang on the way that is lost."""
+        self._configuration_follower.read_now()
+
     def _log_regained(self, seconds: float) -> None:
         self.directory.tolerate_missing()
         self._configuration_follower.read_now()
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -1,15 +1,21 @@
 """Histories: programs' turns and token budgets, kept in the shared log."""
 
+from postspring.histories.accounts import LocalAccounts
+from postspring.histories.accounts import Origin
+from postspring.histories.accounts import Ticket
+from postspring.histories.chains import Chain
 from postspring.histories.errors import HistoryError
 from postspring.histories.errors import JournalUnavailable
 from postspring.histories.errors import MalformedRecord
 from postspring.histories.fold import LocationFold
 from postspring.histories.fold import ProgramFold
-from postspring.histories.journal import Chain
 from postspring.histories.journal import Journal
+from postspring.histories.ports import Companions
+from postspring.histories.ports import NoCompanions
 from postspring.histories.program import Program
 from postspring.histories.program import Turn
 from postspring.histories.program import TurnState
+from postspring.histories.records import Claim
 from postspring.histories.records import decode_record
 from postspring.histories.records import encode_record
 from postspring.histories.records import EndedTurn
@@ -22,16 +28,22 @@
 
 __all__ = [
     "Chain",
+    "Claim",
+    "Companions",
     "EndedTurn",
     "HistoryError",
     "Journal",
     "JournalUnavailable",
+    "LocalAccounts",
     "LocationFold",
     "MalformedRecord",
+    "NoCompanions",
     "OpenedTurn",
+    "Origin",
     "Program",
     "ProgramFold",
     "ProgramId",
+    "Ticket",
     "Turn",
     "TurnId",
     "TurnLocation",
--- /dev/null
+++ b/postspring/histories/completion.py
@@ -0,0 +1,75 @@
+"""When a whole turn is safe: in the log, or kept by other VMs."""
+
+from collections.abc import Callable
+
+from postspring.histories import ports
+from postspring.transport import timers as timers_module
+
+__all__ = ["Completion"]
+
+# The log's usual answer takes 4 ms; a turn that is not recorded by then is
+# given to other VMs as well.  In seconds.
+HOLD_AFTER_SECONDS = 0.1
+# Pause before other VMs are asked again, in seconds.
+AGAIN_SECONDS = 0.25
+# After this long nobody waits for the end of the answer any more.
+GIVE_UP_SECONDS = 15.0
+
+
+class Completion:
+    """Waits until a turn is recorded, or copies of it are kept.
+
+    Parameters
+    ==========
+
+    record : bytes
+        The record of the whole turn.
+    """
+
+    def __init__(
+        self,
+        timers: timers_module.Timers,
+        companions: ports.Companions,
+        record: bytes,
+    ):
+        self._timers = timers
+        self._companions = companions
+        self._record = record
+        self._on_done: Callable[[str], None] | None = None
+        self._is_logged = False
+        self._timer: timers_module.TimerHandle | None = None
+        self._give_up_at = timers.now() + GIVE_UP_SECONDS
+
+    def start(self, on_done: Callable[[str], None], at_once: bool) -> None:
+        """Report to ``on_done``; ask other VMs at once, or after a while."""
+        if self._is_logged:
+            on_done("logged")
+            return
+        self._on_done = on_done
+        seconds = 0.0 if at_once else HOLD_AFTER_SECONDS
+        self._timer = self._timers.call_later(seconds, self._hold)
+
+    def logged(self) -> None:
+        """Take note that the turn stands in the log."""
+        self._is_logged = True
+        self._finish("logged")
+
+    # -- own ------------------------------------------------------------------
+
+    def _hold(self) -> None:
+        if self._on_done is not None:
+            self._companions.keep(self._record, self._kept)
+
+    def _kept(self, copies: int) -> None:
+        if copies:
+            self._finish("held")
+        elif self._timers.now() < self._give_up_at:
+            self._timer = self._timers.call_later(AGAIN_SECONDS, self._hold)
+
+    def _finish(self, how: str) -> None:
+        on_done, self._on_done = self._on_done, None
+        if on_done is None:
+            return
+        if self._timer is not None:
+            self._timer.cancel()
+        on_done(how)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -2,23 +2,30 @@
 
 Any VM may work on any program.  Which turn counts is decided by the order
 of the log, so no VM owns a program and none has to be found or replaced.
+While the log is away, turns go on from what was reserved in it before, and
+whole turns are kept by other VMs too until they are recorded.
 """
 
 from collections.abc import Callable
-import dataclasses
-import functools
+import logging
 
 import xxhash
 
+from postspring.histories import accounts
+from postspring.histories import chains
+from postspring.histories import completion
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
 from postspring.histories import partition as partition_module
+from postspring.histories import ports
 from postspring.histories import program as program_module
 from postspring.histories import records
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
-__all__ = ["Chain", "Journal"]
+__all__ = ["Journal"]
+
+LOG = logging.getLogger(__name__)
 
 # Partitions that programs are spread over.  The more there are, the more
 # seldom two VMs write to one and have to read each other's records.
@@ -28,16 +35,17 @@
 # when it is needed; seconds, above the retention of the users' routes.
 UNUSED_SECONDS = 90.0
 SWEEP_SECONDS = 10.0
+# Turns of the same size that a VM would like to have reserved.
+AHEAD_TURNS = 4
+# How long records that have to get into the log are offered to it; seconds,
+# above the retention of the users' routes.
+KEEP_SECONDS = 120.0
+# Patience with a partition that failed just now, in seconds; above the
+# store's usual 4 ms.
+FAILING_PATIENCE_SECONDS = 0.05
 
 OnError = Callable[[errors.HistoryError], None]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Chain:
-    """A turn's history: inputs and outputs of its chain, oldest first."""
-
-    head: records.TurnRef | None
-    parts: tuple[bytes, ...] = ()
+OnOpened = Callable[[program_module.TurnState, accounts.Ticket], None]
 
 
 class Journal:
@@ -50,56 +58,141 @@
         The shared log.
     timers : Timers
         For resending and patience.
+    author : str
+        This VM's incarnation: another one after each start.
+    companions : Companions
+        Keep copies of what is not in the log yet.
     """
 
-    def __init__(self, log: keyedlog.KeyedLog, timers: timers_module.Timers):
+    def __init__(
+        self,
+        log: keyedlog.KeyedLog,
+        timers: timers_module.Timers,
+        author: str,
+        companions: ports.Companions | None = None,
+    ):
         self._log = log
         self._timers = timers
+        self.accounts = accounts.LocalAccounts(author)
+        self.companions = companions or ports.NoCompanions()
         self._partition_by_place: dict[
             keyedlog.LogPlace, partition_module.Partition
         ] = {}
-        timers.call_every(SWEEP_SECONDS, self._forget_unused)
+        self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
+        timers.call_every(SWEEP_SECONDS, self._sweep)
+
+    @property
+    def held(self) -> int:
+        """Number of whole turns that are not in the log yet."""
+        return len(self._held_by_ref)
 
     # -- writing --------------------------------------------------------------
 
     def open_turn(
         self,
-        record: records.OpenedTurn,
+        program: records.ProgramId,
+        turn: records.TurnId,
+        ceiling: int,
+        budget: int | None,
         patience: float,
-        on_done: Callable[[program_module.TurnState], None],
+        on_done: OnOpened,
         on_error: OnError,
     ) -> None:
-        """Reserve a turn's ceiling; tell whether the budget holds it."""
+        """Get the right to run a turn, from a reserve or from the log."""
+        known = self._program(program)
+        ticket = self.accounts.take(known, turn, ceiling, budget)
+        if ticket is not None:
+            on_done(program_module.TurnState.OPEN, ticket)
+            return
+        ticket = accounts.Ticket(
+            program, turn, ceiling, budget, accounts.Origin.LOG
+        )
+        returned = self.accounts.give_back(known, turn)
+        record = records.OpenedTurn(
+            program, turn, self._claim(ticket, returned)
+        )
 
         def folded(fold: fold_module.ProgramFold) -> None:
-            turn = fold.program(record.program).turn_by_id[record.turn]
-            on_done(turn.state)
+            self.accounts.returned(program, turn)
+            state = fold.program(program).turn_by_id[turn].state
+            on_done(state, ticket)
 
-        self._commit(record, patience, folded, on_error)
+        def failed(error: errors.HistoryError) -> None:
+            # The record may still be appended; it must not stay charged.
+            self.end_turn(ticket, 0)
+            on_error(error)
 
-    def end_turn(
-        self,
-        record: records.EndedTurn,
-        patience: float,
-        on_error: OnError,
-    ) -> None:
+        if self._is_failing(self._place_of_program(program)):
+            patience = min(patience, FAILING_PATIENCE_SECONDS)
+        self._commit(record, patience, folded, failed)
+
+    def end_turn(self, ticket: accounts.Ticket, tokens: int) -> None:
         """Settle a turn that is no part of the history."""
-        self._commit(record, patience, lambda fold: None, on_error)
+        if ticket.origin is not accounts.Origin.LOG and not tokens:
+            self.accounts.settle(ticket, 0)
+            return
+        record = records.EndedTurn(
+            ticket.program, ticket.turn, self._claim(ticket), tokens
+        )
+        self.accounts.spent(ticket, tokens)
+
+        def folded(fold: fold_module.ProgramFold) -> None:
+            self.accounts.returned(ticket.program, ticket.turn)
+            self.accounts.settle(ticket, tokens)
+
+        self._commit(record, KEEP_SECONDS, folded, self._lost(ticket))
 
     def complete_turn(
         self,
-        record: records.WholeTurn,
-        patience: float,
-        on_done: Callable[[], None],
-        on_error: OnError,
+        ticket: accounts.Ticket,
+        parent: records.TurnRef | None,
+        tokens: int,
+        given: bytes,
+        generated: bytes,
+        on_done: Callable[[str], None],
     ) -> None:
-        """Add a whole turn to the history, and note where it stands."""
-        both = _Both(on_done, on_error)
-        location = records.TurnLocation(record.turn, record.program)
-        self._commit(record, patience, both.done, both.failed)
-        place = self._place_of_location(record.turn)
-        entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
-        self._partition(place).commit(entry, patience, both.done, both.failed)
+        """Add a whole turn to the history, and note where it stands.
+
+        ``on_done`` is told once that the turn is safe: ``logged``, or
+        ``held`` by other VMs until the log is back.
+        """
+        record = records.WholeTurn(
+            ticket.program,
+            ticket.turn,
+            self._claim(ticket),
+            parent,
+            tokens,
+            given,
+            generated,
+        )
+        self.accounts.spent(ticket, tokens)
+        safe = completion.Completion(
+            self._timers, self.companions, records.encode_record(record)
+        )
+        logged = self._record_whole(
+            record, lambda: self.accounts.settle(ticket, tokens), safe.logged
+        )
+        safe.start(on_done, at_once=not logged)
+
+    def keep_copy(self, data: bytes) -> None:
+        """Keep another VM's record, and offer it to the log.
+
+        Raises
+        ------
+        MalformedRecord
+            If it is no record of a whole turn.
+        """
+        record = records.decode_record(data)
+        if not isinstance(record, records.WholeTurn):
+            raise errors.MalformedRecord("not a whole turn")
+        self._record_whole(record, lambda: None, lambda: None)
+
+    def begin_home(
+        self, program: records.ProgramId, budget: int | None
+    ) -> None:
+        """Let a program begin here while the log is away."""
+        if budget is not None:
+            self.accounts.make_home(program, budget)
 
     # -- reading --------------------------------------------------------------
 
@@ -108,7 +201,7 @@
         program: records.ProgramId,
         turn: records.TurnId,
         patience: float,
-        on_done: Callable[[Chain | None], None],
+        on_done: Callable[[chains.Chain | None], None],
         on_error: OnError,
     ) -> None:
         """Collect the chain that ends with a turn; None if there is none.
@@ -116,14 +209,42 @@
         ``program`` is where the turn is looked for first; a program may
         continue another's turn.
         """
-        search = _ChainSearch(self, patience, on_done, on_error)
+        search = chains.ChainSearch(self, patience, on_done, on_error)
         search.start(records.TurnRef(program, turn))
 
+    def known_chain(self, ref: records.TurnRef) -> chains.Chain | None:
+        """Return a chain if this VM has all of it in memory."""
+        return chains.collect(self.known_turn, ref)[0]
+
     def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
-        """Return a whole turn if this VM has folded it."""
+        """Return a whole turn if this VM has it in memory."""
         place = self._place_of_program(ref.program)
         partition = self._partition_by_place.get(place)
-        return None if partition is None else partition.fold.whole_turn(ref)
+        found = None
+        if partition is not None:
+            found = partition.fold.whole_turn(ref)
+        return found or self._held_by_ref.get(ref)
+
+    def knows(self, program: records.ProgramId) -> bool:
+        """Return whether this VM has any turn of a program in memory."""
+        return (
+            bool(self._program(program).turn_by_id)
+            or self.accounts.is_home(program)
+            or any(ref.program == program for ref in self._held_by_ref)
+        )
+
+    def can_take(
+        self,
+        program: records.ProgramId,
+        previous: records.TurnId | None,
+        ceiling: int,
+    ) -> bool:
+        """Return whether this VM could run a turn without the log."""
+        if previous is not None:
+            ref = records.TurnRef(program, previous)
+            if self.known_chain(ref) is None:
+                return False
+        return self.accounts.can_take(self._program(program), ceiling)
 
     def refresh_program(
         self,
@@ -133,8 +254,12 @@
         on_error: OnError,
     ) -> None:
         """Fold all records of a program's partition."""
-        partition = self._partition(self._place_of_program(program))
-        partition.refresh(patience, lambda fold: on_done(), on_error)
+        place = self._place_of_program(program)
+        if self._is_failing(place):
+            patience = min(patience, FAILING_PATIENCE_SECONDS)
+        self._partition(place).refresh(
+            patience, lambda fold: on_done(), on_error
+        )
 
     def locate(
         self,
@@ -157,12 +282,92 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _record_whole(
+        self,
+        record: records.WholeTurn,
+        on_folded: Callable[[], None],
+        on_logged: Callable[[], None],
+    ) -> bool:
+        """Append a whole turn and its place; tell if that looks possible."""
+        ref = records.TurnRef(record.program, record.turn)
+        self._held_by_ref[ref] = program_module.Turn(
+            program_module.TurnState.WHOLE,
+            record.tokens,
+            record.parent,
+            record.input,
+            record.output,
+        )
+        left = 2
+
+        def one_done() -> None:
+            nonlocal left
+            left -= 1
+            if not left:
+                on_logged()
+
+        def folded(fold: fold_module.ProgramFold) -> None:
+            self._held_by_ref.pop(ref, None)
+            on_folded()
+            one_done()
+
+        lost = self._lost(record)
+        self._commit(record, KEEP_SECONDS, folded, lost)
+        location = records.TurnLocation(record.turn, record.program)
+        entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
+        place = self._place_of_location(record.turn)
+        partition = self._partition(place)
+        partition.commit(entry, KEEP_SECONDS, lambda fold: one_done(), lost)
+        own_place = self._place_of_program(record.program)
+        return not (self._is_failing(place) or self._is_failing(own_place))
+
+    def _is_failing(self, place: keyedlog.LogPlace) -> bool:
+        return self._log.is_down or self._partition(place).is_failing
+
+    def _lost(self, item) -> OnError:
+        """Return what reports a record that never got into the log."""
+
+        def report(error: errors.HistoryError) -> None:
+            self._held_by_ref.pop(
+                records.TurnRef(item.program, item.turn), None
+            )
+            LOG.error(
+                "record lost",
+                extra={
+                    "program": item.program,
+                    "request": item.turn,
+                    "reason": str(error),
+                },
+            )
+
+        return report
+
+    def _claim(
+        self, ticket: accounts.Ticket, returned: int = 0
+    ) -> records.Claim:
+        return records.Claim(
+            self.accounts.author,
+            ticket.ceiling,
+            ticket.budget,
+            AHEAD_TURNS * ticket.ceiling,
+            ticket.origin is accounts.Origin.RESERVE,
+            returned,
+        )
+
     def _commit(self, record, patience, on_done, on_error) -> None:
         partition = self._partition(self._place_of_program(record.program))
         key = f"{record.program}/{record.turn}"
         entry = keyedlog.LogEntry(key, records.encode_record(record))
         partition.commit(entry, patience, on_done, on_error)
 
+    def _program(self, program: records.ProgramId) -> program_module.Program:
+        partition = self._partition_by_place.get(
+            self._place_of_program(program)
+        )
+        found = None
+        if partition is not None:
+            found = partition.fold.program_by_id.get(program)
+        return found or program_module.Program(program)
+
     def _partition(
         self, place: keyedlog.LogPlace
     ) -> partition_module.Partition:
@@ -170,22 +375,30 @@
         if partition is None:
             fold_type = _fold_type_by_subject[place.subject]
             partition = partition_module.Partition(
-                self._log, self._timers, place, fold_type
+                self._log, self._timers, place, fold_type, self._log_is_back
             )
             self._partition_by_place[place] = partition
         return partition
 
     @staticmethod
     def _place_of_program(program: records.ProgramId) -> keyedlog.LogPlace:
-        number = xxhash.xxh64_intdigest(program.encode()) % PROGRAM_PARTITIONS
+        digest = xxhash.xxh64_intdigest(program.encode())
+        number = digest % PROGRAM_PARTITIONS
         return keyedlog.LogPlace(keyedlog.Subject.PROGRAMS, number)
 
     @staticmethod
     def _place_of_location(turn: records.TurnId) -> keyedlog.LogPlace:
-        number = xxhash.xxh64_intdigest(turn.encode()) % LOCATION_PARTITIONS
+        digest = xxhash.xxh64_intdigest(turn.encode())
+        number = digest % LOCATION_PARTITIONS
         return keyedlog.LogPlace(keyedlog.Subject.LOCATIONS, number)
 
-    def _forget_unused(self) -> None:
+    def _log_is_back(self) -> None:
+        for partition in list(self._partition_by_place.values()):
+            partition.retry_now()
+
+    def _sweep(self) -> None:
+        """Forget what nobody has used for long."""
+        self.accounts.close_homes()
         oldest = self._timers.now() - UNUSED_SECONDS
         for place, partition in list(self._partition_by_place.items()):
             if partition.idle and partition.used_at < oldest:
@@ -196,78 +409,3 @@
     keyedlog.Subject.PROGRAMS: fold_module.ProgramFold,
     keyedlog.Subject.LOCATIONS: fold_module.LocationFold,
 }
-
-
-class _Both:
-    """Tells once when two commits are done, or the first one failed."""
-
-    def __init__(self, on_done: Callable[[], None], on_error: OnError):
-        self._on_done = on_done
-        self._on_error = on_error
-        self._left = 2
-
-    def done(self, fold: object) -> None:
-        """Count a commit."""
-        self._left -= 1
-        if self._left == 0:
-            self._on_done()
-
-    def failed(self, error: errors.HistoryError) -> None:
-        """Report the first failure."""
-        if self._left > 0:
-            self._left = -1
-            self._on_error(error)
-
-
-class _ChainSearch:
-    """Walks a chain from its head to its root, reading what is missing."""
-
-    def __init__(self, journal: Journal, patience, on_done, on_error):
-        self._journal = journal
-        self._patience = patience
-        self._on_done = on_done
-        self._on_error = on_error
-        self._head: records.TurnRef | None = None
-        self._refreshed: set[records.ProgramId] = set()
-
-    def start(self, head: records.TurnRef) -> None:
-        """Look among the records of the head's program first."""
-        self._head = head
-        self._walk(self._locate_head)
-
-    def _walk(self, when_missing: Callable[[], None]) -> None:
-        parts: list[bytes] = []
-        ref = self._head
-        while ref is not None:
-            turn = self._journal.known_turn(ref)
-            if turn is None:
-                self._read(ref, when_missing)
-                return
-            parts.extend((turn.output, turn.input))
-            ref = turn.parent
-        parts.reverse()
-        self._on_done(Chain(self._head, tuple(parts)))
-
-    def _read(self, ref: records.TurnRef, when_missing: Callable) -> None:
-        if ref.program in self._refreshed:
-            when_missing()
-            return
-        self._refreshed.add(ref.program)
-        self._journal.refresh_program(
-            ref.program,
-            self._patience,
-            functools.partial(self._walk, when_missing),
-            self._on_error,
-        )
-
-    def _locate_head(self) -> None:
-        self._journal.locate(
-            self._head.turn, self._patience, self._located, self._on_error
-        )
-
-    def _located(self, program: records.ProgramId | None) -> None:
-        if program is None or program == self._head.program:
-            self._on_done(None)
-            return
-        self._head = records.TurnRef(program, self._head.turn)
-        self._walk(lambda: self._on_done(None))
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 from typing import Any
 
 from postspring.histories import errors
@@ -20,9 +21,14 @@
 
 # An append without an answer is sent once more after these many seconds:
 # behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
-RESEND_SECONDS = (0.15, 0.6, 1.2)
-# Pause after a refused call, in seconds.
+RESEND_SECONDS = (0.15, 0.5)
+# Pause after a failed call, in seconds; doubled with each one up to the
+# second figure.  Every call is paid for, failed ones too.
 RETRY_SECONDS = 0.1
+LONGEST_RETRY_SECONDS = 1.0
+# An append without an answer for this long counts as failing; the slow
+# store takes 0.25 s.
+SLOW_SECONDS = 0.4
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -44,6 +50,8 @@
     fold_type : type
         Makes the fold, anew when the records have to be read from the
         start.
+    on_back : callable
+        Called when a call succeeds after others have failed.
     """
 
     def __init__(
@@ -52,7 +60,9 @@
         timers: timers_module.Timers,
         place: keyedlog.LogPlace,
         fold_type: type,
+        on_back: Callable[[], None] = lambda: None,
     ):
+        self._on_back = on_back
         self._log = log
         self._timers = timers
         self._place = place
@@ -63,6 +73,16 @@
         self._commits: list[_Waiter] = []
         self._refreshes: list[_Waiter] = []
         self._busy = False
+        self._failing = False
+        self._sent_at = math.inf
+        self._pause = RETRY_SECONDS
+        self._retry: Callable[[], None] | None = None
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the last call failed, or has no answer for long."""
+        waited = self._timers.now() - self._sent_at
+        return self._failing or waited > SLOW_SECONDS
 
     @property
     def idle(self) -> bool:
@@ -129,6 +149,7 @@
             return
         if self._commits:
             self._busy = True
+            self._sent_at = self.used_at
             _Append(self, self._commits[:]).start()
         elif self._refreshes:
             self._busy = True
@@ -139,6 +160,8 @@
 
     def appended(self, commits: list[_Waiter], first: int) -> None:
         """Take note that a batch stands in the log."""
+        self._note_success()
+        self._sent_at = math.inf
         end = first + len(commits)
         if self.end is None and first == 0 or self.end == first:
             for commit in commits:
@@ -150,8 +173,37 @@
 
     def not_appended(self, error: keyedlog.KeyedLogError) -> None:
         """Take note that a batch was not accepted; try again."""
-        LOG.info("append failed", extra={"reason": str(error)})
-        self._timers.call_later(RETRY_SECONDS, self._go_on)
+        self._note_failure("append failed", error)
+        self._sent_at = math.inf
+        self._retry_later(self._go_on)
+
+    def retry_now(self) -> None:
+        """Do at once what waits for its next try: the log is back."""
+        retry, self._retry = self._retry, None
+        if retry is not None:
+            retry()
+
+    def _retry_later(self, function: Callable[[], None]) -> None:
+        self._retry = function
+        self._timers.call_later(self._pause, self._retry_if, function)
+        self._pause = min(2 * self._pause, LONGEST_RETRY_SECONDS)
+
+    def _retry_if(self, function: Callable[[], None]) -> None:
+        if self._retry is function:
+            self.retry_now()
+
+    def _note_success(self) -> None:
+        was_failing, self._failing = self._failing, False
+        self._pause = RETRY_SECONDS
+        if was_failing:
+            self._on_back()
+
+    def _note_failure(self, text: str, error: keyedlog.KeyedLogError) -> None:
+        """Log the first failure in a row only."""
+        if not self._failing:
+            extra = {"place": str(self._place), "reason": str(error)}
+            LOG.info(text, extra=extra)
+        self._failing = True
 
     def _go_on(self) -> None:
         self._busy = False
@@ -163,6 +215,7 @@
         """Read until ``end``, or until the partition's end as of now."""
 
         def on_page(page: keyedlog.LogPage) -> None:
+            self._note_success()
             for entry in page.entries:
                 self.fold.apply(entry.value)
             self.end = page.next
@@ -195,9 +248,9 @@
         )
 
     def _read_failed(self, error, end, then) -> None:
-        LOG.info("read failed", extra={"reason": str(error)})
+        self._note_failure("read failed", error)
         if self._commits or self._refreshes:
-            self._timers.call_later(RETRY_SECONDS, self._read_to, end, then)
+            self._retry_later(lambda: self._read_to(end, then))
         else:
             self._timers.call_later(0, self._go_on)
 
--- /dev/null
+++ b/postspring/histories/ports.py
@@ -0,0 +1,22 @@
+"""What histories need of the other VMs."""
+
+import abc
+from collections.abc import Callable
+
+__all__ = ["Companions", "NoCompanions"]
+
+
+class Companions(abc.ABC):
+    """Other VMs that keep copies of what is not in the log yet."""
+
+    @abc.abstractmethod
+    def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
+        """Give a copy to some VMs; hand over how many have it."""
+
+
+class NoCompanions(Companions):
+    """A VM alone."""
+
+    def keep(self, record, on_done) -> None:
+        """Report that nobody has a copy."""
+        on_done(0)
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -7,16 +7,22 @@
 
 __all__ = ["Program", "Turn", "TurnState"]
 
+# Turns that stay free for other VMs when one reserves ahead.
+KEPT_FREE_TURNS = 2
+
 
 class TurnState(enum.Enum):
     """What is known of a turn.
 
-    ``REFUSED`` turns did not fit the budget and never run; ``ENDED`` ones
-    ran or were given up, and are no part of the history.
+    ``REFUSED`` turns did not fit the budget and never run; ``DEFERRED``
+    ones would fit but for what other VMs have reserved, and never run
+    either.  ``ENDED`` ones ran or were given up, and are no part of the
+    history.
     """
 
     OPEN = "open"
     REFUSED = "refused"
+    DEFERRED = "deferred"
     WHOLE = "whole"
     ENDED = "ended"
 
@@ -33,7 +39,7 @@
 
 
 class Program:
-    """A program's turns, in the order of the log.
+    """A program's turns and account, in the order of the log.
 
     Explanation
     ===========
@@ -43,14 +49,19 @@
     that opens a turn counts, and nothing reopens a turn that has ended: an
     append may take effect twice, or long after its sender gave up.
 
+    A VM may reserve tokens ahead, so that its next turn needs no record
+    before it starts.  A reserve is charged until its VM's records settle
+    it; so what a VM spends from it while it can't reach the log is
+    charged already, also if the VM dies.
+
     Examples
     ========
 
     >>> program = Program("p")
-    >>> opened = records.OpenedTurn("p", "t", ceiling=8, budget=10)
-    >>> program.open(opened)
+    >>> claim = records.Claim("vm", ceiling=8, budget=10)
+    >>> program.open(records.OpenedTurn("p", "t", claim))
     <TurnState.OPEN: 'open'>
-    >>> program.open(records.OpenedTurn("p", "u", ceiling=8, budget=10))
+    >>> program.open(records.OpenedTurn("p", "u", claim))
     <TurnState.REFUSED: 'refused'>
     >>> program.charged
     8
@@ -60,42 +71,50 @@
         self.id = program
         self.turn_by_id: dict[records.TurnId, Turn] = {}
         self.charged = 0
+        self.reserve_by_author: dict[str, int] = {}
+
+    @property
+    def reserved(self) -> int:
+        """Tokens that all VMs have reserved ahead."""
+        return sum(self.reserve_by_author.values())
 
     def open(self, record: records.OpenedTurn) -> TurnState:
         """Fold a record that opens a turn; return the turn's state."""
         known = self.turn_by_id.get(record.turn)
         if known is not None:
             return known.state
-        fits = (
-            record.budget is None
-            or self.charged + record.ceiling <= record.budget
-        )
-        if fits:
-            self._put(record.turn, Turn(TurnState.OPEN, record.ceiling))
-            return TurnState.OPEN
-        self._put(record.turn, Turn(TurnState.REFUSED, 0))
-        return TurnState.REFUSED
+        claim = record.claim
+        self._reduce(claim.author, claim.returned)
+        state = self._verdict(claim)
+        if state is TurnState.OPEN:
+            self._put(record.turn, Turn(state, claim.ceiling))
+            self._top_up(claim)
+        else:
+            self._put(record.turn, Turn(state, 0))
+        return state
 
     def complete(self, record: records.WholeTurn) -> None:
         """Fold the record of a turn that ran to its end."""
-        parent = record.parent
-        if parent is not None:
-            parent = records.TurnRef(*parent)
+        if self.whole_turn(record.turn) is not None:
+            return
         turn = Turn(
             TurnState.WHOLE,
             record.tokens,
-            parent,
+            record.parent,
             record.input,
             record.output,
         )
-        self._put(record.turn, turn)
+        self._settle(record, turn)
 
     def end(self, record: records.EndedTurn) -> None:
         """Fold the record of a turn that ended without an answer."""
         known = self.turn_by_id.get(record.turn)
-        if known is not None and known.state is TurnState.WHOLE:
+        if known is not None and known.state in (
+            TurnState.WHOLE,
+            TurnState.ENDED,
+        ):
             return
-        self._put(record.turn, Turn(TurnState.ENDED, record.tokens))
+        self._settle(record, Turn(TurnState.ENDED, record.tokens))
 
     def whole_turn(self, turn: records.TurnId) -> Turn | None:
         """Return a turn of the history, or None if it is not one."""
@@ -104,6 +123,46 @@
             return found
         return None
 
+    # -- own ------------------------------------------------------------------
+
+    def _verdict(self, claim: records.Claim) -> TurnState:
+        if claim.budget is None:
+            return TurnState.OPEN
+        if self.charged + claim.ceiling > claim.budget:
+            return TurnState.REFUSED
+        if self.charged + self.reserved + claim.ceiling > claim.budget:
+            return TurnState.DEFERRED
+        return TurnState.OPEN
+
+    def _settle(self, record, turn: Turn) -> None:
+        claim = record.claim
+        if claim.from_reserve:
+            self._reduce(claim.author, record.tokens)
+        self._put(record.turn, turn)
+        self._top_up(claim)
+
+    def _reduce(self, author: str, tokens: int) -> None:
+        left = self.reserve_by_author.get(author, 0) - tokens
+        if left > 0:
+            self.reserve_by_author[author] = left
+        else:
+            self.reserve_by_author.pop(author, None)
+
+    def _top_up(self, claim: records.Claim) -> None:
+        """Reserve what the author asks for, if others keep enough.
+
+        At most half of the rest, and two turns of this size stay free; a
+        reserve that no turn fits in is of no use.
+        """
+        if claim.budget is None:
+            return
+        own = self.reserve_by_author.get(claim.author, 0)
+        rest = claim.budget - self.charged - self.reserved
+        spare = min(rest // 2, rest - KEPT_FREE_TURNS * claim.ceiling)
+        added = min(claim.ahead - own, spare)
+        if added > 0 and own + added >= claim.ceiling:
+            self.reserve_by_author[claim.author] = own + added
+
     def _put(self, turn_id: records.TurnId, turn: Turn) -> None:
         previous = self.turn_by_id.get(turn_id)
         if previous is not None:
--- a/postspring/histories/records.py
+++ b/postspring/histories/records.py
@@ -16,6 +16,7 @@
 from postspring.histories import errors
 
 __all__ = [
+    "Claim",
     "EndedTurn",
     "OpenedTurn",
     "ProgramId",
@@ -54,24 +55,43 @@
     return add
 
 
-@_record("open")
-@dataclasses.dataclass(frozen=True, slots=True)
-class OpenedTurn:
-    """A VM is about to run a turn.
+class Claim(NamedTuple):
+    """What a record says of the program's account.
 
     Parameters
     ==========
 
+    author : str
+        The VM's incarnation.
     ceiling : int
-        Most tokens that the turn may generate; charged until it ends.
+        Most tokens that the turn may generate.
     budget : int or None
         Tokens that all turns of the program may generate.
+    ahead : int
+        Tokens that the author would like to have reserved for its next
+        turns.
+    from_reserve : bool
+        The turn was started from the author's reserve.
+    returned : int
+        Tokens of the author's reserve that it gives back.
     """
 
-    program: ProgramId
-    turn: TurnId
+    author: str
     ceiling: int
     budget: int | None
+    ahead: int = 0
+    from_reserve: bool = False
+    returned: int = 0
+
+
+@_record("open")
+@dataclasses.dataclass(frozen=True, slots=True)
+class OpenedTurn:
+    """A VM is about to run a turn; its ceiling is charged until it ends."""
+
+    program: ProgramId
+    turn: TurnId
+    claim: Claim
 
 
 @_record("whole")
@@ -92,7 +112,8 @@
 
     program: ProgramId
     turn: TurnId
-    parent: tuple[ProgramId, TurnId] | None
+    claim: Claim
+    parent: TurnRef | None
     tokens: int
     input: bytes
     output: bytes
@@ -105,6 +126,7 @@
 
     program: ProgramId
     turn: TurnId
+    claim: Claim
     tokens: int
 
 
@@ -131,13 +153,17 @@
 
     Examples
     --------
-    >>> record = EndedTurn(ProgramId("p"), TurnId("t"), 8)
+    >>> record = TurnLocation(TurnId("t"), ProgramId("p"))
     >>> decode_record(encode_record(record)) == record
     True
     """
     try:
         kind, *values = cbor2.loads(data)
-        record = _type_by_kind[kind](*values)
+        cls = _type_by_kind[kind]
+        fields = dict(zip(cls.__slots__, values, strict=True))
+        for name, value in fields.items():
+            fields[name] = _checked(name, value)
+        return cls(**fields)
     except (
         cbor2.CBORDecodeError,
         KeyError,
@@ -146,22 +172,40 @@
         ValueError,
     ) as error:
         raise errors.MalformedRecord(str(error)[:200]) from error
-    _check(record)
-    return record
-
-
-def _check(record: Any) -> None:
-    """Refuse fields of the wrong type: they come from outside."""
-    texts = [record.turn, record.program]
-    counts = [getattr(record, "tokens", 0), getattr(record, "ceiling", 0)]
-    parts = [getattr(record, "input", b""), getattr(record, "output", b"")]
-    parent = getattr(record, "parent", None)
-    if parent is not None:
-        texts.extend(parent)
-    if (
-        not all(isinstance(item, str) for item in texts)
-        or not all(isinstance(item, int) for item in counts)
-        or not all(isinstance(item, bytes) for item in parts)
-        or (parent is not None and len(parent) != 2)
-    ):
-        raise errors.MalformedRecord(f"wrong fields of {type(record)}")
+
+
+_TYPE_BY_FIELD = {
+    "program": str,
+    "turn": str,
+    "tokens": int,
+    "input": bytes,
+    "output": bytes,
+}
+
+
+def _checked(name: str, value: Any) -> Any:
+    """Return a field's value; it comes from outside."""
+    if name == "claim":
+        return _claim(value)
+    if name == "parent":
+        return None if value is None else _ref(value)
+    if type(value) is not _TYPE_BY_FIELD[name]:
+        raise ValueError(f"{name} is a {type(value).__name__}")
+    return value
+
+
+def _claim(value: Any) -> Claim:
+    claim = Claim(*value)
+    counts = (claim.ceiling, claim.ahead, claim.returned, claim.budget or 0)
+    if not all(type(count) is int for count in counts):
+        raise ValueError("a claim's counts are no integers")
+    if not isinstance(claim.author, str):
+        raise ValueError("a claim's author is no text")
+    return claim
+
+
+def _ref(value: Any) -> TurnRef:
+    program, turn = value
+    if not isinstance(program, str) or not isinstance(turn, str):
+        raise ValueError("a parent is no pair of texts")
+    return TurnRef(ProgramId(program), TurnId(turn))
--- a/postspring/histories/tests/test_journal.py
+++ b/postspring/histories/tests/test_journal.py
@@ -18,8 +18,9 @@
         process = clock_module.VirtualProcess(name)
         timers = clock_module.VirtualTimers(clock, process)
         self.log = memory_log.MemoryLog(data, timers)
-        self.journal = histories.Journal(self.log, timers)
+        self.journal = histories.Journal(self.log, timers, name)
         self.clock = clock
+        self.tickets = {}
 
     def wait_for(self, start, patience=PATIENCE):
         """Start a call that takes two functions; return what came."""
@@ -30,23 +31,41 @@
 
     def open(self, turn, program="p", ceiling=10, budget=25, patience=1.0):
         """Open a turn; return its state or the error."""
-        record = histories.OpenedTurn(program, turn, ceiling, budget)
-        return self.wait_for(
-            lambda *rest: self.journal.open_turn(record, *rest), patience
-        )
-
-    def complete(self, turn, parent=None, program="p", patience=PATIENCE):
-        """Complete a turn; return True or the error."""
-        record = histories.WholeTurn(
-            program, turn, parent, 4, b"<" + turn.encode(), b">"
-        )
 
         def start(patience, done, failed):
-            self.journal.complete_turn(
-                record, patience, lambda: done(True), failed
+            self.journal.open_turn(
+                program,
+                turn,
+                ceiling,
+                budget,
+                patience,
+                lambda state, ticket: done((state, ticket)),
+                failed,
             )
 
-        return self.wait_for(start, patience)
+        heard = self.wait_for(start, patience)
+        if isinstance(heard, tuple):
+            self.tickets[turn] = heard[1]
+            return heard[0]
+        return heard
+
+    def complete(self, turn, parent=None, program="p", tokens=4):
+        """Complete a turn; return how it is kept."""
+        ticket = self.tickets.get(turn) or histories.Ticket(
+            program, turn, 10, 25, histories.Origin.LOG
+        )
+        ref = parent and histories.TurnRef(*parent)
+        heard = []
+        self.journal.complete_turn(
+            ticket, ref, tokens, b"<" + turn.encode(), b">", heard.append
+        )
+        self.clock.run_until(lambda: heard, 30)
+        return heard[0] if heard else None
+
+    def end(self, turn, tokens):
+        """Settle a turn that is no part of the history."""
+        self.journal.end_turn(self.tickets[turn], tokens)
+        self.clock.run_for(0.1)
 
     def chain(self, turn, program="p", patience=PATIENCE):
         """Return a turn's history, None, or the error."""
@@ -91,8 +110,15 @@
         states = []
         for number in range(6):
             vm = (self.one, self.two)[number % 2]
-            record = histories.OpenedTurn("p", f"t{number}", 10, 25)
-            vm.journal.open_turn(record, 1.0, states.append, states.append)
+            vm.journal.open_turn(
+                "p",
+                f"t{number}",
+                10,
+                25,
+                1.0,
+                lambda state, ticket: states.append(state),
+                states.append,
+            )
         self.clock.run_for(1)
         self.assertEqual(2, states.count(OPEN))
         self.assertEqual(4, states.count(REFUSED))
@@ -122,8 +148,6 @@
         self.one.log.faults.late_appends = 9
         self.one.open("a", ceiling=20, patience=0.3)
         self.one.log.faults.late_appends = 0
-        ended = histories.EndedTurn("p", "a", 0)
-        self.one.journal.end_turn(ended, 5.0, print)
         self.clock.run_for(10)
         self.assertIs(OPEN, self.two.open("b", ceiling=20))
 
--- a/postspring/histories/tests/test_program.py
+++ b/postspring/histories/tests/test_program.py
@@ -5,14 +5,23 @@
 from postspring import histories
 
 
+CLAIM = histories.Claim("vm", 10, 25)
+
+
 def opened(turn, ceiling=10, budget=25):
     """Return a record that opens a turn."""
-    return histories.OpenedTurn("p", turn, ceiling, budget)
+    claim = histories.Claim("vm", ceiling, budget)
+    return histories.OpenedTurn("p", turn, claim)
 
 
 def whole(turn, parent=None, tokens=4):
     """Return a record of a whole turn."""
-    return histories.WholeTurn("p", turn, parent, tokens, b"i", b"o")
+    return histories.WholeTurn("p", turn, CLAIM, parent, tokens, b"i", b"o")
+
+
+def ended(turn, tokens):
+    """Return a record of a turn that ended."""
+    return histories.EndedTurn("p", turn, CLAIM, tokens)
 
 
 class BudgetTest(unittest.TestCase):
@@ -39,7 +48,7 @@
 
     def test_tokens_of_a_broken_off_turn_stay_charged(self):
         self.program.open(opened("a"))
-        self.program.end(histories.EndedTurn("p", "a", 8))
+        self.program.end(ended("a", 8))
         self.assertEqual(8, self.program.charged)
 
     def test_a_record_that_stands_twice_is_charged_once(self):
@@ -48,7 +57,7 @@
         self.assertEqual(10, self.program.charged)
 
     def test_a_late_record_does_not_reopen_an_ended_turn(self):
-        self.program.end(histories.EndedTurn("p", "a", 0))
+        self.program.end(ended("a", 0))
         state = self.program.open(opened("a"))
         self.assertIs(histories.TurnState.ENDED, state)
         self.assertEqual(0, self.program.charged)
@@ -79,7 +88,7 @@
 
     def test_a_whole_turn_is_not_ended_afterwards(self):
         self.program.complete(whole("a"))
-        self.program.end(histories.EndedTurn("p", "a", 0))
+        self.program.end(ended("a", 0))
         self.assertIsNotNone(self.program.whole_turn("a"))
 
 
@@ -90,7 +99,7 @@
         for record in (
             opened("a"),
             whole("a", ("q", "b")),
-            histories.EndedTurn("p", "a", 1),
+            ended("a", 1),
             histories.TurnLocation("a", "p"),
         ):
             data = histories.encode_record(record)
@@ -105,6 +114,6 @@
                 histories.decode_record(data)
 
     def test_fields_of_the_wrong_type_are_refused(self):
-        record = histories.EndedTurn("p", "a", "many")
+        record = ended("a", "many")
         with self.assertRaises(histories.MalformedRecord):
             histories.decode_record(histories.encode_record(record))
--- a/postspring/keyedlog/ports.py
+++ b/postspring/keyedlog/ports.py
@@ -23,6 +23,7 @@
 
     CONFIGURATION = "configuration"
     UPSTREAMS = "upstreams"
+    MEMBERS = "members"
     PROGRAMS = "programs"
     LOCATIONS = "locations"
 
@@ -67,6 +68,11 @@
     Every call ends in exactly one of its two functions.
     """
 
+    @property
+    def is_down(self) -> bool:
+        """Whether the last call failed."""
+        return False
+
     @abc.abstractmethod
     def append(
         self,
--- /dev/null
+++ b/postspring/peering/__init__.py
@@ -0,0 +1,23 @@
+"""Peering: how entry VMs help each other while the log is away.
+
+VMs speak HTTP with CBOR bodies, on connections that are opened when they
+are needed: no heartbeats, and no links to keep at any size.  The client
+and the server are those that callers and upstreams need anyway; websockets
+with their message types would cost each VM 12 MB more.
+"""
+
+from postspring.peering.failover import FailoverLog
+from postspring.peering.members import Member
+from postspring.peering.members import Members
+from postspring.peering.messages import STORE_PREFIX
+from postspring.peering.neighbourhood import Neighbourhood
+from postspring.peering.service import PeerService
+
+__all__ = [
+    "FailoverLog",
+    "Member",
+    "Members",
+    "Neighbourhood",
+    "PeerService",
+    "STORE_PREFIX",
+]
--- /dev/null
+++ b/postspring/peering/failover.py
@@ -0,0 +1,235 @@
+"""The log by way of another VM, while this one can't reach it."""
+
+from collections.abc import Callable
+import logging
+
+from postspring import keyedlog
+from postspring.peering import members as members_module
+from postspring.transport import timers as timers_module
+
+__all__ = ["FailoverLog"]
+
+LOG = logging.getLogger(__name__)
+
+# A direct call without an answer for this long is made by another VM as
+# well, in seconds: usual answers take 4 ms, the slow store's 0.25 s.
+HEDGE_SECONDS = 0.3
+# While the direct way fails, it is tried again this often, in seconds.
+PROBE_SECONDS = 0.5
+# A VM that could not help is not asked for this long, in seconds.
+AVOID_SECONDS = 1.0
+MAX_HELPERS = 2
+# Longest wait of a read that another VM makes, in seconds: below the time
+# that it gives a call.
+HELPED_WAIT_SECONDS = 0.8
+
+
+class FailoverLog(keyedlog.KeyedLog):
+    """Calls the log directly, or through other VMs while that fails.
+
+    Parameters
+    ==========
+
+    direct : KeyedLog
+        The log.
+    through : callable
+        Returns the log as reached through a member.
+    members : callable
+        Returns the other VMs, best helpers first.
+    on_change : callable
+        Called when the direct way is lost, and when it is back.
+    """
+
+    def __init__(
+        self,
+        direct: keyedlog.KeyedLog,
+        through: Callable[[members_module.Member], keyedlog.KeyedLog],
+        members: Callable[[], list[members_module.Member]],
+        timers: timers_module.Timers,
+        on_change: Callable[[], None] = lambda: None,
+    ):
+        self._on_change = on_change
+        self._is_down = False
+        self._direct = direct
+        self._through = through
+        self._members = members
+        self._timers = timers
+        self._failing_since: float | None = None
+        self._probed_at = 0.0
+        self._avoided_until: dict[str, float] = {}
+
+    @property
+    def is_direct(self) -> bool:
+        """Whether the last direct call succeeded."""
+        return self._failing_since is None
+
+    @property
+    def is_down(self) -> bool:
+        """Whether the last call failed, by all ways."""
+        return self._is_down
+
+    def append(self, place, entries, on_done, on_error) -> None:
+        """Append records, by one way or another."""
+
+        def start(log, done, failed) -> None:
+            log.append(place, entries, done, failed)
+
+        _Call(self, start, on_done, on_error, HEDGE_SECONDS).start()
+
+    def read(self, place, start, on_page, on_error, wait=0.0) -> None:
+        """Read records, by one way or another."""
+
+        def begin(log, done, failed) -> None:
+            longest = wait if log is self._direct else HELPED_WAIT_SECONDS
+            log.read(place, start, done, failed, min(wait, longest))
+
+        patience = HEDGE_SECONDS + wait
+        _Call(self, begin, on_page, on_error, patience).start()
+
+    def read_newest(self, place, on_page, on_error) -> None:
+        """Read the newest records, by one way or another."""
+
+        def start(log, done, failed) -> None:
+            log.read_newest(place, done, failed)
+
+        _Call(self, start, on_page, on_error, HEDGE_SECONDS).start()
+
+    # -- for calls ------------------------------------------------------------
+
+    def try_direct(self) -> bool:
+        """Return whether a call should go the direct way."""
+        now = self._timers.now()
+        if self._failing_since is None:
+            return True
+        if now - self._probed_at < PROBE_SECONDS:
+            return False
+        self._probed_at = now
+        return True
+
+    def direct_done(self) -> None:
+        """Take note that the direct way works."""
+        if self._failing_since is not None:
+            seconds = self._timers.now() - self._failing_since
+            self._failing_since = None
+            LOG.info("direct way back", extra={"seconds": round(seconds, 2)})
+            self._timers.call_later(0, self._on_change)
+
+    def direct_failed(self, reason: str) -> None:
+        """Take note that the direct way does not work."""
+        if self._failing_since is None:
+            self._failing_since = self._timers.now()
+            self._probed_at = self._failing_since
+            LOG.info("direct way lost", extra={"reason": reason})
+            self._timers.call_later(0, self._on_change)
+
+    def note_outcome(self, is_down: bool) -> None:
+        """Take note of how a call ended."""
+        self._is_down = is_down
+
+    def helpers(self) -> list[members_module.Member]:
+        """Return the VMs to ask for help."""
+        now = self._timers.now()
+        found = [
+            member
+            for member in self._members()
+            if self._avoided_until.get(member.name, 0.0) <= now
+        ]
+        return found[:MAX_HELPERS]
+
+    def through(self, member: members_module.Member) -> keyedlog.KeyedLog:
+        """Return the log as reached through a VM."""
+        return self._through(member)
+
+    def avoid(self, member: members_module.Member) -> None:
+        """Don't ask a VM again for a while."""
+        until = self._timers.now() + AVOID_SECONDS
+        self._avoided_until[member.name] = until
+
+    def call_later(self, seconds: float, function: Callable):
+        """Call a function later."""
+        return self._timers.call_later(seconds, function)
+
+
+class _Call:
+    """One call; the first way that succeeds ends it."""
+
+    def __init__(self, log: FailoverLog, start, on_done, on_error, patience):
+        self._log = log
+        self._start = start
+        self._on_done = on_done
+        self._on_error = on_error
+        self._patience = patience
+        self._open = 0
+        self._helpers: list[members_module.Member] | None = None
+        self._finished = False
+        self._timer = None
+
+    def start(self) -> None:
+        """Go the direct way if it may work, else through another VM."""
+        if self._log.try_direct():
+            self._open += 1
+            self._timer = self._log.call_later(self._patience, self._overdue)
+            self._start(
+                self._log._direct, self._direct_done, self._direct_failed
+            )
+        else:
+            self._ask(keyedlog.LogUnavailable("direct way lost"))
+
+    def _direct_done(self, result) -> None:
+        self._log.direct_done()
+        self._done(result)
+
+    def _direct_failed(self, error: keyedlog.KeyedLogError) -> None:
+        self._open -= 1
+        if isinstance(error, keyedlog.LogExpired):
+            self._log.direct_done()
+            self._fail(error)
+            return
+        self._log.direct_failed(str(error))
+        self._ask(error)
+
+    def _overdue(self) -> None:
+        if not self._finished:
+            self._log.direct_failed("slow")
+            self._ask(keyedlog.LogUnavailable("slow"))
+
+    def _ask(self, error: keyedlog.KeyedLogError) -> None:
+        """Try the next helper; without one, the call has failed."""
+        if self._finished:
+            return
+        if self._helpers is None:
+            self._helpers = self._log.helpers()
+        if not self._helpers:
+            if not self._open:
+                self._fail(error)
+            return
+        member = self._helpers.pop(0)
+        self._open += 1
+
+        def failed(error: keyedlog.KeyedLogError) -> None:
+            self._open -= 1
+            if isinstance(error, keyedlog.LogExpired):
+                self._fail(error)
+                return
+            self._log.avoid(member)
+            self._ask(error)
+
+        self._start(self._log.through(member), self._done, failed)
+
+    def _done(self, result) -> None:
+        self._log.note_outcome(is_down=False)
+        if not self._finished:
+            self._finish()
+            self._on_done(result)
+
+    def _fail(self, error: keyedlog.KeyedLogError) -> None:
+        is_down = not isinstance(error, keyedlog.LogExpired)
+        self._log.note_outcome(is_down)
+        if not self._finished:
+            self._finish()
+            self._on_error(error)
+
+    def _finish(self) -> None:
+        self._finished = True
+        if self._timer is not None:
+            self._timer.cancel()
--- /dev/null
+++ b/postspring/peering/members.py
@@ -0,0 +1,147 @@
+"""The entry VMs that there are, as they announced themselves in the log."""
+
+import dataclasses
+import logging
+import random
+
+import cbor2
+
+from postspring import keyedlog
+from postspring.transport import timers as timers_module
+
+__all__ = ["Member", "Members"]
+
+LOG = logging.getLogger(__name__)
+
+PLACE = keyedlog.LogPlace(keyedlog.Subject.MEMBERS, 0)
+# How often the list is read, in seconds: it only changes when VMs start.
+PACE_SECONDS = 4.0
+RETRY_SECONDS = 0.5
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Member:
+    """One entry VM.
+
+    Parameters
+    ==========
+
+    peers, callers : tuple of (str, int)
+        Where it listens for other VMs, and for callers.
+    """
+
+    name: str
+    incarnation: str
+    data_center: str
+    peers: tuple[str, int]
+    callers: tuple[str, int]
+
+
+class Members:
+    """Announces this VM and follows the others.
+
+    Explanation
+    ===========
+
+    The list is a hint for whom to ask; nothing rests on its being right.
+
+    Parameters
+    ==========
+
+    own : Member
+        This VM.
+    """
+
+    def __init__(
+        self,
+        log: keyedlog.KeyedLog,
+        timers: timers_module.Timers,
+        own: Member,
+    ):
+        self._log = log
+        self._timers = timers
+        self.own = own
+        self.by_name: dict[str, Member] = {}
+        self._follower = keyedlog.Follower(
+            log,
+            timers,
+            PLACE,
+            self._reset,
+            self._take,
+            pace=PACE_SECONDS,
+        )
+
+    def start(self) -> None:
+        """Announce this VM, and follow the list."""
+        self._announce(_encode(self.own))
+        self._follower.start()
+
+    def leave(self) -> None:
+        """Take this VM off the list."""
+        self._announce(b"")
+
+    @property
+    def others(self) -> list[Member]:
+        """All other VMs, in random order."""
+        found = [
+            member
+            for member in self.by_name.values()
+            if member.name != self.own.name
+        ]
+        random.shuffle(found)
+        return found
+
+    def nearest_first(self) -> list[Member]:
+        """Return the others, those of this data centre first."""
+        here = self.own.data_center
+        return sorted(
+            self.others, key=lambda member: member.data_center != here
+        )
+
+    # -- own ------------------------------------------------------------------
+
+    def _announce(self, value: bytes) -> None:
+        entry = keyedlog.LogEntry(self.own.name, value)
+
+        def failed(error: keyedlog.KeyedLogError) -> None:
+            self._timers.call_later(RETRY_SECONDS, self._announce, value)
+
+        self._log.append(PLACE, [entry], lambda offset: None, failed)
+
+    def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
+        self.by_name.clear()
+        self._take(entries)
+
+    def _take(self, entries: list[keyedlog.LogEntry]) -> None:
+        for entry in entries:
+            member = _decode(entry) if entry.value else None
+            if member is not None:
+                self.by_name[entry.key] = member
+            elif not entry.value:
+                self.by_name.pop(entry.key, None)
+
+
+def _encode(member: Member) -> bytes:
+    return cbor2.dumps(
+        [
+            member.incarnation,
+            member.data_center,
+            list(member.peers),
+            list(member.callers),
+        ]
+    )
+
+
+def _decode(entry: keyedlog.LogEntry) -> Member | None:
+    try:
+        incarnation, data_center, peers, callers = cbor2.loads(entry.value)
+        return Member(
+            entry.key,
+            str(incarnation),
+            str(data_center),
+            (str(peers[0]), int(peers[1])),
+            (str(callers[0]), int(callers[1])),
+        )
+    except (cbor2.CBORDecodeError, IndexError, TypeError, ValueError) as error:
+        LOG.warning("member skipped", extra={"error": str(error)})
+        return None
--- /dev/null
+++ b/postspring/peering/messages.py
@@ -0,0 +1,97 @@
+"""Messages between entry VMs, in CBOR."""
+
+import dataclasses
+from typing import Any
+
+import cbor2
+
+from postspring import errors
+
+__all__ = ["Found", "KeepRequest", "FindRequest", "decode", "encode"]
+
+KEEP_PATH = "/peer/keep"
+FIND_PATH = "/peer/find"
+# Calls to the platform's store that are to be passed on stand behind this.
+STORE_PREFIX = "/peer/store"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class KeepRequest:
+    """Keep these records until they are in the log."""
+
+    records: list[bytes]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class FindRequest:
+    """What is known of a program, and could its next turn run there?
+
+    Parameters
+    ==========
+
+    vm : str
+        Who asks.
+    previous : str or None
+        The turn that is to be continued.
+    ceiling : int
+        Most tokens that the turn may generate.
+    """
+
+    vm: str
+    program: str
+    previous: str | None
+    ceiling: int
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Found:
+    """The answer to :class:`FindRequest`.
+
+    Parameters
+    ==========
+
+    can_take : bool
+        The turn could run there without the log.
+    knows : bool
+        Some turn of the program is known there.
+    knows_turn : bool
+        The turn that is to be continued is known there.
+    is_complete : bool
+        The VM has been up for long enough to know what began there.
+    """
+
+    can_take: bool
+    knows: bool
+    knows_turn: bool
+    is_complete: bool
+
+
+def encode(message: Any) -> bytes:
+    """Return a message as bytes."""
+    return cbor2.dumps([getattr(message, name) for name in message.__slots__])
+
+
+def decode(cls: type, data: bytes) -> Any:
+    """Return the message of a type in ``data``.
+
+    Raises
+    ------
+    PeerError
+        If there is none.
+
+    Examples
+    --------
+    >>> found = Found(True, True, False, True)
+    >>> decode(Found, encode(found)) == found
+    True
+    """
+    try:
+        return cls(*cbor2.loads(data))
+    except (
+        cbor2.CBORDecodeError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
+        text = f"not a {cls.__name__}: {str(error)[:200]}"
+        raise errors.PeerError(text) from error
--- /dev/null
+++ b/postspring/peering/neighbourhood.py
@@ -0,0 +1,259 @@
+"""Asks the other VMs: to keep records, and what they know of a program."""
+
+from collections.abc import Callable
+import logging
+
+from postspring import errors
+from postspring import forwarding
+from postspring import histories
+from postspring.peering import members as members_module
+from postspring.peering import messages
+from postspring import transport
+from postspring import upstreams
+
+__all__ = ["Neighbourhood"]
+
+LOG = logging.getLogger(__name__)
+
+# VMs answer each other in a few ms; one that has not by then is slow, dead
+# or cut off.  In seconds.
+FIND_SECONDS = 0.15
+KEEP_SECONDS = 0.25
+# VMs that are asked to keep a record at the same time, and how many copies
+# are enough to go on.
+KEEPERS = 3
+
+
+class Neighbourhood(forwarding.Neighbours, histories.Companions):
+    """The other VMs, asked when they are needed.
+
+    Parameters
+    ==========
+
+    http : HttpClient
+        Carries the requests.
+    members : Members
+        Whom to ask.
+    """
+
+    def __init__(
+        self,
+        http: transport.HttpClient,
+        members: members_module.Members,
+        is_complete: Callable[[], bool],
+    ):
+        self._http = http
+        self._members = members
+        self._is_complete = is_complete
+        self.asking: set[str] = set()
+
+    # -- copies ---------------------------------------------------------------
+
+    def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
+        """Give a copy to the nearest VM and to others elsewhere."""
+        body = messages.encode(messages.KeepRequest([record]))
+        keepers = self._keepers()
+        if not keepers:
+            on_done(0)
+            return
+        _Copies(len(keepers), on_done).send(
+            self._http, keepers, body, KEEP_SECONDS
+        )
+
+    def _keepers(self) -> list[members_module.Member]:
+        """One of this data centre, the others from elsewhere if possible."""
+        found = self._members.nearest_first()
+        here = self._members.own.data_center
+        near = [member for member in found if member.data_center == here]
+        far = [member for member in found if member.data_center != here]
+        chosen = near[:1] + far[: KEEPERS - 1]
+        return chosen + near[1 : 1 + KEEPERS - len(chosen)]
+
+    # -- questions ------------------------------------------------------------
+
+    def find(
+        self,
+        facts: forwarding.CallFacts,
+        on_done: Callable[[forwarding.Finding], None],
+    ) -> None:
+        """Ask all other VMs about a turn's program and its chain."""
+        request = messages.FindRequest(
+            self._members.own.name,
+            facts.program,
+            facts.previous,
+            facts.ceiling,
+        )
+        others = self._members.others
+        self.asking.add(facts.program)
+
+        def answered(search: "_Search") -> None:
+            self.asking.discard(facts.program)
+            on_done(search.finding(self._members.own, self._is_complete()))
+
+        search = _Search(others, answered)
+        body = messages.encode(request)
+        for member in others:
+            self._http.send(
+                _request(member, messages.FIND_PATH, body, FIND_SECONDS),
+                _FindListener(member, search),
+            )
+        if not others:
+            answered(search)
+
+
+class _Search:
+    """Collects the answers to one question."""
+
+    def __init__(self, asked: list, on_done: Callable[["_Search"], None]):
+        self._asked = asked
+        self._on_done = on_done
+        self._answers: dict[str, messages.Found] = {}
+        self._gone: set[str] = set()
+        self._open = len(asked)
+        self._taker: members_module.Member | None = None
+        self._is_finished = False
+
+    def answered(
+        self, member: members_module.Member, found: messages.Found
+    ) -> None:
+        """Take an answer; the first VM that can take the turn ends it."""
+        self._answers[member.name] = found
+        if found.can_take and self._taker is None:
+            self._taker = member
+        self._count_down()
+
+    def failed(self, member: members_module.Member, is_gone: bool) -> None:
+        """Take note that a VM did not answer."""
+        if is_gone:
+            self._gone.add(member.name)
+        self._count_down()
+
+    def _count_down(self) -> None:
+        self._open -= 1
+        if self._is_finished or (self._open and self._taker is None):
+            return
+        self._is_finished = True
+        self._on_done(self)
+
+    def finding(
+        self, own: members_module.Member, is_complete: bool
+    ) -> forwarding.Finding:
+        """Return what the answers add up to."""
+        known = any(found.knows for found in self._answers.values())
+        complete = is_complete and all(
+            found.is_complete for found in self._answers.values()
+        )
+        here_answered = all(
+            member.name in self._answers
+            for member in self._asked
+            if member.data_center == own.data_center
+        )
+        reached = {*self._answers, *self._gone}
+        return forwarding.Finding(
+            taker=None if self._taker is None else _as_upstream(self._taker),
+            is_known_turn=any(
+                found.knows_turn for found in self._answers.values()
+            ),
+            all_answered=all(member.name in reached for member in self._asked),
+            # A VM alone could not keep the turn safe.
+            is_new=bool(self._answers)
+            and complete
+            and here_answered
+            and not known,
+        )
+
+
+class _FindListener(transport.HttpListener):
+    """Hands one VM's answer to the search."""
+
+    def __init__(self, member: members_module.Member, search: _Search):
+        self._member = member
+        self._search = search
+        self._body = bytearray()
+
+    def data(self, chunk) -> None:
+        """Keep a part of the body."""
+        self._body += chunk
+
+    def end(self) -> None:
+        """Take the answer."""
+        try:
+            found = messages.decode(messages.Found, bytes(self._body))
+        except errors.PeerError as error:
+            LOG.warning("peer's answer", extra={"error": str(error)})
+            self._search.failed(self._member, is_gone=False)
+            return
+        self._search.answered(self._member, found)
+
+    def failed(self, error) -> None:
+        """Take note that there is none; a refused connection: no process."""
+        is_gone = not error.sent and "REFUSED" in str(error).upper()
+        self._search.failed(self._member, is_gone)
+
+
+class _Copies(transport.HttpListener):
+    """Counts copies; reports once, as soon as there is one."""
+
+    def __init__(self, asked: int, on_done: Callable[[int], None]):
+        self._open = asked
+        self._on_done: Callable[[int], None] | None = on_done
+        self._status_ok = False
+
+    def send(self, http, keepers, body: bytes, seconds: float) -> None:
+        """Ask all keepers."""
+        for member in keepers:
+            http.send(
+                _request(member, messages.KEEP_PATH, body, seconds),
+                _CopyListener(self),
+            )
+
+    def answered(self, is_kept: bool) -> None:
+        """Take one answer."""
+        self._open -= 1
+        if self._on_done is None or not (is_kept or not self._open):
+            return
+        on_done, self._on_done = self._on_done, None
+        on_done(1 if is_kept else 0)
+
+
+class _CopyListener(transport.HttpListener):
+    """Hands one VM's answer on."""
+
+    def __init__(self, copies: _Copies):
+        self._copies = copies
+        self._status = 0
+
+    def head(self, status, headers) -> None:
+        """Keep the status."""
+        self._status = status
+
+    def end(self) -> None:
+        """Take the answer."""
+        self._copies.answered(self._status == 200)
+
+    def failed(self, error) -> None:
+        """Take note that there is none."""
+        self._copies.answered(False)
+
+
+def _request(
+    member: members_module.Member, path: str, body: bytes, seconds: float
+) -> transport.HttpRequest:
+    return transport.HttpRequest(
+        address=member.peers,
+        method="POST",
+        path=path,
+        body=body,
+        connect_timeout=seconds,
+        timeout=seconds,
+    )
+
+
+def _as_upstream(member: members_module.Member) -> upstreams.Upstream:
+    return upstreams.Upstream(
+        id=upstreams.UpstreamId(member.name),
+        service="",
+        address=member.callers,
+        data_center=member.data_center,
+        concurrency=1,
+    )
--- /dev/null
+++ b/postspring/peering/service.py
@@ -0,0 +1,97 @@
+"""What an entry VM does for the others."""
+
+from collections.abc import Callable
+import logging
+
+from postspring import errors
+from postspring import histories
+from postspring.peering import messages
+from postspring import transport
+
+__all__ = ["PeerService"]
+
+LOG = logging.getLogger(__name__)
+
+# Passes a call on to the log: method, path, body, and who takes the answer.
+PassOn = Callable[[str, str, bytes, Callable[[int, bytes], None]], None]
+
+
+class PeerService:
+    """Answers other VMs' requests.
+
+    Parameters
+    ==========
+
+    name : str
+        This VM's.
+    pass_on : callable
+        Makes a call to the log for another VM.
+    asking : set of str
+        Programs that this VM asks the others about just now.
+    is_complete : callable
+        Returns whether this VM knows all that began here lately.
+    """
+
+    def __init__(
+        self,
+        name: str,
+        journal: histories.Journal,
+        pass_on: PassOn,
+        asking: set[str],
+        is_complete: Callable[[], bool],
+    ):
+        self._name = name
+        self._journal = journal
+        self._pass_on = pass_on
+        self._asking = asking
+        self._is_complete = is_complete
+
+    def handle(self, call: transport.IncomingCall) -> None:
+        """Answer one request."""
+        prefix = messages.STORE_PREFIX
+        try:
+            if call.target.startswith(prefix):
+                self._pass(call, call.target[len(prefix) :])
+            elif call.target == messages.KEEP_PATH:
+                self._keep(call)
+            elif call.target == messages.FIND_PATH:
+                self._find(call)
+            else:
+                call.respond(404, [])
+        except (errors.PeerError, histories.HistoryError) as error:
+            LOG.warning("peer's request", extra={"error": str(error)})
+            call.respond(400, [])
+
+    def _pass(self, call: transport.IncomingCall, path: str) -> None:
+        def answered(status: int, body: bytes) -> None:
+            call.respond(status, [], body)
+
+        self._pass_on(call.method, path, call.body, answered)
+
+    def _keep(self, call: transport.IncomingCall) -> None:
+        request = messages.decode(messages.KeepRequest, call.body)
+        for record in request.records:
+            self._journal.keep_copy(record)
+        call.respond(200, [])
+
+    def _find(self, call: transport.IncomingCall) -> None:
+        request = messages.decode(messages.FindRequest, call.body)
+        journal = self._journal
+        program = histories.ProgramId(request.program)
+        previous = request.previous
+        knows_turn = False
+        if previous is not None:
+            ref = histories.TurnRef(program, histories.TurnId(previous))
+            knows_turn = journal.known_turn(ref) is not None
+        # Two VMs that ask about a new program at once: the first by name
+        # has it.
+        asks_first = (
+            request.program in self._asking and self._name < request.vm
+        )
+        found = messages.Found(
+            can_take=journal.can_take(program, previous, request.ceiling),
+            knows=journal.knows(program) or asks_first,
+            knows_turn=knows_turn,
+            is_complete=self._is_complete(),
+        )
+        call.respond(200, [], messages.encode(found))
--- a/postspring/platform/names.py
+++ b/postspring/platform/names.py
@@ -50,6 +50,7 @@
 SERVERS_TOPIC = "keyed.servers"
 PROGRAMS_TOPIC = "keyed.programs-{number}"
 LOCATIONS_TOPIC = "keyed.turns"
+MEMBERS_TOPIC = "keyed.vms"
 CONFIGURATION_KEY = "config"
 
 # -- settings -----------------------------------------------------------------
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -28,6 +28,8 @@
         Where to listen for callers, and for the balancer's question.
     store : tuple of (str, int)
         The platform's store.
+    peers : tuple of (str, int)
+        Where to listen for other VMs.
     partitions : int
         Partitions of each of the store's topics.
     drain : float
@@ -43,6 +45,7 @@
     store: Address
     partitions: int
     record_bytes: int
+    peers: Address
     drain: float
     grace: float
     memory_mb: int = 0
@@ -88,6 +91,7 @@
         store=split_address(store["address"]),
         partitions=int(store["parts"]),
         record_bytes=int(store["record_bytes"]),
+        peers=(str(raw["ip"]), int(raw["internal_port_range"][0])),
         drain=float(bounds["drain_ms"]) / 1000,
         grace=float(bounds["grace_s"]),
         memory_mb=int(limits.get("memory_mb") or 0),
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -18,9 +18,9 @@
 __all__ = ["Store", "pack_records", "unpack_records"]
 
 # Answers take 4 ms, and up to 60 times that while the store is slow.
-APPEND_TIMEOUT_SECONDS = 2.5
-READ_TIMEOUT_SECONDS = 2.5
-CONNECT_TIMEOUT_SECONDS = 1.0
+APPEND_TIMEOUT_SECONDS = 1.2
+READ_TIMEOUT_SECONDS = 1.2
+CONNECT_TIMEOUT_SECONDS = 0.5
 # Bytes of records that one read asks for, in KiB.
 READ_KB = 1024
 
@@ -89,6 +89,8 @@
         Partitions of each topic.
     on_call : callable, optional
         Told the name and the outcome of every call, for counters.
+    path_prefix : str
+        Stands before each path, for calls that another VM passes on.
     """
 
     def __init__(
@@ -97,7 +99,9 @@
         address: tuple[str, int],
         partitions: int,
         on_call: Callable[[str, str], None] = lambda name, outcome: None,
+        path_prefix: str = "",
     ):
+        self._path_prefix = path_prefix
         self._http = http
         self._address = address
         self._partitions = partitions
@@ -160,6 +164,17 @@
             on_error,
         )
 
+    def pass_on(
+        self,
+        method: str,
+        path: str,
+        body: bytes,
+        on_answer: Callable[[int, bytes], None],
+    ) -> None:
+        """Make another VM's call; status 502 if there is no answer."""
+        request = self._request(method, path, READ_TIMEOUT_SECONDS, body)
+        self._http.send(request, _PassedCall(on_answer))
+
     # -- own ------------------------------------------------------------------
 
     def _path(
@@ -167,13 +182,16 @@
     ) -> str:
         topic, part = self._topic(place)
         values = {"topic": topic, "part": part, **(query or {})}
-        return f"{path}?{urllib.parse.urlencode(values)}"
+        query_text = urllib.parse.urlencode(values)
+        return f"{self._path_prefix}{path}?{query_text}"
 
     def _topic(self, place: keyedlog.LogPlace) -> tuple[str, int]:
         if place.subject is keyedlog.Subject.CONFIGURATION:
             return names.OPERATOR_TOPIC, 0
         if place.subject is keyedlog.Subject.UPSTREAMS:
             return names.SERVERS_TOPIC, 0
+        if place.subject is keyedlog.Subject.MEMBERS:
+            return names.MEMBERS_TOPIC, 0
         number, part = divmod(place.partition, self._partitions)
         if place.subject is keyedlog.Subject.LOCATIONS:
             return names.LOCATIONS_TOPIC, part
@@ -244,6 +262,31 @@
         self._on_error(error)
 
 
+class _PassedCall(transport.HttpListener):
+    """Collects an answer as it is."""
+
+    def __init__(self, on_answer: Callable[[int, bytes], None]):
+        self._on_answer = on_answer
+        self._status = 0
+        self._body = bytearray()
+
+    def head(self, status, headers) -> None:
+        """Keep the status."""
+        self._status = status
+
+    def data(self, chunk) -> None:
+        """Keep a part of the body."""
+        self._body += chunk
+
+    def end(self) -> None:
+        """Hand the answer over."""
+        self._on_answer(self._status, bytes(self._body))
+
+    def failed(self, error) -> None:
+        """Report that no answer came."""
+        self._on_answer(502, b"")
+
+
 class _NewestRead:
     """All pages of the newest records of a partition.
 
--- a/postspring/testing/fleet/fleet.py
+++ b/postspring/testing/fleet/fleet.py
@@ -147,8 +147,10 @@
             store=self.store.address,
             partitions=24,
             record_bytes=262144,
+            peers=("127.0.0.1", 0),
             drain=2.0,
             grace=8.0,
+            first_start=True,
         )
         node = node_module.FrontNode(
             vm,
@@ -165,7 +167,7 @@
     def stop_vm(self, node: node_module.FrontNode) -> None:
         """Kill an entry VM with all that it knows."""
         self.nodes.remove(node)
-        for component in (node.callers, node.readiness):
+        for component in (node.callers, node.readiness, node.peers):
             component.refuse_new()
             for connection in list(component._connections):
                 component.hub._close(connection._sock)
