--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -31,6 +31,8 @@
         Returns the configuration in force, or None.
     neighbours : Neighbours
         The other VMs.
+    takes_work : callable
+        Returns whether there is time left to finish a call.
     inputs : callable
         Returns what decisions rest on, for the log: versions and ages.
     """
@@ -42,7 +44,9 @@
         current: Callable[[], routing.Snapshot | None],
         inputs: Callable[[], dict] = dict,
         neighbours: ports.Neighbours | None = None,
+        takes_work: Callable[[], bool] = lambda: True,
     ):
+        self._takes_work = takes_work
         self._dispatcher = dispatcher
         self._turn_services = turn_call.TurnServices(
             journal,
@@ -62,10 +66,14 @@
         outcome = outcome_module.Outcome(
             call, facts, route, self._dispatcher.metrics, self._inputs()
         )
-        if route is None:
+        refusal = None
+        if snapshot is None:
+            refusal = refusals.Refusal.NO_CONFIGURATION
+        elif route is None:
             refusal = refusals.Refusal.NO_ROUTE
-            if snapshot is None:
-                refusal = refusals.Refusal.NO_CONFIGURATION
+        elif not self._takes_work():
+            refusal = refusals.Refusal.SHUTTING_DOWN
+        if refusal is not None:
             refused = relay.CallerRelay(self._dispatcher, call, facts, outcome)
             refused.refuse(refusal)
             return
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -122,13 +122,16 @@
     all_answered : bool
         Every VM answered, or certainly does not run any more.
     is_new : bool
-        No VM that could know the program does.
+        Some VM answered, and none knows the program.
+    is_certain : bool
+        No VM that could know the program was left out.
     """
 
     taker: upstreams.Upstream | None = None
     is_known_turn: bool = False
     all_answered: bool = False
     is_new: bool = False
+    is_certain: bool = False
 
 
 class Neighbours(abc.ABC):
--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -16,6 +16,7 @@
     """
 
     NO_CONFIGURATION = ("no_configuration", 503, 0.5)
+    SHUTTING_DOWN = ("shutting_down", 503, 0.05)
     NO_ROUTE = ("no_route", 404, None)
     NO_UPSTREAM = ("no_upstream", 503, 0.3)
     UPSTREAMS_REFUSED = ("upstreams_refused", 503, 0.1)
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -218,7 +218,12 @@
             self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
             return
         self._tried_home = True
-        self._journal.begin_home(self._program, self._facts.budget)
+        self._journal.begin_home(
+            self._program,
+            self._facts.ceiling,
+            self._facts.budget,
+            finding.is_certain,
+        )
         self._open()
 
     # -- from the delivery ----------------------------------------------------
@@ -237,6 +242,22 @@
 
     def stream_events(self, events: list[bytes]) -> None:
         """Keep the events' data, and pass them on."""
+        limit = self._ticket.limit
+        if limit is not None:
+            room = limit // self._tokens_per_event - self._events
+            if len(events) > room:
+                self._break_off(events[:room])
+                return
+        self._pass_events(events)
+
+    def _break_off(self, events: list[bytes]) -> None:
+        """The turn has used what the program may spend."""
+        if events:
+            self._pass_events(events)
+        self.delivery.cancel()
+        self.stream_broken("budget")
+
+    def _pass_events(self, events: list[bytes]) -> None:
         self._events += len(events)
         for event in events:
             self._output.append(event_splitter.event_data(event) + b"\n")
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -206,6 +206,7 @@
             lambda: self.configuration.snapshot,
             self._decision_inputs,
             self.neighbourhood,
+            lambda: self.shutdown.takes_work,
         )
         if own.metrics_port:
             page = transport.HttpServer(
--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -43,6 +43,17 @@
         self._began = 0.0
         self.leaving = False
 
+    @property
+    def takes_work(self) -> bool:
+        """Whether a request that comes now would be finished in time.
+
+        A caller whose connection was kept past the rotation is better off
+        elsewhere: its request has not run, and it is told so.
+        """
+        if not self.leaving:
+            return True
+        return self._timers.now() - self._began < ROTATION_SECONDS
+
     def begin(self) -> None:
         """Say not ready, serve on, and end when all is answered."""
         if self.leaving:
--- a/postspring/front/tests/test_fleet.py
+++ b/postspring/front/tests/test_fleet.py
@@ -483,6 +483,19 @@
         self.assertEqual(200, answer.status)
         self.assertEqual("close", answer.headers["connection"])
 
+    def test_a_request_that_comes_late_is_sent_elsewhere(self):
+        caller = self.fleet.caller()
+        self.fleet.call("GET", "/safe/x", "r", caller=caller)
+        node = self.fleet.nodes[0]
+        node.shutdown.begin()
+        node.shutdown._began -= 4.0
+        fields = {"program_id": "p", "token_usage": "1,16"}
+        headers = self.fleet.headers("a", fields)
+        caller.send("POST", "/stream/x", headers, b"x")
+        self.fleet.turn_until(lambda: caller.answer.settled)
+        self.assertEqual(503, caller.answer.status)
+        self.assertEqual([], self.fleet.engines[0].runs)
+
     def test_it_ends(self):
         self.fleet.nodes[0].shutdown.begin()
         self.fleet.turn_until(lambda: self.fleet.stopped)
--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -24,13 +24,40 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Ticket:
-    """The right to run one turn."""
+    """The right to run one turn.
+
+    Parameters
+    ==========
+
+    limit : int or None
+        Tokens after which the turn has to be broken off.
+    """
 
     program: records.ProgramId
     turn: records.TurnId
     ceiling: int
     budget: int | None
     origin: Origin
+    limit: int | None = None
+
+
+@dataclasses.dataclass(slots=True)
+class _Home:
+    """A program that began here while the log was away.
+
+    Parameters
+    ==========
+
+    tokens : int
+        What is left of the budget.
+    is_certain : bool
+        Nobody else can know the program.  Otherwise it might have spent
+        its budget before; then it gets no more than the one turn by which
+        a budget may be passed, and turns start as long as a token is left.
+    """
+
+    tokens: int
+    is_certain: bool
 
 
 class LocalAccounts:
@@ -55,7 +82,7 @@
         self._unsettled: dict[
             tuple[records.ProgramId, Origin], dict[records.TurnId, int]
         ] = {}
-        self._home_by_program: dict[records.ProgramId, int] = {}
+        self._home_by_program: dict[records.ProgramId, _Home] = {}
 
     def take(
         self,
@@ -63,37 +90,62 @@
         turn: records.TurnId,
         ceiling: int,
         budget: int | None,
+        is_log_away: bool,
     ) -> Ticket | None:
         """Return the right to run a turn, if this VM may give it."""
-        for origin in (Origin.RESERVE, Origin.HOME):
-            if budget is None or self.available(program, origin) >= ceiling:
-                self._put(program.id, origin, turn, ceiling)
-                return Ticket(program.id, turn, ceiling, budget, origin)
-        return None
-
-    def can_take(self, program: program_module.Program, ceiling: int) -> bool:
+        if budget is None or self._reserve_left(program) >= ceiling:
+            self._put(program.id, Origin.RESERVE, turn, ceiling)
+            return Ticket(program.id, turn, ceiling, budget, Origin.RESERVE)
+        if not is_log_away:
+            return None
+        limit = self._home_limit(program, ceiling, budget)
+        if limit <= 0:
+            return None
+        self._put(program.id, Origin.HOME, turn, limit)
+        return Ticket(program.id, turn, ceiling, budget, Origin.HOME, limit)
+
+    def can_take(
+        self,
+        program: program_module.Program,
+        ceiling: int,
+        is_log_away: bool,
+    ) -> bool:
         """Return whether a turn would get its right."""
-        return any(
-            self.available(program, origin) >= ceiling
-            for origin in (Origin.RESERVE, Origin.HOME)
-        )
+        if self._reserve_left(program) >= ceiling:
+            return True
+        return is_log_away and self._home_limit(program, ceiling, None) > 0
+
+    def _reserve_left(self, program: program_module.Program) -> int:
+        granted = program.reserve_by_author.get(self.author, 0)
+        return granted - self._used(program.id, Origin.RESERVE)
 
-    def available(
-        self, program: program_module.Program, origin: Origin
+    def _home_limit(
+        self,
+        program: program_module.Program,
+        ceiling: int,
+        budget: int | None,
     ) -> int:
-        """Return the tokens that are left, in turns under way counted."""
-        if origin is Origin.HOME:
-            granted = self._home_by_program.get(program.id, 0)
-        else:
-            granted = program.reserve_by_author.get(self.author, 0)
-        used = self._unsettled.get((program.id, origin), {})
-        return granted - sum(used.values())
+        """Return the tokens that a turn may use at a home; 0 if none."""
+        home = self._home_by_program.get(program.id)
+        if home is None:
+            return 0
+        left = home.tokens - self._used(program.id, Origin.HOME)
+        if budget is not None and home.is_certain:
+            elsewhere = program.charged + program.reserved
+            used = self._used(program.id, Origin.HOME)
+            left = min(left, budget - elsewhere - used)
+        if home.is_certain:
+            return ceiling if left >= ceiling else 0
+        return min(left, ceiling)
+
+    def _used(self, program: records.ProgramId, origin: Origin) -> int:
+        return sum(self._unsettled.get((program, origin), {}).values())
 
     def give_back(
         self, program: program_module.Program, turn: records.TurnId
     ) -> int:
         """Return the idle reserve; it can't be used until ``turn`` settles."""
-        idle = max(0, self.available(program, Origin.RESERVE))
+        idle = max(0, self._reserve_left(program))
         if idle:
             self._put(program.id, Origin.RESERVE, turn, idle)
         return idle
@@ -105,9 +157,9 @@
     def settle(self, ticket: Ticket, tokens: int) -> None:
         """Take note that the log holds what a turn used, or that it is 0."""
         self._drop(ticket.program, ticket.origin, ticket.turn)
-        if ticket.origin is Origin.HOME:
-            left = self._home_by_program.get(ticket.program, 0) - tokens
-            self._home_by_program[ticket.program] = max(0, left)
+        home = self._home_by_program.get(ticket.program)
+        if ticket.origin is Origin.HOME and home is not None:
+            home.tokens -= tokens
 
     def returned(
         self, program: records.ProgramId, turn: records.TurnId
@@ -115,19 +167,21 @@
         """Take note that the log holds what was given back."""
         self._drop(program, Origin.RESERVE, turn)
 
-    def make_home(self, program: records.ProgramId, budget: int) -> None:
-        """Take over the whole budget of a program that begins here."""
-        self._home_by_program.setdefault(program, budget)
+    def make_home(
+        self, program: records.ProgramId, tokens: int, is_certain: bool
+    ) -> None:
+        """Let a program begin here while the log is away."""
+        home = _Home(tokens, is_certain)
+        self._home_by_program.setdefault(program, home)
 
     def is_home(self, program: records.ProgramId) -> bool:
         """Return whether the program began here while the log was away."""
         return program in self._home_by_program
 
-    def close_homes(self) -> None:
-        """End the homes whose turns all stand in the log."""
-        for program in list(self._home_by_program):
-            if not self._unsettled.get((program, Origin.HOME)):
-                del self._home_by_program[program]
+    def close_home(self, program: records.ProgramId) -> None:
+        """End a home if all its turns stand in the log."""
+        if not self._unsettled.get((program, Origin.HOME)):
+            self._home_by_program.pop(program, None)
 
     # -- own ------------------------------------------------------------------
 
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -100,7 +100,10 @@
     ) -> None:
         """Get the right to run a turn, from a reserve or from the log."""
         known = self._program(program)
-        ticket = self.accounts.take(known, turn, ceiling, budget)
+        is_away = self._is_failing(self._place_of_program(program))
+        if not is_away:
+            self.accounts.close_home(program)
+        ticket = self.accounts.take(known, turn, ceiling, budget, is_away)
         if ticket is not None:
             on_done(program_module.TurnState.OPEN, ticket)
             return
@@ -122,7 +125,7 @@
             self.end_turn(ticket, 0)
             on_error(error)
 
-        if self._is_failing(self._place_of_program(program)):
+        if is_away:
             patience = min(patience, FAILING_PATIENCE_SECONDS)
         self._commit(record, patience, folded, failed)
 
@@ -188,11 +191,20 @@
         self._record_whole(record, lambda: None, lambda: None)
 
     def begin_home(
-        self, program: records.ProgramId, budget: int | None
+        self,
+        program: records.ProgramId,
+        ceiling: int,
+        budget: int | None,
+        is_certain: bool,
     ) -> None:
-        """Let a program begin here while the log is away."""
+        """Let a program begin here while the log is away.
+
+        If it is not certain that it is new, it gets no more than the one
+        turn by which a budget may be passed.
+        """
         if budget is not None:
-            self.accounts.make_home(program, budget)
+            tokens = budget if is_certain else min(budget, ceiling)
+            self.accounts.make_home(program, tokens, is_certain)
 
     # -- reading --------------------------------------------------------------
 
@@ -244,7 +256,9 @@
             ref = records.TurnRef(program, previous)
             if self.known_chain(ref) is None:
                 return False
-        return self.accounts.can_take(self._program(program), ceiling)
+        is_away = self._is_failing(self._place_of_program(program))
+        known = self._program(program)
+        return self.accounts.can_take(known, ceiling, is_away)
 
     def refresh_program(
         self,
@@ -398,7 +412,6 @@
 
     def _sweep(self) -> None:
         """Forget what nobody has used for long."""
-        self.accounts.close_homes()
         oldest = self._timers.now() - UNUSED_SECONDS
         for place, partition in list(self._partition_by_place.items()):
             if partition.idle and partition.used_at < oldest:
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -156,10 +156,8 @@
             ),
             all_answered=all(member.name in reached for member in self._asked),
             # A VM alone could not keep the turn safe.
-            is_new=bool(self._answers)
-            and complete
-            and here_answered
-            and not known,
+            is_new=bool(self._answers) and not known,
+            is_certain=complete and here_answered,
         )
 
 
