Near upstreams first, silent machines left alone; homes of known programs

Cause: in a cut data centre calls were sent to upstreams elsewhere and hung until the caller left (1,999 ms, 0 attempts); programs under way whose reserve did not hold a turn were refused while the store was away; a VM that was replaced made every unknown turn 'unavailable' instead of 404.

--- a/postspring/errors.py
+++ b/postspring/errors.py
@@ -50,11 +50,16 @@
     sent : bool
         Whether any byte of the request may have left this process.  A
         request with ``sent=False`` certainly did not run.
+    is_unreachable : bool
+        Whether the other side's machine does not even acknowledge.
     """
 
-    def __init__(self, message: str, sent: bool = True):
+    def __init__(
+        self, message: str, sent: bool = True, is_unreachable: bool = False
+    ):
         super().__init__(message)
         self.sent = sent
+        self.is_unreachable = is_unreachable
 
 
 class PlatformError(PostspringError):
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -75,6 +75,8 @@
         Chooses among the upstreams of a service.
     metrics : Metrics
         Counts retries by reason.
+    data_center : str
+        This VM's.
     """
 
     http: transport.HttpClient
@@ -83,6 +85,7 @@
     placement: placement_module.Placement
     wire: ports.WireFormat
     metrics: object
+    data_center: str = ""
     draw: Callable[[], float] = random.random
 
 
@@ -92,6 +95,7 @@
 
     last_upstream: str = ""
     affinity_key: str = ""
+    data_center: str = ""
 
 
 class _Phase(enum.Enum):
@@ -210,7 +214,11 @@
         if not candidates:
             return None
         random.shuffle(candidates)
-        order = _Order(self._preferred, self._facts.affinity_key)
+        order = _Order(
+            self._preferred,
+            self._facts.affinity_key,
+            self._dispatcher.data_center,
+        )
         return self._dispatcher.placement.choose(order, candidates)
 
     def _request(self, upstream: upstreams.Upstream) -> transport.HttpRequest:
@@ -263,7 +271,7 @@
         """Take note that the exchange broke."""
         upstream = self.upstream
         self._settle()
-        upstream.note_failure(self._dispatcher.timers.now())
+        self._note_failure(upstream, error)
         if self._phase is _Phase.STREAMING:
             self._finish()
             self._receiver.stream_broken(str(error))
@@ -276,6 +284,16 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _note_failure(
+        self, upstream: upstreams.Upstream, error: errors.TransportError
+    ) -> None:
+        """Count a failure; an address that is silent is left alone."""
+        now = self._dispatcher.timers.now()
+        if error.is_unreachable:
+            self._dispatcher.directory.note_unreachable(upstream)
+        else:
+            upstream.note_failure(now)
+
     @property
     def _is_stream(self) -> bool:
         return (
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -117,21 +117,34 @@
 
     taker : Upstream or None
         A VM that can run the turn.
-    is_known_turn : bool
-        Some VM keeps the turn that is to be continued.
-    all_answered : bool
-        Every VM answered, or certainly does not run any more.
-    is_new : bool
-        Some VM answered, and none knows the program.
+    keeper : Upstream or None
+        A VM that keeps the turn that is to be continued.
+    is_answered : bool
+        Some VM answered.
+    reached_enough : bool
+        So many answered that a turn that is kept anywhere was found.
+    reached_all : bool
+        Every VM answered.
+    is_known : bool
+        Some VM knows the program.
     is_certain : bool
-        No VM that could know the program was left out.
+        No VM that a program of this data centre could have begun at was
+        left out.
+    is_deferred : bool
+        Another VM is about to run a turn of the program.
+    charged : int
+        Tokens that the program is charged with, as far as they know.
     """
 
     taker: upstreams.Upstream | None = None
-    is_known_turn: bool = False
-    all_answered: bool = False
-    is_new: bool = False
+    keeper: upstreams.Upstream | None = None
+    is_answered: bool = False
+    reached_enough: bool = False
+    reached_all: bool = False
+    is_known: bool = False
     is_certain: bool = False
+    is_deferred: bool = False
+    charged: int = 0
 
 
 class Neighbours(abc.ABC):
@@ -158,7 +171,7 @@
 
     def find(self, facts, on_done) -> None:
         """Report that there is nobody."""
-        on_done(Finding(all_answered=True))
+        on_done(Finding(reached_enough=True, reached_all=True))
 
 
 class WireFormat(abc.ABC):
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -169,20 +169,26 @@
         if self._closed:
             return
         neighbours = self._shared.neighbours
-        if neighbours.is_relayed(self._call.header):
-            otherwise(ports.Finding())
-            return
+        is_relayed = neighbours.is_relayed(self._call.header)
 
         def found(finding: ports.Finding) -> None:
             if self._closed:
                 return
-            if finding.taker is not None:
-                self._pass_on(finding.taker)
+            place = finding.taker
+            if place is None and not self._has_chain:
+                place = finding.keeper
+            if place is not None and not is_relayed:
+                self._pass_on(place)
             else:
                 otherwise(finding)
 
         neighbours.find(self._facts, found)
 
+    @property
+    def _has_chain(self) -> bool:
+        previous = self._facts.previous
+        return previous is None or self._chain.head is not None
+
     def _pass_on(self, taker: upstreams.Upstream) -> None:
         self._closed = True
         self._outcome.add(passed_to=taker.id)
@@ -206,23 +212,30 @@
 
     def _not_found(self, finding: ports.Finding) -> None:
         """The log has no such turn; another VM might still keep it."""
-        if finding.all_answered and not finding.is_known_turn:
+        if finding.reached_enough and finding.keeper is None:
             self._close(refusals.Refusal.NO_SUCH_TURN)
         else:
             self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
 
     def _begin_home(self, finding: ports.Finding) -> None:
-        """The log is away: a new program may begin here all the same."""
-        may_begin = finding.is_new and not self._tried_home
-        if self._facts.previous is not None or not may_begin:
+        """The log is away: the program may go on here all the same.
+
+        Neither this VM nor those that help it reach its records, so no
+        one does; what nobody has spent or reserved may be spent here.
+        """
+        journal = self._journal
+        known = journal.knows(self._program) or finding.is_known
+        may_begin = finding.is_answered and not finding.is_deferred
+        if self._tried_home or not may_begin:
             self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
             return
         self._tried_home = True
-        self._journal.begin_home(
+        journal.begin_home(
             self._program,
             self._facts.ceiling,
             self._facts.budget,
-            finding.is_certain,
+            max(finding.charged, journal.charged(self._program)),
+            finding.reached_all if known else finding.is_certain,
         )
         self._open()
 
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -199,6 +199,7 @@
             placement.placement_by_name[own.placement](),
             platform.PlatformWireFormat(),
             self.metrics,
+            self.vm.data_center,
         )
         self.forwarder = forwarding.Forwarder(
             dispatcher,
--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -130,7 +130,7 @@
         if home is None:
             return 0
         left = home.tokens - self._used(program.id, Origin.HOME)
-        if budget is not None and home.is_certain:
+        if budget is not None:
             elsewhere = program.charged + program.reserved
             used = self._used(program.id, Origin.HOME)
             left = min(left, budget - elsewhere - used)
@@ -174,6 +174,10 @@
         home = _Home(tokens, is_certain)
         self._home_by_program.setdefault(program, home)
 
+    def charged_at_home(self, program: records.ProgramId) -> int:
+        """Return the tokens of turns at home that are not in the log."""
+        return self._used(program, Origin.HOME)
+
     def is_home(self, program: records.ProgramId) -> bool:
         """Return whether the program began here while the log was away."""
         return program in self._home_by_program
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -195,17 +195,33 @@
         program: records.ProgramId,
         ceiling: int,
         budget: int | None,
+        charged: int,
         is_certain: bool,
     ) -> None:
-        """Let a program begin here while the log is away.
+        """Let a program go on here while the log is away.
 
-        If it is not certain that it is new, it gets no more than the one
-        turn by which a budget may be passed.
+        If it is not certain that nobody else does the same, it gets no
+        more than the one turn by which a budget may be passed.
+
+        Parameters
+        ----------
+        charged : int
+            Tokens that it is charged with, as far as anybody knows.
         """
         if budget is not None:
-            tokens = budget if is_certain else min(budget, ceiling)
+            left = budget - charged
+            tokens = left if is_certain else min(left, ceiling)
             self.accounts.make_home(program, tokens, is_certain)
 
+    def charged(self, program: records.ProgramId) -> int:
+        """Return what a program is charged with, as far as is known here."""
+        known = self._program(program)
+        return (
+            known.charged
+            + known.reserved
+            + self.accounts.charged_at_home(program)
+        )
+
     # -- reading --------------------------------------------------------------
 
     def find_chain(
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -58,12 +58,18 @@
         The turn that is to be continued is known there.
     is_complete : bool
         The VM has been up for long enough to know what began there.
+    charged : int
+        Tokens that the program is charged with, as far as is known there.
+    goes_first : bool
+        The VM asks the same just now, and goes before the one that asks.
     """
 
     can_take: bool
     knows: bool
     knows_turn: bool
     is_complete: bool
+    charged: int = 0
+    goes_first: bool = False
 
 
 def encode(message: Any) -> bytes:
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -22,6 +22,8 @@
 # VMs that are asked to keep a record at the same time, and how many copies
 # are enough to go on.
 KEEPERS = 3
+# The VM that answered a turn, and one copy at the least.
+KEEPERS_OF_A_TURN = 2
 
 
 class Neighbourhood(forwarding.Neighbours, histories.Companions):
@@ -108,9 +110,9 @@
         self._asked = asked
         self._on_done = on_done
         self._answers: dict[str, messages.Found] = {}
-        self._gone: set[str] = set()
         self._open = len(asked)
         self._taker: members_module.Member | None = None
+        self._keeper: members_module.Member | None = None
         self._is_finished = False
 
     def answered(
@@ -120,12 +122,12 @@
         self._answers[member.name] = found
         if found.can_take and self._taker is None:
             self._taker = member
+        if found.knows_turn and self._keeper is None:
+            self._keeper = member
         self._count_down()
 
-    def failed(self, member: members_module.Member, is_gone: bool) -> None:
+    def failed(self) -> None:
         """Take note that a VM did not answer."""
-        if is_gone:
-            self._gone.add(member.name)
         self._count_down()
 
     def _count_down(self) -> None:
@@ -139,25 +141,25 @@
         self, own: members_module.Member, is_complete: bool
     ) -> forwarding.Finding:
         """Return what the answers add up to."""
-        known = any(found.knows for found in self._answers.values())
-        complete = is_complete and all(
-            found.is_complete for found in self._answers.values()
-        )
+        answers = self._answers.values()
+        unanswered = len(self._asked) - len(self._answers)
         here_answered = all(
             member.name in self._answers
             for member in self._asked
             if member.data_center == own.data_center
         )
-        reached = {*self._answers, *self._gone}
+        complete = is_complete and all(item.is_complete for item in answers)
         return forwarding.Finding(
-            taker=None if self._taker is None else _as_upstream(self._taker),
-            is_known_turn=any(
-                found.knows_turn for found in self._answers.values()
-            ),
-            all_answered=all(member.name in reached for member in self._asked),
-            # A VM alone could not keep the turn safe.
-            is_new=bool(self._answers) and not known,
+            taker=_as_upstream(self._taker),
+            keeper=_as_upstream(self._keeper),
+            is_answered=bool(answers),
+            # A whole turn that is not in the log is kept by two VMs or more.
+            reached_enough=unanswered < KEEPERS_OF_A_TURN,
+            reached_all=not unanswered,
+            is_known=any(item.knows for item in answers),
             is_certain=complete and here_answered,
+            is_deferred=any(item.goes_first for item in answers),
+            charged=max((item.charged for item in answers), default=0),
         )
 
 
@@ -179,14 +181,13 @@
             found = messages.decode(messages.Found, bytes(self._body))
         except errors.PeerError as error:
             LOG.warning("peer's answer", extra={"error": str(error)})
-            self._search.failed(self._member, is_gone=False)
+            self._search.failed()
             return
         self._search.answered(self._member, found)
 
     def failed(self, error) -> None:
-        """Take note that there is none; a refused connection: no process."""
-        is_gone = not error.sent and "REFUSED" in str(error).upper()
-        self._search.failed(self._member, is_gone)
+        """Take note that there is none."""
+        self._search.failed()
 
 
 class _Copies(transport.HttpListener):
@@ -247,7 +248,11 @@
     )
 
 
-def _as_upstream(member: members_module.Member) -> upstreams.Upstream:
+def _as_upstream(
+    member: members_module.Member | None,
+) -> upstreams.Upstream | None:
+    if member is None:
+        return None
     return upstreams.Upstream(
         id=upstreams.UpstreamId(member.name),
         service="",
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -83,15 +83,16 @@
         if previous is not None:
             ref = histories.TurnRef(program, histories.TurnId(previous))
             knows_turn = journal.known_turn(ref) is not None
-        # Two VMs that ask about a new program at once: the first by name
-        # has it.
-        asks_first = (
+        # Of two VMs that ask at once, the first by name goes on.
+        goes_first = (
             request.program in self._asking and self._name < request.vm
         )
         found = messages.Found(
             can_take=journal.can_take(program, previous, request.ceiling),
-            knows=journal.knows(program) or asks_first,
+            knows=journal.knows(program),
             knows_turn=knows_turn,
             is_complete=self._is_complete(),
+            charged=journal.charged(program),
+            goes_first=goes_first,
         )
         call.respond(200, [], messages.encode(found))
--- a/postspring/scheduling/placement.py
+++ b/postspring/scheduling/placement.py
@@ -10,6 +10,7 @@
 
 __all__ = [
     "LeastLoad",
+    "NearAffinity",
     "Placement",
     "PrefixAffinity",
     "Random",
@@ -17,6 +18,12 @@
     "placement_by_name",
 ]
 
+# How many more calls of this VM an upstream may have in flight than the
+# least loaded one, and still be preferred: for being near, and for having
+# the history in memory (a prompt read again takes some 70 ms).
+NEAR_CALLS = 2
+AFFINITY_CALLS = 4
+
 placement_by_name: registry.Registry = registry.Registry("placement")
 
 
@@ -61,6 +68,64 @@
         return min(candidates, key=lambda upstream: upstream.load)
 
 
+@placement_by_name.register("near_affinity")
+class NearAffinity(Placement):
+    """Where the line of turns ran last, else near, else the least loaded.
+
+    Explanation
+    ===========
+
+    An upstream of the same data centre costs no bytes between data
+    centres, and goes on when the data centre is cut off.  One elsewhere is
+    taken when the near ones have clearly more of this VM's work.
+
+    Examples
+    ========
+
+    >>> from postspring import upstreams
+    >>> def make(name, place, load):
+    ...     return upstreams.Upstream(
+    ...         id=name,
+    ...         service="",
+    ...         address=("", 0),
+    ...         data_center=place,
+    ...         concurrency=8,
+    ...         in_flight=load,
+    ...     )
+    >>> near, far = make("n", "here", 2), make("f", "there", 0)
+    >>> class Call:
+    ...     last_upstream = ""
+    ...     data_center = "here"
+    >>> NearAffinity().choose(Call, [near, far]).id
+    'n'
+    >>> near.in_flight = 4
+    >>> NearAffinity().choose(Call, [near, far]).id
+    'f'
+    """
+
+    def choose(self, ticket, candidates):
+        """Return the line's last upstream, a near one, or any."""
+        least = min(candidates, key=_in_flight)
+        for upstream in candidates:
+            if upstream.id == ticket.last_upstream:
+                if upstream.in_flight <= least.in_flight + AFFINITY_CALLS:
+                    return upstream
+        near = [
+            upstream
+            for upstream in candidates
+            if upstream.data_center == ticket.data_center
+        ]
+        if near:
+            nearest = min(near, key=_in_flight)
+            if nearest.in_flight <= least.in_flight + NEAR_CALLS:
+                return nearest
+        return least
+
+
+def _in_flight(upstream) -> int:
+    return upstream.in_flight
+
+
 @placement_by_name.register("prefix_affinity")
 class PrefixAffinity(Placement):
     """Baseline: where the program ran last, else the least loaded."""
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -174,12 +174,12 @@
         self._connection.receive_data(data)
         self._parse()
 
-    def was_reset(self) -> None:
+    def was_reset(self, is_unreachable: bool) -> None:
         """Take note that the connection broke: no answer ends with it."""
         self._socket = None
         if self.done or self._retry_on_fresh():
             return
-        self._fail("connection reset")
+        self._fail("connection reset", is_unreachable)
 
     def closed(self) -> None:
         """Take note that the connection is gone."""
@@ -271,11 +271,13 @@
         )
         listener.end()
 
-    def _fail(self, text: str) -> None:
+    def _fail(self, text: str, is_unreachable: bool = False) -> None:
         host, port = self.request.address
         self._finish_with(
             errors.TransportError(
-                f"{self.request.method} {host}:{port}: {text}", sent=self.sent
+                f"{self.request.method} {host}:{port}: {text}",
+                self.sent,
+                is_unreachable,
             )
         )
 
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -26,8 +26,9 @@
 READ_BYTES = 64 * 1024
 PACE_SECONDS = 0.01
 # Bytes that the other side does not acknowledge for this long mean that the
-# path is gone; a partition otherwise hangs the connection for minutes.
-UNACKNOWLEDGED_MILLISECONDS = 3000
+# path is gone; a partition otherwise hangs the connection for minutes.  A
+# round trip takes a few ms, and a crowded link holds packets up for 500.
+UNACKNOWLEDGED_MILLISECONDS = 800
 
 
 class ConnectionHandler:
@@ -39,8 +40,14 @@
     def closed(self) -> None:
         """Take note that the connection is gone, from either side."""
 
-    def was_reset(self) -> None:
-        """Take note that the connection broke; by default as closed."""
+    def was_reset(self, is_unreachable: bool) -> None:
+        """Take note that the connection broke; by default as closed.
+
+        Parameters
+        ----------
+        is_unreachable : bool
+            Whether the other side did not acknowledge what was sent.
+        """
         self.closed()
 
 
@@ -252,8 +259,8 @@
             data = sock.recv(READ_BYTES)
         except BlockingIOError:
             return
-        except OSError:
-            self._close(sock, was_reset=True)
+        except OSError as error:
+            self._close(sock, broken_by=error)
             return
         if not data:
             self._close(sock)
@@ -264,14 +271,15 @@
             LOG.exception("a connection's handler failed")
             self._close(sock)
 
-    def _close(self, sock, was_reset=False):
+    def _close(self, sock, broken_by=None):
         connection = self._handler_by_socket.pop(sock, None)
         self._paced.pop(sock, None)
         super()._close(sock)
         if connection is None:
             return
-        if was_reset:
-            connection.was_reset()
+        if broken_by is not None:
+            timed_out = broken_by.errno == errno.ETIMEDOUT
+            connection.was_reset(is_unreachable=timed_out)
         else:
             connection.closed()
 
@@ -303,7 +311,11 @@
     address: tuple[str, int], text: str
 ) -> errors.TransportError:
     host, port = address
-    return errors.TransportError(f"connect to {host}:{port}: {text}", False)
+    return errors.TransportError(
+        f"connect to {host}:{port}: {text}",
+        sent=False,
+        is_unreachable=text in ("timeout", "ETIMEDOUT", "EHOSTUNREACH"),
+    )
 
 
 class _Connecting:
--- a/postspring/upstreams/directory.py
+++ b/postspring/upstreams/directory.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 import logging
+import math
 from typing import NewType
 
 from postspring.upstreams import load as load_module
@@ -17,6 +18,10 @@
 # Entries that lapsed while the log was away come back within about 2 s of
 # its return (the platform's page); one still missing then is gone.
 RETURN_SECONDS = 2.3
+# An upstream whose machine does not acknowledge is left alone for this
+# long; when two of a data centre are, all of it is, in seconds.
+UNREACHABLE_SECONDS = 1.5
+UNREACHABLE_UPSTREAMS = 2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +63,7 @@
     address: tuple[str, int]
     data_center: str
     warm_at: float = 0.0
+    unreachable_at: float = -math.inf
     missing: bool = False
 
 
@@ -154,6 +160,27 @@
             if upstream.service == service and not upstream.leaving
         ]
 
+    def note_unreachable(self, upstream: Upstream) -> None:
+        """Take note that an upstream's machine does not acknowledge.
+
+        Several in a data centre mean that it is cut off; the others there
+        need not be tried one by one.
+        """
+        now = self._now()
+        upstream.suspend(now, UNREACHABLE_SECONDS)
+        upstream.unreachable_at = now
+        there = [
+            other
+            for other in self.by_id.values()
+            if other.data_center == upstream.data_center
+        ]
+        silent = sum(
+            now - other.unreachable_at < UNREACHABLE_SECONDS for other in there
+        )
+        if silent >= UNREACHABLE_UPSTREAMS:
+            for other in there:
+                other.suspend(now, UNREACHABLE_SECONDS)
+
     # -- own ------------------------------------------------------------------
 
     def _drop(self, upstream: Upstream) -> None:
--- a/postspring/upstreams/load.py
+++ b/postspring/upstreams/load.py
@@ -54,6 +54,10 @@
         pause = FIRST_SUSPENSION_SECONDS * 2**doublings
         self.suspended_until = now + min(pause, LONGEST_SUSPENSION_SECONDS)
 
+    def suspend(self, now: float, seconds: float) -> None:
+        """Send no work for a while, whatever the failures so far."""
+        self.suspended_until = max(self.suspended_until, now + seconds)
+
     def note_success(self) -> None:
         """Count a call that was answered."""
         self.failures = 0
