More copies, expiring members, silent machines refused at once

Two copies of four asked are waited for now, and a restarted VM counts as one that may have forgotten. 33 streams were broken off at the limit of an uncertain home: a turn starts there only with half of its ceiling left. Members renew their entries, so that a replaced VM is not waited for for ever. Turns in a data centre without a reachable upstream were held 0.4 s for each connection that hung; they are refused at once now.

--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -189,7 +189,7 @@
     def _send(self) -> None:
         upstream = self._choose()
         if upstream is None:
-            self._refuse(refusals.Refusal.NO_UPSTREAM)
+            self._refuse(self._why_none())
             return
         self._tried.add(upstream.id)
         self.upstream = upstream
@@ -202,13 +202,20 @@
             self._request(upstream), self
         )
 
+    def _why_none(self) -> refusals.Refusal:
+        if self.may_have_run:
+            return refusals.Refusal.UNKNOWN_OUTCOME
+        if self._dispatcher.directory.is_out_of_reach(self._service):
+            return refusals.Refusal.UPSTREAMS_UNREACHABLE
+        return refusals.Refusal.NO_UPSTREAM
+
     def _choose(self) -> upstreams.Upstream | None:
         if self._only is not None:
             return None if self._only.id in self._tried else self._only
         directory = self._dispatcher.directory
         candidates = directory.usable(self._service)
         if not candidates:
-            candidates = directory.not_leaving(self._service)
+            candidates = directory.last_resort(self._service)
         fresh = [item for item in candidates if item.id not in self._tried]
         candidates = fresh or candidates
         if not candidates:
@@ -276,7 +283,7 @@
             self._finish()
             self._receiver.stream_broken(str(error))
         elif not error.sent:
-            self._retry("not_sent", refusals.Refusal.NO_UPSTREAM)
+            self._retry("not_sent", self._why_none())
         else:
             self.may_have_run = True
             self.attempts += 1
--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -4,6 +4,9 @@
 
 __all__ = ["Refusal"]
 
+# Callers heed a Retry-After of up to a third of the time that they have.
+LONGEST_SHARE = 0.32
+
 
 class Refusal(enum.Enum):
     """A reason, its status, and when the caller may come back.
@@ -12,15 +15,17 @@
     ===========
 
     Status 503 promises that the call did not run and never will; 502 and
-    504 promise nothing.  ``retry_after`` is in seconds.
+    504 promise nothing.  ``retry_after`` is in seconds; what is out of
+    reach stays so for some seconds, so those callers come back later.
     """
 
     NO_CONFIGURATION = ("no_configuration", 503, 0.5)
+    UPSTREAMS_UNREACHABLE = ("upstreams_unreachable", 503, 1.2)
     SHUTTING_DOWN = ("shutting_down", 503, 0.05)
     NO_ROUTE = ("no_route", 404, None)
     NO_UPSTREAM = ("no_upstream", 503, 0.3)
     UPSTREAMS_REFUSED = ("upstreams_refused", 503, 0.1)
-    JOURNAL_UNAVAILABLE = ("journal_unavailable", 503, 0.4)
+    JOURNAL_UNAVAILABLE = ("journal_unavailable", 503, 1.2)
     BUDGET_RESERVED = ("budget_reserved", 503, 0.2)
     BUDGET_SPENT = ("budget_spent", 402, None)
     NO_SUCH_TURN = ("no_such_turn", 404, None)
@@ -33,6 +38,19 @@
         self.status = status
         self.retry_after = retry_after
 
+    def retry_after_within(self, remaining: float | None) -> float | None:
+        """Return when to come back; callers heed a third of what they have.
+
+        Parameters
+        ----------
+        remaining : float or None
+            Seconds that the caller has left.
+        """
+        if self.retry_after is None or remaining is None:
+            return self.retry_after
+        longest = max(0.0, remaining) * LONGEST_SHARE
+        return min(self.retry_after, longest)
+
     @property
     def did_not_run(self) -> bool:
         """Whether the answer promises that the call did not run."""
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -48,12 +48,15 @@
 
     def refuse(self, refusal: refusals.Refusal) -> None:
         """Give an answer of our own."""
+        now = self._dispatcher.timers.now()
+        remaining = None
+        if self._facts.deadline is not None:
+            remaining = self._call.received_at + self._facts.deadline - now
         fields = self._dispatcher.wire.own_fields(
-            self._facts.request, refusal.retry_after
+            self._facts.request, refusal.retry_after_within(remaining)
         )
         self._call.respond(refusal.status, fields)
         self._add_delivery()
-        now = self._dispatcher.timers.now()
         self._outcome.report_refusal(refusal, now)
 
     def report(self, text: str, **fields) -> None:
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -93,13 +93,18 @@
             self.log, self.timers, self.incarnation
         )
         self._started_at = self.timers.now()
+        self._has_left = False
         self._limits = transport.ServerLimits()
         self._follow()
         self._listen()
         self._join()
         self._serve(own)
         self.shutdown = shutdown.Shutdown(
-            self.timers, self.callers, vm.grace, on_stopped
+            self.timers,
+            self.callers,
+            vm.grace,
+            self._last_words,
+            on_stopped,
         )
 
     def start(self) -> None:
@@ -256,6 +261,13 @@
         self._limits.header_seconds = snapshot.limits.header_seconds
         self._limits.idle_seconds = snapshot.limits.idle_seconds
 
+    def _last_words(self) -> bool:
+        """Leave the others' list; tell whether all is recorded."""
+        if not self._has_left:
+            self._has_left = True
+            self.members.leave()
+        return not self.journal.held
+
     def _is_complete(self) -> bool:
         """Whether this VM knows all that began here lately."""
         uptime = self.timers.now() - self._started_at
--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -25,6 +25,8 @@
 
     grace : float
         Seconds from the signal to the platform's SIGKILL.
+    is_recorded : callable
+        Returns whether all that was answered stands in the log.
     on_stopped : callable
         Called when nothing is under way any more, or the grace is over.
     """
@@ -34,8 +36,10 @@
         timers: transport.Timers,
         callers: transport.HttpServer,
         grace: float,
+        is_recorded: Callable[[], bool],
         on_stopped: Callable[[], None],
     ):
+        self._is_recorded = is_recorded
         self._timers = timers
         self._callers = callers
         self._grace = grace
@@ -69,7 +73,9 @@
         if elapsed > ROTATION_SECONDS:
             self._callers.close_idle()
         served = elapsed > ROTATION_SECONDS and not self._callers.active
-        if served or elapsed > self._grace - MARGIN_SECONDS:
+        if (
+            served and self._is_recorded()
+        ) or elapsed > self._grace - MARGIN_SECONDS:
             LOG.info(
                 "stopped",
                 extra={
--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -9,6 +9,11 @@
 __all__ = ["LocalAccounts", "Origin", "Ticket"]
 
 
+# A turn uses a quarter of its ceiling on average; with half of it left, few
+# have to be broken off.
+LEAST_SHARE = 0.5
+
+
 class Origin(enum.Enum):
     """What a turn's ceiling is charged to.
 
@@ -53,7 +58,8 @@
     is_certain : bool
         Nobody else can know the program.  Otherwise it might have spent
         its budget before; then it gets no more than the one turn by which
-        a budget may be passed, and turns start as long as a token is left.
+        a budget may be passed, and a turn starts if a good part of its
+        ceiling is left.
     """
 
     tokens: int
@@ -136,6 +142,8 @@
             left = min(left, budget - elsewhere - used)
         if home.is_certain:
             return ceiling if left >= ceiling else 0
+        if left < ceiling * LEAST_SHARE:
+            return 0
         return min(left, ceiling)
 
     def _used(self, program: records.ProgramId, origin: Origin) -> int:
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -14,8 +14,11 @@
 LOG = logging.getLogger(__name__)
 
 PLACE = keyedlog.LogPlace(keyedlog.Subject.MEMBERS, 0)
-# How often the list is read, in seconds: it only changes when VMs start.
-PACE_SECONDS = 4.0
+# How often a VM renews its entry, and reads the list, in seconds.
+HEARTBEAT_SECONDS = 5.0
+# An entry that was not renewed for this long belongs to a VM that is gone
+# for good, as far as anybody can tell; in seconds while the log answers.
+EXPIRY_SECONDS = 13.0
 RETRY_SECONDS = 0.5
 
 
@@ -62,22 +65,30 @@
         self._timers = timers
         self.own = own
         self.by_name: dict[str, Member] = {}
+        self._seen_at_by_name: dict[str, float] = {}
+        self._heartbeat: timers_module.TimerHandle | None = None
         self._follower = keyedlog.Follower(
             log,
             timers,
             PLACE,
             self._reset,
             self._take,
-            pace=PACE_SECONDS,
+            pace=HEARTBEAT_SECONDS,
+            on_regained=self._log_regained,
         )
 
     def start(self) -> None:
         """Announce this VM, and follow the list."""
         self._announce(_encode(self.own))
         self._follower.start()
+        self._heartbeat = self._timers.call_every(
+            HEARTBEAT_SECONDS, self._renew
+        )
 
     def leave(self) -> None:
         """Take this VM off the list."""
+        if self._heartbeat is not None:
+            self._heartbeat.cancel()
         self._announce(b"")
 
     @property
@@ -108,6 +119,27 @@
 
         self._log.append(PLACE, [entry], lambda offset: None, failed)
 
+    def _renew(self) -> None:
+        entry = keyedlog.LogEntry(self.own.name, _encode(self.own))
+        self._log.append(
+            PLACE, [entry], lambda offset: None, lambda error: None
+        )
+        if self._follower.lost_since is None:
+            self._expire()
+
+    def _expire(self) -> None:
+        oldest = self._timers.now() - EXPIRY_SECONDS
+        for name, seen_at in list(self._seen_at_by_name.items()):
+            if seen_at < oldest and name in self.by_name:
+                LOG.info("member expired", extra={"member": name})
+                del self.by_name[name]
+
+    def _log_regained(self, seconds: float) -> None:
+        """Nobody could renew an entry while the log was away."""
+        now = self._timers.now()
+        for name in self._seen_at_by_name:
+            self._seen_at_by_name[name] = now
+
     def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
         self.by_name.clear()
         self._take(entries)
@@ -117,6 +149,7 @@
             member = _decode(entry) if entry.value else None
             if member is not None:
                 self.by_name[entry.key] = member
+                self._seen_at_by_name[entry.key] = self._timers.now()
             elif not entry.value:
                 self.by_name.pop(entry.key, None)
 
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -20,10 +20,12 @@
 FIND_SECONDS = 0.15
 KEEP_SECONDS = 0.25
 # VMs that are asked to keep a record at the same time, and how many copies
-# are enough to go on.
-KEEPERS = 3
-# The VM that answered a turn, and one copy at the least.
-KEEPERS_OF_A_TURN = 2
+# are waited for while more may come.  VMs are killed one after the other,
+# also while the log is away.
+KEEPERS = 4
+ENOUGH_COPIES = 2
+# The VM that answered a turn, and the copies.
+KEEPERS_OF_A_TURN = 1 + ENOUGH_COPIES
 
 
 class Neighbourhood(forwarding.Neighbours, histories.Companions):
@@ -149,12 +151,14 @@
             if member.data_center == own.data_center
         )
         complete = is_complete and all(item.is_complete for item in answers)
+        # A VM that was started lately has lost what it kept before.
+        forgetful = sum(not item.is_complete for item in answers)
+        lost = unanswered + forgetful + (not is_complete)
         return forwarding.Finding(
             taker=_as_upstream(self._taker),
             keeper=_as_upstream(self._keeper),
             is_answered=bool(answers),
-            # A whole turn that is not in the log is kept by two VMs or more.
-            reached_enough=unanswered < KEEPERS_OF_A_TURN,
+            reached_enough=lost < KEEPERS_OF_A_TURN,
             reached_all=not unanswered,
             is_known=any(item.knows for item in answers),
             is_certain=complete and here_answered,
@@ -190,13 +194,13 @@
         self._search.failed()
 
 
-class _Copies(transport.HttpListener):
-    """Counts copies; reports once, as soon as there is one."""
+class _Copies:
+    """Counts copies; reports once, when there are enough or no more come."""
 
     def __init__(self, asked: int, on_done: Callable[[int], None]):
         self._open = asked
+        self._kept = 0
         self._on_done: Callable[[int], None] | None = on_done
-        self._status_ok = False
 
     def send(self, http, keepers, body: bytes, seconds: float) -> None:
         """Ask all keepers."""
@@ -209,10 +213,12 @@
     def answered(self, is_kept: bool) -> None:
         """Take one answer."""
         self._open -= 1
-        if self._on_done is None or not (is_kept or not self._open):
+        self._kept += is_kept
+        if self._on_done is None:
             return
-        on_done, self._on_done = self._on_done, None
-        on_done(1 if is_kept else 0)
+        if self._kept >= ENOUGH_COPIES or not self._open:
+            on_done, self._on_done = self._on_done, None
+            on_done(self._kept)
 
 
 class _CopyListener(transport.HttpListener):
--- a/postspring/upstreams/directory.py
+++ b/postspring/upstreams/directory.py
@@ -5,6 +5,7 @@
 import dataclasses
 import logging
 import math
+import random
 from typing import NewType
 
 from postspring.upstreams import load as load_module
@@ -22,6 +23,8 @@
 # long; when two of a data centre are, all of it is, in seconds.
 UNREACHABLE_SECONDS = 1.5
 UNREACHABLE_UPSTREAMS = 2
+# How often one of them is tried all the same, in seconds.
+PROBE_SECONDS = 0.5
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -66,6 +69,10 @@
     unreachable_at: float = -math.inf
     missing: bool = False
 
+    def is_unreachable(self, now: float) -> bool:
+        """Return whether the machine did not acknowledge lately."""
+        return now - self.unreachable_at < UNREACHABLE_SECONDS
+
 
 class Directory:
     """Upstreams by id.
@@ -88,6 +95,7 @@
         self._on_gone = on_gone
         self.by_id: dict[UpstreamId, Upstream] = {}
         self._tolerant_until = 0.0
+        self._probed_at_by_service: dict[str, float] = {}
 
     def announce(self, entry: Announcement) -> None:
         """Take an upstream's entry, a first one or a changed one."""
@@ -152,13 +160,30 @@
             if upstream.service == service and upstream.accepts(now)
         ]
 
-    def not_leaving(self, service: str) -> list[Upstream]:
-        """Return the upstreams of a service, suspended ones too."""
-        return [
-            upstream
-            for upstream in self.by_id.values()
-            if upstream.service == service and not upstream.leaving
-        ]
+    def last_resort(self, service: str) -> list[Upstream]:
+        """Return what to try when no upstream of a service is usable.
+
+        Those that failed lately; of those that are out of reach, one is
+        tried now and then.
+        """
+        now = self._now()
+        staying = self._staying(service)
+        reachable = [item for item in staying if not item.is_unreachable(now)]
+        if reachable or not staying:
+            return reachable
+        probed_at = self._probed_at_by_service.get(service, -math.inf)
+        if now - probed_at < PROBE_SECONDS:
+            return []
+        self._probed_at_by_service[service] = now
+        return [random.choice(staying)]
+
+    def is_out_of_reach(self, service: str) -> bool:
+        """Return whether a service has upstreams, all out of reach."""
+        now = self._now()
+        staying = self._staying(service)
+        return bool(staying) and all(
+            item.is_unreachable(now) for item in staying
+        )
 
     def note_unreachable(self, upstream: Upstream) -> None:
         """Take note that an upstream's machine does not acknowledge.
@@ -174,15 +199,21 @@
             for other in self.by_id.values()
             if other.data_center == upstream.data_center
         ]
-        silent = sum(
-            now - other.unreachable_at < UNREACHABLE_SECONDS for other in there
-        )
+        silent = sum(other.is_unreachable(now) for other in there)
         if silent >= UNREACHABLE_UPSTREAMS:
             for other in there:
                 other.suspend(now, UNREACHABLE_SECONDS)
+                other.unreachable_at = now
 
     # -- own ------------------------------------------------------------------
 
+    def _staying(self, service: str) -> list[Upstream]:
+        return [
+            upstream
+            for upstream in self.by_id.values()
+            if upstream.service == service and not upstream.leaving
+        ]
+
     def _drop(self, upstream: Upstream) -> None:
         del self.by_id[upstream.id]
         upstream.leaving = True
