Homes add up, promises before they begin, incomplete chains are uncertain

Now a VM asks before it lets a program go on and the others promise to stay back, what they may spend themselves is taken off, all uncertain homes together get one turn's ceiling, and a chain that misses an older turn is unavailable, not absent. Tests: test_accounts, test_journal.

--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -118,7 +118,7 @@
     taker : Upstream or None
         A VM that can run the turn.
     keeper : Upstream or None
-        A VM that keeps the turn that is to be continued.
+        A VM that has the whole chain that is to be continued.
     is_answered : bool
         Some VM answered.
     reached_enough : bool
@@ -132,8 +132,12 @@
         left out.
     is_deferred : bool
         Another VM is about to run a turn of the program.
+    is_known_turn : bool
+        Some VM knows the turn that is to be continued.
     charged : int
-        Tokens that the program is charged with, as far as they know.
+        Tokens that records charge the program with, as far as they know.
+    home_tokens : int
+        Tokens that it may spend at other VMs while the log is away.
     """
 
     taker: upstreams.Upstream | None = None
@@ -144,7 +148,9 @@
     is_known: bool = False
     is_certain: bool = False
     is_deferred: bool = False
+    is_known_turn: bool = False
     charged: int = 0
+    home_tokens: int = 0
 
 
 class Neighbours(abc.ABC):
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -212,7 +212,7 @@
 
     def _not_found(self, finding: ports.Finding) -> None:
         """The log has no such turn; another VM might still keep it."""
-        if finding.reached_enough and finding.keeper is None:
+        if finding.reached_enough and not finding.is_known_turn:
             self._close(refusals.Refusal.NO_SUCH_TURN)
         else:
             self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
@@ -235,6 +235,7 @@
             self._facts.ceiling,
             self._facts.budget,
             max(finding.charged, journal.charged(self._program)),
+            finding.home_tokens,
             finding.reached_all if known else finding.is_certain,
         )
         self._open()
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -184,15 +184,15 @@
             self.callers.address,
         )
         self.members = peering.Members(self.log, self.timers, own)
+        promises = peering.Promises(self.vm.vm, self.timers.now)
         self.neighbourhood = peering.Neighbourhood(
-            self._peer_http, self.members, self._is_complete
+            self._peer_http, self.members, promises, self._is_complete
         )
         self.journal.companions = self.neighbourhood
         self._peer_service = peering.PeerService(
-            self.vm.vm,
             self.journal,
             self.store.pass_on,
-            self.neighbourhood.asking,
+            promises,
             self._is_complete,
         )
 
--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -182,9 +182,10 @@
         home = _Home(tokens, is_certain)
         self._home_by_program.setdefault(program, home)
 
-    def charged_at_home(self, program: records.ProgramId) -> int:
-        """Return the tokens of turns at home that are not in the log."""
-        return self._used(program, Origin.HOME)
+    def home_tokens(self, program: records.ProgramId) -> int:
+        """Return what a program may spend here, or has spent unrecorded."""
+        home = self._home_by_program.get(program)
+        return 0 if home is None else max(0, home.tokens)
 
     def is_home(self, program: records.ProgramId) -> bool:
         """Return whether the program began here while the log was away."""
--- a/postspring/histories/chains.py
+++ b/postspring/histories/chains.py
@@ -4,6 +4,7 @@
 import dataclasses
 import functools
 
+from postspring.histories import errors
 from postspring.histories import records
 
 __all__ = ["Chain", "ChainSearch", "collect"]
@@ -61,7 +62,12 @@
             self._on_done(chain)
             return
         if missing.program in self._refreshed:
-            when_missing()
+            if missing == self._head:
+                when_missing()
+            else:
+                # The turn exists; what precedes it is not in the log yet.
+                error = errors.JournalUnavailable("incomplete_chain")
+                self._on_error(error)
             return
         self._refreshed.add(missing.program)
         self._journal.refresh_program(
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -196,31 +196,31 @@
         ceiling: int,
         budget: int | None,
         charged: int,
+        elsewhere: int,
         is_certain: bool,
     ) -> None:
         """Let a program go on here while the log is away.
 
-        If it is not certain that nobody else does the same, it gets no
-        more than the one turn by which a budget may be passed.
+        If it is not certain that nobody else does the same, all homes
+        together get no more than the one turn by which a budget may be
+        passed.
 
         Parameters
         ----------
         charged : int
-            Tokens that it is charged with, as far as anybody knows.
+            Tokens that records charge it with, as far as anybody knows.
+        elsewhere : int
+            Tokens of its other homes.
         """
         if budget is not None:
-            left = budget - charged
-            tokens = left if is_certain else min(left, ceiling)
+            left = budget - charged - elsewhere
+            tokens = left if is_certain else min(left, ceiling - elsewhere)
             self.accounts.make_home(program, tokens, is_certain)
 
     def charged(self, program: records.ProgramId) -> int:
-        """Return what a program is charged with, as far as is known here."""
+        """Return what the records here charge a program with."""
         known = self._program(program)
-        return (
-            known.charged
-            + known.reserved
-            + self.accounts.charged_at_home(program)
-        )
+        return known.charged + known.reserved
 
     # -- reading --------------------------------------------------------------
 
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -25,7 +25,7 @@
 # Pause after a failed call, in seconds; doubled with each one up to the
 # second figure.  Every call is paid for, failed ones too.
 RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 1.0
+LONGEST_RETRY_SECONDS = 0.5
 # An append without an answer for this long counts as failing; the slow
 # store takes 0.25 s.
 SLOW_SECONDS = 0.4
--- /dev/null
+++ b/postspring/histories/tests/test_accounts.py
@@ -0,0 +1,151 @@
+"""What a VM may spend of a program's budget without asking the log."""
+
+import unittest
+
+from postspring import histories
+
+HOME = histories.Origin.HOME
+RESERVE = histories.Origin.RESERVE
+
+
+class AccountsCase(unittest.TestCase):
+    """One program of which a VM has reserved 30 tokens."""
+
+    def setUp(self):
+        self.accounts = histories.LocalAccounts("vm")
+        self.program = histories.Program("p")
+        self.program.reserve_by_author["vm"] = 30
+
+    def take(self, turn, ceiling=10, budget=100, away=False):
+        """Ask for the right to run a turn."""
+        return self.accounts.take(self.program, turn, ceiling, budget, away)
+
+
+class ReserveTest(AccountsCase):
+    """Turns from what was reserved in the log."""
+
+    def test_turns_under_way_use_it_up(self):
+        origins = [self.take(turn).origin for turn in "abc"]
+        self.assertEqual([RESERVE] * 3, origins)
+        self.assertIsNone(self.take("d"))
+
+    def test_an_ended_turn_uses_what_it_spent(self):
+        ticket = self.take("a", ceiling=30)
+        self.accounts.spent(ticket, 5)
+        self.assertIsNotNone(self.take("b", ceiling=25))
+
+    def test_a_settled_turn_is_counted_by_the_log(self):
+        ticket = self.take("a", ceiling=30)
+        self.accounts.spent(ticket, 5)
+        self.program.reserve_by_author["vm"] = 25
+        self.accounts.settle(ticket, 5)
+        self.assertIsNone(self.take("b", ceiling=26))
+        self.assertIsNotNone(self.take("c", ceiling=25))
+
+    def test_what_is_given_back_is_not_used(self):
+        self.assertEqual(30, self.accounts.give_back(self.program, "x"))
+        self.assertIsNone(self.take("a"))
+
+    def test_no_budget_means_no_bound(self):
+        self.assertIsNotNone(self.take("a", ceiling=10**6, budget=None))
+
+
+class HomeTest(AccountsCase):
+    """Programs that go on here while the log is away."""
+
+    def setUp(self):
+        super().setUp()
+        self.program.reserve_by_author.clear()
+
+    def test_only_while_the_log_is_away(self):
+        self.accounts.make_home("p", 100, is_certain=True)
+        self.assertIsNone(self.take("a"))
+        self.assertIs(HOME, self.take("a", away=True).origin)
+
+    def test_what_the_log_charges_counts(self):
+        self.accounts.make_home("p", 100, is_certain=True)
+        self.program.charged = 95
+        self.assertIsNone(self.take("a", away=True))
+
+    def test_an_uncertain_home_limits_a_turn(self):
+        self.accounts.make_home("p", 10, is_certain=False)
+        ticket = self.take("a", away=True)
+        self.accounts.spent(ticket, 4)
+        self.assertEqual(6, self.take("b", away=True).limit)
+
+    def test_it_starts_no_turn_with_little_left(self):
+        self.accounts.make_home("p", 10, is_certain=False)
+        self.accounts.spent(self.take("a", away=True), 6)
+        self.assertIsNone(self.take("b", away=True))
+
+    def test_others_are_told_of_its_tokens(self):
+        self.accounts.make_home("p", 100, is_certain=True)
+        ticket = self.take("a", away=True)
+        self.accounts.spent(ticket, 4)
+        self.assertEqual(100, self.accounts.home_tokens("p"))
+        self.accounts.settle(ticket, 4)
+        self.assertEqual(96, self.accounts.home_tokens("p"))
+
+    def test_it_ends_when_all_is_recorded(self):
+        self.accounts.make_home("p", 100, is_certain=True)
+        ticket = self.take("a", away=True)
+        self.accounts.close_home("p")
+        self.assertTrue(self.accounts.is_home("p"))
+        self.accounts.settle(ticket, 4)
+        self.accounts.close_home("p")
+        self.assertFalse(self.accounts.is_home("p"))
+
+
+class ReservedInTheLogTest(unittest.TestCase):
+    """Reserves in the fold."""
+
+    def setUp(self):
+        self.program = histories.Program("p")
+
+    def open(self, turn, author, budget=100, ceiling=10, ahead=40):
+        """Fold a record that opens a turn."""
+        claim = histories.Claim(author, ceiling, budget, ahead)
+        return self.program.open(histories.OpenedTurn("p", turn, claim))
+
+    def complete(self, turn, author, tokens, from_reserve):
+        """Fold the record of a whole turn."""
+        claim = histories.Claim(author, 10, 100, 0, from_reserve)
+        self.program.complete(
+            histories.WholeTurn("p", turn, claim, None, tokens, b"", b"")
+        )
+
+    def test_at_most_half_of_the_rest(self):
+        self.open("a", "one")
+        self.assertEqual({"one": 40}, self.program.reserve_by_author)
+        self.open("b", "two")
+        self.assertEqual(20, self.program.reserve_by_author["two"])
+
+    def test_two_turns_stay_free(self):
+        self.open("a", "one", budget=30)
+        self.assertEqual(0, self.program.reserved)
+
+    def test_a_turn_from_it_makes_it_smaller(self):
+        self.open("a", "one")
+        self.complete("b", "one", 7, from_reserve=True)
+        self.assertEqual(33, self.program.reserve_by_author["one"])
+        self.assertEqual(17, self.program.charged)
+
+    def test_a_record_that_stands_twice_makes_it_smaller_once(self):
+        self.open("a", "one")
+        self.complete("b", "one", 7, from_reserve=True)
+        self.complete("b", "one", 7, from_reserve=True)
+        self.assertEqual(33, self.program.reserve_by_author["one"])
+
+    def test_what_others_reserved_defers_and_does_not_refuse(self):
+        self.open("a", "one")
+        state = self.open("b", "two", ceiling=60)
+        self.assertIs(histories.TurnState.DEFERRED, state)
+        state = self.open("c", "two", ceiling=95)
+        self.assertIs(histories.TurnState.REFUSED, state)
+
+    def test_the_budget_is_never_passed(self):
+        for number in range(30):
+            author = ("one", "two", "three")[number % 3]
+            self.open(f"t{number}", author)
+            total = self.program.charged + self.program.reserved
+            self.assertLessEqual(total, 100)
--- a/postspring/histories/tests/test_journal.py
+++ b/postspring/histories/tests/test_journal.py
@@ -206,6 +206,47 @@
         self.assertEqual(b"<a><b>", self.one.chain("b"))
 
 
+class HeldChainTest(JournalCase):
+    """Turns that other VMs keep while the log is away."""
+
+    def copy_of(self, turn, parent=None):
+        """Return the record of a turn that is not in the log."""
+        claim = histories.Claim("one", 10, 25)
+        ref = parent and histories.TurnRef("p", parent)
+        return histories.encode_record(
+            histories.WholeTurn(
+                "p", turn, claim, ref, 4, b"<" + turn.encode(), b">"
+            )
+        )
+
+    def test_a_copy_is_known_at_once_and_recorded_later(self):
+        self.two.log.faults.down = True
+        self.two.journal.keep_copy(self.copy_of("a"))
+        self.assertEqual(b"<a>", self.two.chain("a"))
+        self.assertEqual(1, self.two.journal.held)
+        self.two.log.faults.down = False
+        self.clock.run_until(lambda: not self.two.journal.held, 10)
+        self.assertEqual(b"<a>", self.one.chain("a"))
+
+    def test_a_copy_without_what_precedes_it_is_not_said_to_be_none(self):
+        # Found on tallgrass trouble-3: the turn was known here, the one
+        # before it was still kept elsewhere; the answer was 404.
+        self.two.journal.keep_copy(self.copy_of("b", parent="a"))
+        error = self.two.chain("b", patience=0.5)
+        self.assertIsInstance(error, histories.JournalUnavailable)
+
+    def test_two_copies_are_recorded_once(self):
+        self.one.journal.keep_copy(self.copy_of("a"))
+        self.two.journal.keep_copy(self.copy_of("a"))
+        self.clock.run_for(1)
+        self.assertIs(OPEN, self.one.open("b", ceiling=21))
+
+    def test_what_is_no_whole_turn_is_refused(self):
+        location = histories.TurnLocation("a", "p")
+        with self.assertRaises(histories.MalformedRecord):
+            self.one.journal.keep_copy(histories.encode_record(location))
+
+
 class SharedPartitionTest(JournalCase):
     """Programs that share a partition don't disturb each other."""
 
--- a/postspring/peering/__init__.py
+++ b/postspring/peering/__init__.py
@@ -11,6 +11,7 @@
 from postspring.peering.members import Members
 from postspring.peering.messages import STORE_PREFIX
 from postspring.peering.neighbourhood import Neighbourhood
+from postspring.peering.promises import Promises
 from postspring.peering.service import PeerService
 
 __all__ = [
@@ -19,5 +20,6 @@
     "Members",
     "Neighbourhood",
     "PeerService",
+    "Promises",
     "STORE_PREFIX",
 ]
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -58,17 +58,23 @@
         The turn that is to be continued is known there.
     is_complete : bool
         The VM has been up for long enough to know what began there.
+    has_chain : bool
+        The turn and all that precede it are known there.
     charged : int
-        Tokens that the program is charged with, as far as is known there.
+        Tokens that records charge the program with, as far as is known.
+    home_tokens : int
+        Tokens that the program may spend there while the log is away.
     goes_first : bool
-        The VM asks the same just now, and goes before the one that asks.
+        Another VM is about to let the program go on.
     """
 
     can_take: bool
     knows: bool
     knows_turn: bool
     is_complete: bool
+    has_chain: bool = False
     charged: int = 0
+    home_tokens: int = 0
     goes_first: bool = False
 
 
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -1,6 +1,7 @@
 """Asks the other VMs: to keep records, and what they know of a program."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from postspring import errors
@@ -8,6 +9,7 @@
 from postspring import histories
 from postspring.peering import members as members_module
 from postspring.peering import messages
+from postspring.peering import promises as promises_module
 from postspring import transport
 from postspring import upstreams
 
@@ -38,18 +40,21 @@
         Carries the requests.
     members : Members
         Whom to ask.
+    promises : Promises
+        Which VM may let a program go on.
     """
 
     def __init__(
         self,
         http: transport.HttpClient,
         members: members_module.Members,
+        promises: promises_module.Promises,
         is_complete: Callable[[], bool],
     ):
+        self._promises = promises
         self._http = http
         self._members = members
         self._is_complete = is_complete
-        self.asking: set[str] = set()
 
     # -- copies ---------------------------------------------------------------
 
@@ -88,11 +93,14 @@
             facts.ceiling,
         )
         others = self._members.others
-        self.asking.add(facts.program)
+        self._promises.begin_asking(facts.program)
 
         def answered(search: "_Search") -> None:
-            self.asking.discard(facts.program)
-            on_done(search.finding(self._members.own, self._is_complete()))
+            self._promises.end_asking(facts.program)
+            finding = search.finding(self._members.own, self._is_complete())
+            if self._promises.binds(facts.program):
+                finding = dataclasses.replace(finding, is_deferred=True)
+            on_done(finding)
 
         search = _Search(others, answered)
         body = messages.encode(request)
@@ -124,7 +132,7 @@
         self._answers[member.name] = found
         if found.can_take and self._taker is None:
             self._taker = member
-        if found.knows_turn and self._keeper is None:
+        if found.has_chain and self._keeper is None:
             self._keeper = member
         self._count_down()
 
@@ -163,7 +171,9 @@
             is_known=any(item.knows for item in answers),
             is_certain=complete and here_answered,
             is_deferred=any(item.goes_first for item in answers),
+            is_known_turn=any(item.knows_turn for item in answers),
             charged=max((item.charged for item in answers), default=0),
+            home_tokens=sum(item.home_tokens for item in answers),
         )
 
 
--- /dev/null
+++ b/postspring/peering/promises.py
@@ -0,0 +1,73 @@
+"""Which VM may let a program go on while the log is away.
+
+A VM asks the others before it does; each of them promises that it will not
+do the same for a while, or says that another one goes first.
+"""
+
+from collections.abc import Callable
+
+__all__ = ["Promises"]
+
+# Longer than a VM takes to ask the others and to begin, in seconds.
+PROMISE_SECONDS = 0.5
+
+
+class Promises:
+    """Promises given to other VMs, by program.
+
+    Parameters
+    ==========
+
+    name : str
+        This VM's; of two that ask at once the first by name goes on.
+    now : callable
+        Monotonic time in seconds.
+
+    Examples
+    ========
+
+    >>> promises = Promises("b", lambda: 0.0)
+    >>> promises.give("p", "c"), promises.give("p", "d")
+    (True, False)
+    >>> promises.binds("p")
+    True
+    """
+
+    def __init__(self, name: str, now: Callable[[], float]):
+        self._name = name
+        self._now = now
+        self._given: dict[str, tuple[str, float]] = {}
+        self._asking: dict[str, int] = {}
+
+    def give(self, program: str, vm: str) -> bool:
+        """Promise a VM to stay back; return False if it has to itself."""
+        if program in self._asking and self._name < vm:
+            return False
+        holder = self._holder(program)
+        if holder not in (None, vm):
+            return False
+        self._given[program] = (vm, self._now() + PROMISE_SECONDS)
+        return True
+
+    def binds(self, program: str) -> bool:
+        """Return whether this VM has to stay back."""
+        return self._holder(program) is not None
+
+    def begin_asking(self, program: str) -> None:
+        """Take note that this VM asks the others."""
+        self._asking[program] = self._asking.get(program, 0) + 1
+
+    def end_asking(self, program: str) -> None:
+        """Take note that it has the answers."""
+        left = self._asking[program] - 1
+        if left:
+            self._asking[program] = left
+        else:
+            del self._asking[program]
+
+    def _holder(self, program: str) -> str | None:
+        vm, until = self._given.get(program, (None, 0.0))
+        if vm is not None and until <= self._now():
+            del self._given[program]
+            return None
+        return vm
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -6,6 +6,7 @@
 from postspring import errors
 from postspring import histories
 from postspring.peering import messages
+from postspring.peering import promises as promises_module
 from postspring import transport
 
 __all__ = ["PeerService"]
@@ -22,28 +23,24 @@
     Parameters
     ==========
 
-    name : str
-        This VM's.
     pass_on : callable
         Makes a call to the log for another VM.
-    asking : set of str
-        Programs that this VM asks the others about just now.
+    promises : Promises
+        Which VM may let a program go on.
     is_complete : callable
         Returns whether this VM knows all that began here lately.
     """
 
     def __init__(
         self,
-        name: str,
         journal: histories.Journal,
         pass_on: PassOn,
-        asking: set[str],
+        promises: promises_module.Promises,
         is_complete: Callable[[], bool],
     ):
-        self._name = name
         self._journal = journal
         self._pass_on = pass_on
-        self._asking = asking
+        self._promises = promises
         self._is_complete = is_complete
 
     def handle(self, call: transport.IncomingCall) -> None:
@@ -79,20 +76,20 @@
         journal = self._journal
         program = histories.ProgramId(request.program)
         previous = request.previous
-        knows_turn = False
+        knows_turn = has_chain = False
         if previous is not None:
             ref = histories.TurnRef(program, histories.TurnId(previous))
             knows_turn = journal.known_turn(ref) is not None
-        # Of two VMs that ask at once, the first by name goes on.
-        goes_first = (
-            request.program in self._asking and self._name < request.vm
-        )
+            has_chain = journal.known_chain(ref) is not None
+        goes_first = not self._promises.give(request.program, request.vm)
         found = messages.Found(
             can_take=journal.can_take(program, previous, request.ceiling),
             knows=journal.knows(program),
             knows_turn=knows_turn,
             is_complete=self._is_complete(),
+            has_chain=has_chain,
             charged=journal.charged(program),
+            home_tokens=journal.accounts.home_tokens(program),
             goes_first=goes_first,
         )
         call.respond(200, [], messages.encode(found))
