Fewer failed calls to the store

A partition out of reach is tried directly only, once a second and not twice at a time; the whole log counts as out of reach after three failures in a row.

--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -25,7 +25,7 @@
 # Pause after a failed call, in seconds; doubled with each one up to the
 # second figure.  Every call is paid for, failed ones too.
 RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 0.5
+LONGEST_RETRY_SECONDS = 1.0
 # An append without an answer for this long counts as failing; the slow
 # store takes 0.25 s.
 SLOW_SECONDS = 0.4
@@ -78,6 +78,11 @@
         self._pause = RETRY_SECONDS
         self._retry: Callable[[], None] | None = None
 
+    @property
+    def has_failed(self) -> bool:
+        """Whether the last call failed: then it is not sent twice."""
+        return self._failing
+
     @property
     def is_failing(self) -> bool:
         """Whether the last call failed, or has no answer for long."""
@@ -273,7 +278,7 @@
         """Send the batch, and plan to send it again."""
         partition = self._partition
         self._open += 1
-        if self._sent < len(RESEND_SECONDS):
+        if self._sent < len(RESEND_SECONDS) and not partition.has_failed:
             seconds = RESEND_SECONDS[self._sent]
             self._resend = partition._timers.call_later(seconds, self._again)
         self._sent += 1
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -19,6 +19,12 @@
 # A VM that could not help is not asked for this long, in seconds.
 AVOID_SECONDS = 1.0
 MAX_HELPERS = 2
+# After so many failures without a success the whole log counts as out of
+# reach; before, the partitions that failed.
+FAILURES_IN_A_ROW = 3
+# A partition that no way leads to is only tried directly for this long, in
+# seconds: each call is paid for, failed ones too.
+PLACE_AWAY_SECONDS = 2.0
 # Longest wait of a read that another VM makes, in seconds: below the time
 # that it gives a call.
 HELPED_WAIT_SECONDS = 0.8
@@ -55,12 +61,14 @@
         self._members = members
         self._timers = timers
         self._failing_since: float | None = None
-        self._probed_at = 0.0
+        self._failures_in_a_row = 0
+        self._probed_at_by_place: dict[keyedlog.LogPlace, float] = {}
         self._avoided_until: dict[str, float] = {}
+        self._away_until: dict[keyedlog.LogPlace, float] = {}
 
     @property
     def is_direct(self) -> bool:
-        """Whether the last direct call succeeded."""
+        """Whether the direct way leads to the log at all."""
         return self._failing_since is None
 
     @property
@@ -74,7 +82,7 @@
         def start(log, done, failed) -> None:
             log.append(place, entries, done, failed)
 
-        _Call(self, start, on_done, on_error, HEDGE_SECONDS).start()
+        _Call(self, place, start, on_done, on_error, HEDGE_SECONDS).start()
 
     def read(self, place, start, on_page, on_error, wait=0.0) -> None:
         """Read records, by one way or another."""
@@ -84,7 +92,7 @@
             log.read(place, start, done, failed, min(wait, longest))
 
         patience = HEDGE_SECONDS + wait
-        _Call(self, begin, on_page, on_error, patience).start()
+        _Call(self, place, begin, on_page, on_error, patience).start()
 
     def read_newest(self, place, on_page, on_error) -> None:
         """Read the newest records, by one way or another."""
@@ -92,43 +100,61 @@
         def start(log, done, failed) -> None:
             log.read_newest(place, done, failed)
 
-        _Call(self, start, on_page, on_error, HEDGE_SECONDS).start()
+        _Call(self, place, start, on_page, on_error, HEDGE_SECONDS).start()
 
     # -- for calls ------------------------------------------------------------
 
-    def try_direct(self) -> bool:
-        """Return whether a call should go the direct way."""
-        now = self._timers.now()
-        if self._failing_since is None:
+    def try_direct(self, place: keyedlog.LogPlace) -> bool:
+        """Return whether a call should go the direct way.
+
+        Not while the partition, or the whole log, can't be reached that
+        way, but for a try now and then.
+        """
+        probed_at = self._probed_at_by_place.get(place)
+        if probed_at is None and self.is_direct:
             return True
-        if now - self._probed_at < PROBE_SECONDS:
+        now = self._timers.now()
+        if probed_at is not None and now - probed_at < PROBE_SECONDS:
             return False
-        self._probed_at = now
+        self._probed_at_by_place[place] = now
         return True
 
-    def direct_done(self) -> None:
+    def direct_done(self, place: keyedlog.LogPlace) -> None:
         """Take note that the direct way works."""
+        self._failures_in_a_row = 0
+        self._probed_at_by_place.pop(place, None)
         if self._failing_since is not None:
             seconds = self._timers.now() - self._failing_since
             self._failing_since = None
             LOG.info("direct way back", extra={"seconds": round(seconds, 2)})
             self._timers.call_later(0, self._on_change)
 
-    def direct_failed(self, reason: str) -> None:
+    def direct_failed(self, place: keyedlog.LogPlace, reason: str) -> None:
         """Take note that the direct way does not work."""
-        if self._failing_since is None:
-            self._failing_since = self._timers.now()
-            self._probed_at = self._failing_since
+        now = self._timers.now()
+        self._probed_at_by_place.setdefault(place, now)
+        self._failures_in_a_row += 1
+        if self._failing_since is not None:
+            return
+        if self._failures_in_a_row >= FAILURES_IN_A_ROW:
+            self._failing_since = now
             LOG.info("direct way lost", extra={"reason": reason})
             self._timers.call_later(0, self._on_change)
 
-    def note_outcome(self, is_down: bool) -> None:
+    def note_outcome(self, place: keyedlog.LogPlace, is_down: bool) -> None:
         """Take note of how a call ended."""
         self._is_down = is_down
-
-    def helpers(self) -> list[members_module.Member]:
-        """Return the VMs to ask for help."""
+        if not is_down:
+            self._away_until.pop(place, None)
+        elif self._away_until.get(place, 0.0) <= self._timers.now():
+            until = self._timers.now() + PLACE_AWAY_SECONDS
+            self._away_until[place] = until
+
+    def helpers(self, place: keyedlog.LogPlace) -> list[members_module.Member]:
+        """Return the VMs to ask for help with a partition."""
         now = self._timers.now()
+        if self._away_until.get(place, 0.0) > now:
+            return []
         found = [
             member
             for member in self._members()
@@ -153,8 +179,11 @@
 class _Call:
     """One call; the first way that succeeds ends it."""
 
-    def __init__(self, log: FailoverLog, start, on_done, on_error, patience):
+    def __init__(
+        self, log: FailoverLog, place, start, on_done, on_error, patience
+    ):
         self._log = log
+        self._place = place
         self._start = start
         self._on_done = on_done
         self._on_error = on_error
@@ -166,7 +195,7 @@
 
     def start(self) -> None:
         """Go the direct way if it may work, else through another VM."""
-        if self._log.try_direct():
+        if self._log.try_direct(self._place):
             self._open += 1
             self._timer = self._log.call_later(self._patience, self._overdue)
             self._start(
@@ -176,21 +205,21 @@
             self._ask(keyedlog.LogUnavailable("direct way lost"))
 
     def _direct_done(self, result) -> None:
-        self._log.direct_done()
+        self._log.direct_done(self._place)
         self._done(result)
 
     def _direct_failed(self, error: keyedlog.KeyedLogError) -> None:
         self._open -= 1
         if isinstance(error, keyedlog.LogExpired):
-            self._log.direct_done()
+            self._log.direct_done(self._place)
             self._fail(error)
             return
-        self._log.direct_failed(str(error))
+        self._log.direct_failed(self._place, str(error))
         self._ask(error)
 
     def _overdue(self) -> None:
         if not self._finished:
-            self._log.direct_failed("slow")
+            self._log.direct_failed(self._place, "slow")
             self._ask(keyedlog.LogUnavailable("slow"))
 
     def _ask(self, error: keyedlog.KeyedLogError) -> None:
@@ -198,7 +227,7 @@
         if self._finished:
             return
         if self._helpers is None:
-            self._helpers = self._log.helpers()
+            self._helpers = self._log.helpers(self._place)
         if not self._helpers:
             if not self._open:
                 self._fail(error)
@@ -217,14 +246,14 @@
         self._start(self._log.through(member), self._done, failed)
 
     def _done(self, result) -> None:
-        self._log.note_outcome(is_down=False)
+        self._log.note_outcome(self._place, is_down=False)
         if not self._finished:
             self._finish()
             self._on_done(result)
 
     def _fail(self, error: keyedlog.KeyedLogError) -> None:
         is_down = not isinstance(error, keyedlog.LogExpired)
-        self._log.note_outcome(is_down)
+        self._log.note_outcome(self._place, is_down)
         if not self._finished:
             self._finish()
             self._on_error(error)
