A VM that starts while the store is away asks others what they know

They now begin with the view of a VM that the platform's seeds name: configuration, upstreams, members. VMs listen for each other at the control address, since seeds point there.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -145,6 +145,7 @@
             self.configuration.take,
             self.configuration.take,
             wait=CONFIGURATION_WAIT_SECONDS,
+            ask_others=self._ask_view,
         )
         self._upstream_follower = keyedlog.Follower(
             self.log,
@@ -154,6 +155,7 @@
             watch.take,
             pace=UPSTREAMS_PACE_SECONDS,
             on_regained=self._log_regained,
+            ask_others=self._ask_view,
         )
 
     def _listen(self) -> None:
@@ -183,7 +185,13 @@
             self.peers.address,
             self.callers.address,
         )
-        self.members = peering.Members(self.log, self.timers, own)
+        self.members = peering.Members(
+            self.log,
+            self.timers,
+            own,
+            self.vm.seeds,
+            self._ask_view,
+        )
         promises = peering.Promises(self.vm.vm, self.timers.now)
         self.neighbourhood = peering.Neighbourhood(
             self._peer_http, self.members, promises, self._is_complete
@@ -194,6 +202,7 @@
             self.store.pass_on,
             promises,
             self._is_complete,
+            self._view_of,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
@@ -285,6 +294,19 @@
         """A read that waits for a change may hang on the way that is lost."""
         self._configuration_follower.read_now()
 
+    def _ask_view(self, place, on_page) -> None:
+        self.neighbourhood.ask_view(place, on_page)
+
+    def _view_of(self, subject: str) -> keyedlog.LogPage | None:
+        """Return what this VM knows, for one that has just started."""
+        if subject == keyedlog.Subject.CONFIGURATION.value:
+            return self._configuration_follower.view
+        if subject == keyedlog.Subject.UPSTREAMS.value:
+            return self._upstream_follower.view
+        if subject == keyedlog.Subject.MEMBERS.value:
+            return self.members.view
+        return None
+
     def _log_regained(self, seconds: float) -> None:
         self.directory.tolerate_missing()
         self._configuration_follower.read_now()
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -15,6 +15,9 @@
 RETRY_SECONDS = 0.3
 
 
+AskOthers = Callable[[ports.LogPlace, Callable[[ports.LogPage], None]], None]
+
+
 class Follower:
     """Keeps a VM's view of one partition up to date.
 
@@ -39,6 +42,9 @@
     on_regained : callable
         Called when the log answers again, with how many seconds it was
         away.
+    ask_others : callable, optional
+        Asks other VMs for their view while the log does not answer; called
+        with the place and who takes a page.
     """
 
     def __init__(
@@ -51,7 +57,10 @@
         pace: float = 0.0,
         wait: float = 0.0,
         on_regained: Callable[[float], None] = lambda seconds: None,
+        ask_others: AskOthers = lambda place, on_page: None,
     ):
+        self._ask_others = ask_others
+        self._newest_by_key: dict[str, ports.LogEntry] = {}
         self._log = log
         self._timers = timers
         self._place = place
@@ -78,6 +87,14 @@
         """Seconds since the log last answered."""
         return self._timers.now() - self.fresh_at
 
+    @property
+    def view(self) -> ports.LogPage | None:
+        """The newest record of each key, as this VM knows them."""
+        if self._next is None:
+            return None
+        entries = list(self._newest_by_key.values())
+        return ports.LogPage(entries, self._next, self._next)
+
     # -- own ------------------------------------------------------------------
 
     def _read(self) -> None:
@@ -102,6 +119,7 @@
         was_reset = self._next is None
         self._next = page.next
         self._note_success()
+        self._keep(page, was_reset)
         if was_reset:
             self._on_reset(page.entries)
         elif page.entries:
@@ -109,6 +127,30 @@
         behind = page.next < page.end
         self._plan(0.0 if behind else self._pace)
 
+    def _keep(self, page: ports.LogPage, was_reset: bool) -> None:
+        if was_reset:
+            self._newest_by_key.clear()
+        for entry in page.entries:
+            if entry.value:
+                self._newest_by_key[entry.key] = entry
+            else:
+                self._newest_by_key.pop(entry.key, None)
+
+    def _take_view(self, page: ports.LogPage) -> None:
+        """Begin with another VM's view: the log has not answered yet."""
+        if self._next is not None:
+            return
+        self._next = page.next
+        self._keep(page, was_reset=True)
+        LOG.info(
+            "view of another VM",
+            extra={
+                "subject": self._place.subject.value,
+                "entries": len(page.entries),
+            },
+        )
+        self._on_reset(page.entries)
+
     def _failed(self, error: errors.KeyedLogError) -> None:
         if isinstance(error, errors.LogExpired):
             self._next = None
@@ -123,6 +165,8 @@
                     "reason": str(error),
                 },
             )
+        if self._next is None:
+            self._ask_others(self._place, self._take_view)
         self._plan(RETRY_SECONDS)
 
     def _note_success(self) -> None:
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -1,5 +1,6 @@
 """The entry VMs that there are, as they announced themselves in the log."""
 
+from collections.abc import Callable
 import dataclasses
 import logging
 import random
@@ -53,6 +54,10 @@
 
     own : Member
         This VM.
+    seeds : tuple
+        Addresses of VMs to ask while the list can't be read.
+    ask_others : callable
+        Asks other VMs for their view of the list.
     """
 
     def __init__(
@@ -60,7 +65,10 @@
         log: keyedlog.KeyedLog,
         timers: timers_module.Timers,
         own: Member,
+        seeds: tuple[tuple[str, int], ...] = (),
+        ask_others: Callable = lambda place, on_page: None,
     ):
+        self.seeds = [seed for seed in seeds if seed != own.peers]
         self._log = log
         self._timers = timers
         self.own = own
@@ -75,6 +83,7 @@
             self._take,
             pace=HEARTBEAT_SECONDS,
             on_regained=self._log_regained,
+            ask_others=ask_others,
         )
 
     def start(self) -> None:
@@ -91,6 +100,16 @@
             self._heartbeat.cancel()
         self._announce(b"")
 
+    @property
+    def view(self) -> keyedlog.LogPage | None:
+        """The list as this VM knows it, itself included."""
+        page = self._follower.view
+        if page is None:
+            return None
+        own = keyedlog.LogEntry(self.own.name, _encode(self.own))
+        others = [entry for entry in page.entries if entry.key != own.key]
+        return page._replace(entries=[*others, own])
+
     @property
     def others(self) -> list[Member]:
         """All other VMs, in random order."""
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -7,10 +7,19 @@
 
 from postspring import errors
 
-__all__ = ["Found", "KeepRequest", "FindRequest", "decode", "encode"]
+__all__ = [
+    "FindRequest",
+    "Found",
+    "KeepRequest",
+    "View",
+    "ViewRequest",
+    "decode",
+    "encode",
+]
 
 KEEP_PATH = "/peer/keep"
 FIND_PATH = "/peer/find"
+VIEW_PATH = "/peer/view"
 # Calls to the platform's store that are to be passed on stand behind this.
 STORE_PREFIX = "/peer/store"
 
@@ -78,6 +87,28 @@
     goes_first: bool = False
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ViewRequest:
+    """Show what you know of a subject."""
+
+    subject: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class View:
+    """The newest record of each key, as a VM knows them.
+
+    Parameters
+    ==========
+
+    next : int
+        Offset that the VM reads on from.
+    """
+
+    entries: list[tuple[str, bytes]]
+    next: int
+
+
 def encode(message: Any) -> bytes:
     """Return a message as bytes."""
     return cbor2.dumps([getattr(message, name) for name in message.__slots__])
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -7,6 +7,7 @@
 from postspring import errors
 from postspring import forwarding
 from postspring import histories
+from postspring import keyedlog
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
@@ -21,6 +22,9 @@
 # or cut off.  In seconds.
 FIND_SECONDS = 0.15
 KEEP_SECONDS = 0.25
+VIEW_SECONDS = 0.5
+# VMs that are asked for their view at the same time.
+VIEW_VMS = 3
 # VMs that are asked to keep a record at the same time, and how many copies
 # are waited for while more may come.  VMs are killed one after the other,
 # also while the log is away.
@@ -112,6 +116,60 @@
         if not others:
             answered(search)
 
+    # -- views ----------------------------------------------------------------
+
+    def ask_view(
+        self,
+        place: keyedlog.LogPlace,
+        on_page: Callable[[keyedlog.LogPage], None],
+    ) -> None:
+        """Ask some VMs what they know of a subject."""
+        request = messages.ViewRequest(place.subject.value)
+        body = messages.encode(request)
+        asked = [member.peers for member in self._members.nearest_first()]
+        for address in (asked or self._members.seeds)[:VIEW_VMS]:
+            self._http.send(
+                _request_to(address, messages.VIEW_PATH, body, VIEW_SECONDS),
+                _ViewListener(on_page),
+            )
+
+
+class _ViewListener(transport.HttpListener):
+    """Hands one VM's view on."""
+
+    def __init__(self, on_page: Callable[[keyedlog.LogPage], None]):
+        self._on_page = on_page
+        self._status = 0
+        self._body = bytearray()
+
+    def head(self, status, headers) -> None:
+        """Keep the status."""
+        self._status = status
+
+    def data(self, chunk) -> None:
+        """Keep a part of the body."""
+        self._body += chunk
+
+    def end(self) -> None:
+        """Take the view."""
+        if self._status != 200:
+            return
+        try:
+            view = messages.decode(messages.View, bytes(self._body))
+            entries = [
+                keyedlog.LogEntry(str(key), bytes(value))
+                for key, value in view.entries
+            ]
+            page = keyedlog.LogPage(entries, int(view.next), int(view.next))
+        except (errors.PeerError, TypeError, ValueError) as error:
+            LOG.warning("peer's view", extra={"error": str(error)})
+            return
+        self._on_page(page)
+
+    def failed(self, error) -> None:
+        """Another VM may answer, or the next try succeeds."""
+        LOG.info("no view", extra={"reason": str(error)})
+
 
 class _Search:
     """Collects the answers to one question."""
@@ -253,9 +311,15 @@
 
 def _request(
     member: members_module.Member, path: str, body: bytes, seconds: float
+) -> transport.HttpRequest:
+    return _request_to(member.peers, path, body, seconds)
+
+
+def _request_to(
+    address: tuple[str, int], path: str, body: bytes, seconds: float
 ) -> transport.HttpRequest:
     return transport.HttpRequest(
-        address=member.peers,
+        address=address,
         method="POST",
         path=path,
         body=body,
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -5,6 +5,7 @@
 
 from postspring import errors
 from postspring import histories
+from postspring import keyedlog
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
 from postspring import transport
@@ -27,6 +28,8 @@
         Makes a call to the log for another VM.
     promises : Promises
         Which VM may let a program go on.
+    view_of : callable
+        Returns what this VM knows of a subject, or None.
     is_complete : callable
         Returns whether this VM knows all that began here lately.
     """
@@ -37,7 +40,9 @@
         pass_on: PassOn,
         promises: promises_module.Promises,
         is_complete: Callable[[], bool],
+        view_of: Callable[[str], keyedlog.LogPage | None],
     ):
+        self._view_of = view_of
         self._journal = journal
         self._pass_on = pass_on
         self._promises = promises
@@ -51,6 +56,8 @@
                 self._pass(call, call.target[len(prefix) :])
             elif call.target == messages.KEEP_PATH:
                 self._keep(call)
+            elif call.target == messages.VIEW_PATH:
+                self._view(call)
             elif call.target == messages.FIND_PATH:
                 self._find(call)
             else:
@@ -71,6 +78,16 @@
             self._journal.keep_copy(record)
         call.respond(200, [])
 
+    def _view(self, call: transport.IncomingCall) -> None:
+        request = messages.decode(messages.ViewRequest, call.body)
+        page = self._view_of(request.subject)
+        if page is None:
+            call.respond(404, [])
+            return
+        entries = [(entry.key, entry.value) for entry in page.entries]
+        view = messages.View(entries, page.next)
+        call.respond(200, [], messages.encode(view))
+
     def _find(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.FindRequest, call.body)
         journal = self._journal
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -32,6 +32,8 @@
         Where to listen for other VMs.
     partitions : int
         Partitions of each of the store's topics.
+    seeds : tuple of (str, int)
+        Where some other VMs listen for VMs; they may be gone.
     drain : float
         Within this time a leaving upstream gets no more work.
     grace : float
@@ -48,6 +50,7 @@
     peers: Address
     drain: float
     grace: float
+    seeds: tuple[Address, ...] = ()
     memory_mb: int = 0
     first_start: bool = False
 
@@ -91,9 +94,11 @@
         store=split_address(store["address"]),
         partitions=int(store["parts"]),
         record_bytes=int(store["record_bytes"]),
-        peers=(str(raw["ip"]), int(raw["internal_port_range"][0])),
+        # VMs reach each other where the platform's seeds point to
+        peers=split_address(listen["control"]),
         drain=float(bounds["drain_ms"]) / 1000,
         grace=float(bounds["grace_s"]),
+        seeds=tuple(split_address(seed) for seed in raw.get("seeds") or ()),
         memory_mb=int(limits.get("memory_mb") or 0),
         first_start=bool(raw.get("bootstrap")),
     )
--- a/postspring/testing/fleet/fleet.py
+++ b/postspring/testing/fleet/fleet.py
@@ -150,6 +150,7 @@
             peers=("127.0.0.1", 0),
             drain=2.0,
             grace=8.0,
+            seeds=tuple(node.peers.address for node in self.nodes[:3]),
             first_start=True,
         )
         node = node_module.FrontNode(
