A VM that asks for a view introduces itself

The others did not know it while the store was away, and kept no copies with it: a turn passed on to the only other VM never ended (LateStartTest failed in the commit before).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -203,6 +203,7 @@
             promises,
             self._is_complete,
             self._view_of,
+            self.members.introduce,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -100,13 +100,22 @@
             self._heartbeat.cancel()
         self._announce(b"")
 
+    @property
+    def own_entry(self) -> bytes:
+        """This VM's entry in the list."""
+        return _encode(self.own)
+
+    def introduce(self, name: str, entry: bytes) -> None:
+        """Take a VM that the list does not have yet."""
+        self._take([keyedlog.LogEntry(name, entry)])
+
     @property
     def view(self) -> keyedlog.LogPage | None:
         """The list as this VM knows it, itself included."""
         page = self._follower.view
         if page is None:
             return None
-        own = keyedlog.LogEntry(self.own.name, _encode(self.own))
+        own = keyedlog.LogEntry(self.own.name, self.own_entry)
         others = [entry for entry in page.entries if entry.key != own.key]
         return page._replace(entries=[*others, own])
 
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -89,9 +89,20 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class ViewRequest:
-    """Show what you know of a subject."""
+    """Show what you know of a subject.
+
+    Parameters
+    ==========
+
+    vm : str
+        Who asks; it has just started, and nobody may know it yet.
+    entry : bytes
+        Its entry in the list of VMs.
+    """
 
     subject: str
+    vm: str
+    entry: bytes
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -124,10 +124,13 @@
         on_page: Callable[[keyedlog.LogPage], None],
     ) -> None:
         """Ask some VMs what they know of a subject."""
-        request = messages.ViewRequest(place.subject.value)
+        members = self._members
+        request = messages.ViewRequest(
+            place.subject.value, members.own.name, members.own_entry
+        )
         body = messages.encode(request)
-        asked = [member.peers for member in self._members.nearest_first()]
-        for address in (asked or self._members.seeds)[:VIEW_VMS]:
+        asked = [member.peers for member in members.nearest_first()]
+        for address in (asked or members.seeds)[:VIEW_VMS]:
             self._http.send(
                 _request_to(address, messages.VIEW_PATH, body, VIEW_SECONDS),
                 _ViewListener(on_page),
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -30,6 +30,8 @@
         Which VM may let a program go on.
     view_of : callable
         Returns what this VM knows of a subject, or None.
+    introduce : callable
+        Told the name and the entry of a VM that may be new.
     is_complete : callable
         Returns whether this VM knows all that began here lately.
     """
@@ -41,7 +43,9 @@
         promises: promises_module.Promises,
         is_complete: Callable[[], bool],
         view_of: Callable[[str], keyedlog.LogPage | None],
+        introduce: Callable[[str, bytes], None],
     ):
+        self._introduce = introduce
         self._view_of = view_of
         self._journal = journal
         self._pass_on = pass_on
@@ -80,6 +84,7 @@
 
     def _view(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.ViewRequest, call.body)
+        self._introduce(request.vm, request.entry)
         page = self._view_of(request.subject)
         if page is None:
             call.respond(404, [])
