--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -1,5 +1,7 @@
 """The front VM's daemon, as the users' platform starts it."""
 
+from collections.abc import Mapping
+import logging
 import os
 import signal
 import sys
@@ -20,7 +22,9 @@
 from postspring.front import settings  # noqa: E402
 from postspring import platform  # noqa: E402
 
-__all__ = ["main", "run_front"]
+__all__ = ["main", "reload_on_hangup", "run_front"]
+
+LOG = logging.getLogger(__name__)
 
 
 class _Daemon(BaseComponent):
@@ -55,9 +59,27 @@
     )
     node = node_module.FrontNode(vm, own, on_stopped=_stop)
     _Daemon(node).register(node)
+    reload_on_hangup(node, os.environ)
     node.run()
 
 
+def reload_on_hangup(
+    node: node_module.FrontNode, environment: Mapping[str, str]
+) -> None:
+    """Read the settings again at SIGHUP; without this it ends the process."""
+
+    def read_again() -> None:
+        try:
+            node.reconfigure(platform.load_settings(environment))
+        except errors.SettingsError as error:
+            LOG.error("settings not read", extra={"error": str(error)})
+
+    signal.signal(
+        signal.SIGHUP,
+        lambda number, frame: node.timers.call_later(0, read_again),
+    )
+
+
 def _stop() -> None:
     raise SystemExit(0)
 
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -1,6 +1,7 @@
 """A front VM: everything it consists of, on one loop."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 import os
 import time
@@ -123,6 +124,25 @@
             MISSING_SWEEP_SECONDS, self.directory.drop_missing
         )
 
+    def reconfigure(self, vm: platform.VmSettings) -> None:
+        """Take changed settings; what we listen on needs a restart."""
+        fixed = ("vm", "data_center", "callers", "readiness", "peers")
+        changed = [
+            field.name
+            for field in dataclasses.fields(vm)
+            if getattr(vm, field.name) != getattr(self.vm, field.name)
+        ]
+        restart = [name for name in changed if name in fixed]
+        LOG.info(
+            "settings read again",
+            extra={"changed": changed, "need_restart": restart},
+        )
+        if restart:
+            return
+        self.vm = vm
+        self.store.move_to(vm.store)
+        self.shutdown.grace = vm.grace
+
     @property
     def is_ready(self) -> bool:
         """Whether new callers should come here."""
--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -42,7 +42,7 @@
         self._is_recorded = is_recorded
         self._timers = timers
         self._callers = callers
-        self._grace = grace
+        self.grace = grace
         self._on_stopped = on_stopped
         self._began = 0.0
         self.leaving = False
@@ -75,7 +75,7 @@
         served = elapsed > ROTATION_SECONDS and not self._callers.active
         if (
             served and self._is_recorded()
-        ) or elapsed > self._grace - MARGIN_SECONDS:
+        ) or elapsed > self.grace - MARGIN_SECONDS:
             LOG.info(
                 "stopped",
                 extra={
--- /dev/null
+++ b/postspring/front/tests/test_reload.py
@@ -0,0 +1,59 @@
+"""SIGHUP: the settings are read again, and nothing else happens."""
+
+import dataclasses
+import json
+import os
+import pathlib
+import signal
+import tempfile
+import unittest
+
+from postspring.daemon import front_daemon
+from postspring.platform import names
+from postspring.platform.tests import test_settings
+from postspring.testing.fleet import fleet as fleet_module
+
+
+class ReloadTest(unittest.TestCase):
+    """Found on tallgrass trouble-3 --seed 686084260899: 10 exits, code 129."""
+
+    def setUp(self):
+        self.fleet = fleet_module.Fleet()
+        self.addCleanup(self.fleet.close)
+        self.node = self.fleet.nodes[0]
+        previous = signal.getsignal(signal.SIGHUP)
+        self.addCleanup(signal.signal, signal.SIGHUP, previous)
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.path = pathlib.Path(folder.name) / "boot"
+        environment = {names.SETTINGS_VARIABLE: str(self.path)}
+        front_daemon.reload_on_hangup(self.node, environment)
+
+    def hang_up(self):
+        """Send the signal; return the lines that it led to."""
+        with self.assertLogs("postspring", "INFO") as lines:
+            os.kill(os.getpid(), signal.SIGHUP)
+            self.fleet.turn_until(lambda: lines.records)
+        return [record.getMessage() for record in lines.records]
+
+    def test_the_process_goes_on(self):
+        self.path.write_text(json.dumps(test_settings.RAW))
+        self.assertIn("settings read again", self.hang_up())
+        answer = self.fleet.call("GET", "/safe/x", "r")
+        self.assertEqual(200, answer.status)
+
+    def test_a_file_that_is_wrong_changes_nothing(self):
+        self.path.write_text("{")
+        before = self.node.vm
+        self.assertIn("settings not read", self.hang_up())
+        self.assertIs(before, self.node.vm)
+
+    def test_what_may_change_is_in_force(self):
+        changed = dataclasses.replace(self.node.vm, grace=3.0)
+        self.node.reconfigure(changed)
+        self.assertEqual(3.0, self.node.shutdown.grace)
+
+    def test_what_needs_a_restart_is_not_taken(self):
+        changed = dataclasses.replace(self.node.vm, callers=("1.2.3.4", 5))
+        self.node.reconfigure(changed)
+        self.assertNotEqual(("1.2.3.4", 5), self.node.vm.callers)
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import logging
 
 from postspring import errors
@@ -111,7 +112,10 @@
         for member in others:
             self._http.send(
                 _request(member, messages.FIND_PATH, body, FIND_SECONDS),
-                _FindListener(member, search),
+                transport.AnswerCollector(
+                    functools.partial(search.take, member),
+                    lambda error: search.failed(),
+                ),
             )
         if not others:
             answered(search)
@@ -133,45 +137,32 @@
         for address in (asked or members.seeds)[:VIEW_VMS]:
             self._http.send(
                 _request_to(address, messages.VIEW_PATH, body, VIEW_SECONDS),
-                _ViewListener(on_page),
+                transport.AnswerCollector(
+                    functools.partial(_take_view, on_page=on_page),
+                    lambda error: LOG.info(
+                        "no view", extra={"reason": str(error)}
+                    ),
+                ),
             )
 
 
-class _ViewListener(transport.HttpListener):
-    """Hands one VM's view on."""
-
-    def __init__(self, on_page: Callable[[keyedlog.LogPage], None]):
-        self._on_page = on_page
-        self._status = 0
-        self._body = bytearray()
-
-    def head(self, status, headers) -> None:
-        """Keep the status."""
-        self._status = status
-
-    def data(self, chunk) -> None:
-        """Keep a part of the body."""
-        self._body += chunk
-
-    def end(self) -> None:
-        """Take the view."""
-        if self._status != 200:
-            return
-        try:
-            view = messages.decode(messages.View, bytes(self._body))
-            entries = [
-                keyedlog.LogEntry(str(key), bytes(value))
-                for key, value in view.entries
-            ]
-            page = keyedlog.LogPage(entries, int(view.next), int(view.next))
-        except (errors.PeerError, TypeError, ValueError) as error:
-            LOG.warning("peer's view", extra={"error": str(error)})
-            return
-        self._on_page(page)
-
-    def failed(self, error) -> None:
-        """Another VM may answer, or the next try succeeds."""
-        LOG.info("no view", extra={"reason": str(error)})
+def _take_view(
+    status: int, body: bytes, on_page: Callable[[keyedlog.LogPage], None]
+) -> None:
+    """Hand one VM's view on."""
+    if status != 200:
+        return
+    try:
+        view = messages.decode(messages.View, body)
+        entries = [
+            keyedlog.LogEntry(str(key), bytes(value))
+            for key, value in view.entries
+        ]
+        page = keyedlog.LogPage(entries, int(view.next), int(view.next))
+    except (errors.PeerError, TypeError, ValueError) as error:
+        LOG.warning("peer's view", extra={"error": str(error)})
+        return
+    on_page(page)
 
 
 class _Search:
@@ -186,6 +177,18 @@
         self._keeper: members_module.Member | None = None
         self._is_finished = False
 
+    def take(
+        self, member: members_module.Member, status: int, body: bytes
+    ) -> None:
+        """Take one VM's answer."""
+        try:
+            found = messages.decode(messages.Found, body)
+        except errors.PeerError as error:
+            LOG.warning("peer's answer", extra={"error": str(error)})
+            self.failed()
+            return
+        self.answered(member, found)
+
     def answered(
         self, member: members_module.Member, found: messages.Found
     ) -> None:
@@ -238,33 +241,6 @@
         )
 
 
-class _FindListener(transport.HttpListener):
-    """Hands one VM's answer to the search."""
-
-    def __init__(self, member: members_module.Member, search: _Search):
-        self._member = member
-        self._search = search
-        self._body = bytearray()
-
-    def data(self, chunk) -> None:
-        """Keep a part of the body."""
-        self._body += chunk
-
-    def end(self) -> None:
-        """Take the answer."""
-        try:
-            found = messages.decode(messages.Found, bytes(self._body))
-        except errors.PeerError as error:
-            LOG.warning("peer's answer", extra={"error": str(error)})
-            self._search.failed()
-            return
-        self._search.answered(self._member, found)
-
-    def failed(self, error) -> None:
-        """Take note that there is none."""
-        self._search.failed()
-
-
 class _Copies:
     """Counts copies; reports once, when there are enough or no more come."""
 
@@ -278,7 +254,10 @@
         for member in keepers:
             http.send(
                 _request(member, messages.KEEP_PATH, body, seconds),
-                _CopyListener(self),
+                transport.AnswerCollector(
+                    lambda status, body: self.answered(status == 200),
+                    lambda error: self.answered(False),
+                ),
             )
 
     def answered(self, is_kept: bool) -> None:
@@ -292,26 +271,6 @@
             on_done(self._kept)
 
 
-class _CopyListener(transport.HttpListener):
-    """Hands one VM's answer on."""
-
-    def __init__(self, copies: _Copies):
-        self._copies = copies
-        self._status = 0
-
-    def head(self, status, headers) -> None:
-        """Keep the status."""
-        self._status = status
-
-    def end(self) -> None:
-        """Take the answer."""
-        self._copies.answered(self._status == 200)
-
-    def failed(self, error) -> None:
-        """Take note that there is none."""
-        self._copies.answered(False)
-
-
 def _request(
     member: members_module.Member, path: str, body: bytes, seconds: float
 ) -> transport.HttpRequest:
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -11,6 +11,7 @@
 import struct
 import urllib.parse
 
+from postspring import errors
 from postspring import keyedlog
 from postspring.platform import names
 from postspring import transport
@@ -23,6 +24,8 @@
 CONNECT_TIMEOUT_SECONDS = 0.5
 # Bytes of records that one read asks for, in KiB.
 READ_KB = 1024
+# Told to another VM when its call had no answer.
+NO_ANSWER_STATUS = 502
 
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
@@ -107,6 +110,10 @@
         self._partitions = partitions
         self._on_call = on_call
 
+    def move_to(self, address: tuple[str, int]) -> None:
+        """Call the store at another address from now on."""
+        self._address = address
+
     def append(self, place, entries, on_done, on_error) -> None:
         """Append records, all or none."""
         path = self._path(names.LOG_APPEND_PATH, place)
@@ -173,7 +180,10 @@
     ) -> None:
         """Make another VM's call; status 502 if there is no answer."""
         request = self._request(method, path, READ_TIMEOUT_SECONDS, body)
-        self._http.send(request, _PassedCall(on_answer))
+        collector = transport.AnswerCollector(
+            on_answer, lambda error: on_answer(NO_ANSWER_STATUS, b"")
+        )
+        self._http.send(request, collector)
 
     # -- own ------------------------------------------------------------------
 
@@ -211,80 +221,33 @@
         )
 
     def _call(self, name, request, on_answer, on_error) -> None:
-        listener = _StoreCall(name, on_answer, on_error, self._on_call)
-        self._http.send(request, listener)
-
-
-class _StoreCall(transport.HttpListener):
-    """Collects one answer and turns failures into the log's errors."""
-
-    def __init__(self, name, on_answer, on_error, on_call):
-        self._name = name
-        self._on_answer = on_answer
-        self._on_error = on_error
-        self._on_call = on_call
-        self._status = 0
-        self._body = bytearray()
-
-    def head(self, status, headers) -> None:
-        """Keep the status."""
-        self._status = status
-
-    def data(self, chunk) -> None:
-        """Keep a part of the body."""
-        self._body += chunk
-
-    def end(self) -> None:
-        """Hand the answer over."""
-        if self._status == 410:
-            self._fail(keyedlog.LogExpired("the records expired"))
-            return
-        if self._status != 200:
-            self._fail(keyedlog.LogUnavailable(f"status_{self._status}"))
-            return
-        try:
-            self._on_answer(bytes(self._body))
-        except keyedlog.KeyedLogError as error:
-            self._fail(error)
-        except (KeyError, TypeError, ValueError, struct.error):
-            self._fail(keyedlog.LogUnavailable("bad_answer"))
-        else:
-            self._on_call(self._name, "ok")
-
-    def failed(self, error) -> None:
-        """Report that no answer came."""
-        reason = "no_connection" if not error.sent else "no_answer"
-        self._fail(keyedlog.LogUnavailable(reason))
-
-    def _fail(self, error: keyedlog.KeyedLogError) -> None:
-        reason = getattr(error, "reason", "expired")
-        self._on_call(self._name, reason)
-        self._on_error(error)
-
-
-class _PassedCall(transport.HttpListener):
-    """Collects an answer as it is."""
-
-    def __init__(self, on_answer: Callable[[int, bytes], None]):
-        self._on_answer = on_answer
-        self._status = 0
-        self._body = bytearray()
-
-    def head(self, status, headers) -> None:
-        """Keep the status."""
-        self._status = status
-
-    def data(self, chunk) -> None:
-        """Keep a part of the body."""
-        self._body += chunk
-
-    def end(self) -> None:
-        """Hand the answer over."""
-        self._on_answer(self._status, bytes(self._body))
-
-    def failed(self, error) -> None:
-        """Report that no answer came."""
-        self._on_answer(502, b"")
+        """Make a call; turn what goes wrong into the log's errors."""
+
+        def fail(error: keyedlog.KeyedLogError) -> None:
+            self._on_call(name, getattr(error, "reason", "expired"))
+            on_error(error)
+
+        def answered(status: int, body: bytes) -> None:
+            if status == 410:
+                fail(keyedlog.LogExpired("the records expired"))
+                return
+            if status != 200:
+                fail(keyedlog.LogUnavailable(f"status_{status}"))
+                return
+            try:
+                on_answer(body)
+            except keyedlog.KeyedLogError as error:
+                fail(error)
+            except (KeyError, TypeError, ValueError, struct.error):
+                fail(keyedlog.LogUnavailable("bad_answer"))
+            else:
+                self._on_call(name, "ok")
+
+        def failed(error: errors.TransportError) -> None:
+            reason = "no_answer" if error.sent else "no_connection"
+            fail(keyedlog.LogUnavailable(reason))
+
+        self._http.send(request, transport.AnswerCollector(answered, failed))
 
 
 class _NewestRead:
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -2,8 +2,9 @@
 
 from postspring.transport.http_client import Exchange
 from postspring.transport.http_client import HttpClient
-from postspring.transport.http_client import HttpListener
-from postspring.transport.http_client import HttpRequest
+from postspring.transport.http_messages import AnswerCollector
+from postspring.transport.http_messages import HttpListener
+from postspring.transport.http_messages import HttpRequest
 from postspring.transport.http_server import HttpServer
 from postspring.transport.http_server import IncomingCall
 from postspring.transport.http_server import ServerLimits
@@ -13,6 +14,7 @@
 from postspring.transport.timers import Timers
 
 __all__ = [
+    "AnswerCollector",
     "ConnectionHandler",
     "Exchange",
     "HttpClient",
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -4,18 +4,16 @@
 answers; streams need h11, its nearest kin, instead.
 """
 
-from collections.abc import Callable
-import dataclasses
-import math
 import socket
 
 import h11
 
 from postspring import errors
+from postspring.transport import http_messages
 from postspring.transport import sockets
 from postspring.transport import timers
 
-__all__ = ["Exchange", "HttpClient", "HttpListener", "HttpRequest"]
+__all__ = ["Exchange", "HttpClient"]
 
 MAX_IDLE_PER_ADDRESS = 8
 IDLE_SECONDS = 30.0
@@ -25,75 +23,15 @@
 MAX_HEADER_BYTES = 16 * 1024
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class HttpRequest:
-    """One request; times in seconds.
-
-    Parameters
-    ==========
-
-    address : tuple of (str, int)
-        IP number and port.
-    timeout : float
-        For the whole exchange.
-    fresh : bool
-        Never reuse a connection: if a reused one breaks, nobody can tell
-        whether the request ran.
-    paced : bool
-        Read the answer at intervals, for streams of many small chunks.
-    max_idle : float
-        Reuse only a connection that was idle for less than this.
-    is_answer : callable, optional
-        Told the headers of a response (names in lower case); returns
-        whether it answers this request.  A response that does not is
-        skipped: it is a late one to an earlier request.
-    """
-
-    address: tuple[str, int]
-    method: str
-    path: str
-    body: bytes = b""
-    headers: tuple[tuple[str, str], ...] = ()
-    connect_timeout: float = 2.0
-    timeout: float = 30.0
-    fresh: bool = False
-    paced: bool = False
-    max_idle: float = math.inf
-    is_answer: Callable[[dict[str, str]], bool] | None = None
-
-    @property
-    def fields(self) -> list[tuple[str, str]]:
-        """The header fields to send, with Host and Content-Length."""
-        names = {name.lower() for name, value in self.headers}
-        fields = list(self.headers)
-        if "host" not in names:
-            host = f"{self.address[0]}:{self.address[1]}"
-            fields.insert(0, ("Host", host))
-        if self.body or self.method in ("POST", "PUT"):
-            fields.append(("Content-Length", str(len(self.body))))
-        return fields
-
-
-class HttpListener:
-    """What the user of an exchange implements."""
-
-    def head(self, status: int, headers: dict[str, str]) -> None:
-        """Take the status and the headers, names in lower case."""
-
-    def data(self, chunk: bytes) -> None:
-        """Take a part of the body."""
-
-    def end(self) -> None:
-        """Take note that the body is complete."""
-
-    def failed(self, error: errors.TransportError) -> None:
-        """Take note that the exchange broke; nothing else follows."""
-
-
 class Exchange(sockets.ConnectionHandler):
     """A request under way; :meth:`cancel` closes its connection."""
 
-    def __init__(self, client: "HttpClient", request: HttpRequest, listener):
+    def __init__(
+        self,
+        client: "HttpClient",
+        request: http_messages.HttpRequest,
+        listener,
+    ):
         self.request = request
         self.sent = False
         self.header_fields: list[tuple[bytes, bytes]] = []
@@ -363,7 +301,11 @@
         self.connections_opened = 0
         self._idle_by_address: dict[tuple, list[_IdleConnection]] = {}
 
-    def send(self, request: HttpRequest, listener: HttpListener) -> Exchange:
+    def send(
+        self,
+        request: http_messages.HttpRequest,
+        listener: http_messages.HttpListener,
+    ) -> Exchange:
         """Send a request; the listener hears the answer or the failure."""
         exchange = Exchange(self, request, listener)
         idle = self._take_idle(request)
@@ -374,7 +316,9 @@
             self.connect(exchange)
         return exchange
 
-    def _take_idle(self, request: HttpRequest) -> "_IdleConnection | None":
+    def _take_idle(
+        self, request: http_messages.HttpRequest
+    ) -> "_IdleConnection | None":
         idle = self._idle_by_address.get(request.address)
         if not idle or request.fresh:
             return None
--- /dev/null
+++ b/postspring/transport/http_messages.py
@@ -0,0 +1,113 @@
+"""A request to send, and what is told of its answer."""
+
+from collections.abc import Callable
+import dataclasses
+import math
+
+from postspring import errors
+
+__all__ = ["AnswerCollector", "HttpListener", "HttpRequest"]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class HttpRequest:
+    """One request; times in seconds.
+
+    Parameters
+    ==========
+
+    address : tuple of (str, int)
+        IP number and port.
+    timeout : float
+        For the whole exchange.
+    fresh : bool
+        Never reuse a connection: if a reused one breaks, nobody can tell
+        whether the request ran.
+    paced : bool
+        Read the answer at intervals, for streams of many small chunks.
+    max_idle : float
+        Reuse only a connection that was idle for less than this.
+    is_answer : callable, optional
+        Told the headers of a response (names in lower case); returns
+        whether it answers this request.  A response that does not is
+        skipped: it is a late one to an earlier request.
+    """
+
+    address: tuple[str, int]
+    method: str
+    path: str
+    body: bytes = b""
+    headers: tuple[tuple[str, str], ...] = ()
+    connect_timeout: float = 2.0
+    timeout: float = 30.0
+    fresh: bool = False
+    paced: bool = False
+    max_idle: float = math.inf
+    is_answer: Callable[[dict[str, str]], bool] | None = None
+
+    @property
+    def fields(self) -> list[tuple[str, str]]:
+        """The header fields to send, with Host and Content-Length."""
+        names = {name.lower() for name, value in self.headers}
+        fields = list(self.headers)
+        if "host" not in names:
+            host = f"{self.address[0]}:{self.address[1]}"
+            fields.insert(0, ("Host", host))
+        if self.body or self.method in ("POST", "PUT"):
+            fields.append(("Content-Length", str(len(self.body))))
+        return fields
+
+
+class HttpListener:
+    """What the user of an exchange implements."""
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Take the status and the headers, names in lower case."""
+
+    def data(self, chunk: bytes) -> None:
+        """Take a part of the body."""
+
+    def end(self) -> None:
+        """Take note that the body is complete."""
+
+    def failed(self, error: errors.TransportError) -> None:
+        """Take note that the exchange broke; nothing else follows."""
+
+
+class AnswerCollector(HttpListener):
+    """Collects a whole answer, for calls whose answers are small.
+
+    Parameters
+    ==========
+
+    on_answer : callable
+        Called with the status and the whole body.
+    on_failed : callable
+        Called with the error if no answer came.
+    """
+
+    def __init__(
+        self,
+        on_answer: Callable[[int, bytes], None],
+        on_failed: Callable[[errors.TransportError], None],
+    ):
+        self._on_answer = on_answer
+        self._on_failed = on_failed
+        self._status = 0
+        self._body = bytearray()
+
+    def head(self, status: int, headers: dict[str, str]) -> None:
+        """Keep the status."""
+        self._status = status
+
+    def data(self, chunk: bytes) -> None:
+        """Keep a part of the body."""
+        self._body += chunk
+
+    def end(self) -> None:
+        """Hand the answer over."""
+        self._on_answer(self._status, bytes(self._body))
+
+    def failed(self, error: errors.TransportError) -> None:
+        """Hand the error over."""
+        self._on_failed(error)
