--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -1,8 +1,8 @@
 """Forwarding: callers' requests to upstreams, and the answers back."""
 
 from postspring.forwarding.delivery import Delivery
-from postspring.forwarding.delivery import Dispatcher
-from postspring.forwarding.delivery import Receiver
+from postspring.forwarding.dispatch import Dispatcher
+from postspring.forwarding.dispatch import Receiver
 from postspring.forwarding.event_splitter import EventSplitter
 from postspring.forwarding.forwarder import Forwarder
 from postspring.forwarding.ports import AnswerFacts
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -5,22 +5,21 @@
 upstream says so.
 """
 
-from collections.abc import Callable
 import dataclasses
 import enum
 import logging
 import random
 
 from postspring import errors
+from postspring.forwarding import dispatch
 from postspring.forwarding import event_splitter
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
 from postspring import routing
-from postspring.scheduling import placement as placement_module
 from postspring import transport
 from postspring import upstreams
 
-__all__ = ["Delivery", "Dispatcher", "Receiver"]
+__all__ = ["Delivery"]
 
 LOG = logging.getLogger(__name__)
 
@@ -38,57 +37,6 @@
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-class Receiver:
-    """What a delivery's user implements; exactly one end is reported.
-
-    The ends are :meth:`answered`, :meth:`stream_ended`,
-    :meth:`stream_broken` and :meth:`refused`.
-    """
-
-    def answered(self, status: int, fields: list, body: bytes) -> None:
-        """Take a whole answer."""
-
-    def stream_started(self, status: int, fields: list) -> None:
-        """Take the head of a stream; its first event follows."""
-
-    def stream_events(self, events: list[bytes]) -> None:
-        """Take whole events of a stream."""
-
-    def stream_ended(self) -> None:
-        """Take note that the stream is complete."""
-
-    def stream_broken(self, reason: str) -> None:
-        """Take note that a started stream ended early."""
-
-    def refused(self, refusal: refusals.Refusal) -> None:
-        """Take note that there is no answer, and why."""
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Dispatcher:
-    """What all deliveries of a VM share.
-
-    Parameters
-    ==========
-
-    placement : Placement
-        Chooses among the upstreams of a service.
-    metrics : Metrics
-        Counts retries by reason.
-    data_center : str
-        This VM's.
-    """
-
-    http: transport.HttpClient
-    timers: transport.Timers
-    directory: upstreams.Directory
-    placement: placement_module.Placement
-    wire: ports.WireFormat
-    metrics: object
-    data_center: str = ""
-    draw: Callable[[], float] = random.random
-
-
 @dataclasses.dataclass(slots=True)
 class _Order:
     """A call as placement sees it."""
@@ -123,13 +71,13 @@
 
     def __init__(
         self,
-        dispatcher: Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         call: transport.IncomingCall,
         facts: ports.CallFacts,
         route: routing.Route,
         body: bytes,
         deadline: float,
-        receiver: Receiver,
+        receiver: dispatch.Receiver,
         preferred: str = "",
         only: upstreams.Upstream | None = None,
         extra_fields: tuple[tuple[str, str], ...] = (),
@@ -182,7 +130,7 @@
 
     def detach(self) -> None:
         """Let the upstream finish; the receiver hears nothing more."""
-        self._receiver = Receiver()
+        self._receiver = dispatch.Receiver()
 
     # -- sending --------------------------------------------------------------
 
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -3,7 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import dispatch
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import plain
 from postspring.forwarding import ports
@@ -39,7 +39,7 @@
 
     def __init__(
         self,
-        dispatcher: delivery_module.Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         journal: histories.Journal,
         current: Callable[[], routing.Snapshot | None],
         inputs: Callable[[], dict] = dict,
--- a/postspring/forwarding/plain.py
+++ b/postspring/forwarding/plain.py
@@ -1,6 +1,7 @@
 """Plain calls: passed on as they are, with no record."""
 
 from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import dispatch
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
@@ -23,7 +24,7 @@
 
     def __init__(
         self,
-        dispatcher: delivery_module.Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         call: transport.IncomingCall,
         facts: ports.CallFacts,
         route: routing.Route,
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -1,6 +1,7 @@
 """What all receivers that answer a caller have in common."""
 
 from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import dispatch
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
@@ -9,12 +10,12 @@
 __all__ = ["CallerRelay"]
 
 
-class CallerRelay(delivery_module.Receiver):
+class CallerRelay(dispatch.Receiver):
     """Passes an upstream's answer on to the caller."""
 
     def __init__(
         self,
-        dispatcher: delivery_module.Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         call: transport.IncomingCall,
         facts: ports.CallFacts,
         outcome: outcome_module.Outcome,
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -6,6 +6,7 @@
 import logging
 
 from postspring.forwarding import delivery as delivery_module
+from postspring.forwarding import dispatch
 from postspring.forwarding import event_splitter
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import plain
@@ -64,7 +65,7 @@
 
     def __init__(
         self,
-        dispatcher: delivery_module.Dispatcher,
+        dispatcher: dispatch.Dispatcher,
         shared: "TurnServices",
         call: transport.IncomingCall,
         facts: ports.CallFacts,
--- /dev/null
+++ b/postspring/front/tests/test_turns.py
@@ -0,0 +1,100 @@
+"""Turns: history, budget, streams, reserves."""
+
+from postspring.platform import names
+from postspring.testing.fleet import case
+
+
+class TurnTest(case.FleetCase):
+    """Turns: history, budget, streams."""
+
+    vms = 2
+
+    def test_the_stream_is_passed_on(self):
+        answer = self.fleet.take_turn("a")
+        self.assertTrue(answer.whole)
+        self.assertEqual(case.EVENTS, answer.body)
+
+    def test_the_history_is_put_together(self):
+        self.fleet.take_turn("a")
+        self.fleet.take_turn("b", previous_turn="a")
+        run = self.fleet.engines[0].runs[1]
+        self.assertEqual(b"<a>w1\nw2\nw3\n<b>", run.body)
+
+    def test_another_vm_goes_on(self):
+        self.fleet.take_turn("a")
+        answer = self.fleet.take_turn("b", vm=1, previous_turn="a")
+        self.assertTrue(answer.whole)
+        run = self.fleet.engines[0].runs[1]
+        self.assertEqual(b"<a>w1\nw2\nw3\n<b>", run.body)
+
+    def test_all_vms_are_replaced(self):
+        self.fleet.take_turn("a")
+        for node in list(self.fleet.nodes):
+            self.fleet.stop_vm(node)
+        self.fleet.start_vm("new")
+        answer = self.fleet.take_turn("b", previous_turn="a")
+        self.assertTrue(answer.whole)
+
+    def test_no_such_turn(self):
+        answer = self.fleet.take_turn("b", previous_turn="x")
+        self.assertEqual(404, answer.status)
+        self.assertEqual([], self.fleet.engines[0].runs)
+
+    def test_the_budget_holds_over_vms(self):
+        states = [
+            self.fleet.take_turn(
+                f"t{number}", vm=number % 2, token_budget="40"
+            ).status
+            for number in range(8)
+        ]
+        # 12 tokens a turn; 16 have to be free before one starts.
+        self.assertEqual([200] * 3 + [402] * 5, states)
+
+    def test_a_stream_that_breaks_does_not_look_complete(self):
+        self.fleet.engines[0].faults.cut = 1
+        answer = self.fleet.take_turn("a")
+        self.assertFalse(answer.whole)
+        self.assertEqual(b"id: 1\ndata: w1\n\n", answer.body)
+        again = self.fleet.take_turn("b", previous_turn="a")
+        self.assertEqual(404, again.status)
+
+    def test_tokens_of_a_broken_turn_are_charged(self):
+        self.fleet.engines[0].faults.cut = 1
+        self.fleet.take_turn("a", token_budget="19")
+        answer = self.fleet.take_turn("b", token_budget="19")
+        self.assertEqual(402, answer.status)
+
+    def test_a_turn_that_was_shed_is_not_charged(self):
+        self.fleet.engines[0].faults.shed = 99
+        answer = self.fleet.take_turn("a", token_budget="16")
+        self.assertEqual(503, answer.status)
+        self.fleet.engines[0].faults.shed = 0
+        answer = self.fleet.take_turn("b", token_budget="16")
+        self.assertEqual(200, answer.status)
+
+
+class ReserveTest(case.FleetCase):
+    """A VM reserves ahead, so that most turns cost one record less."""
+
+    vms = 2
+
+    def appends(self):
+        """Return the appends to programs' records so far."""
+        prefix = f"{names.LOG_APPEND_PATH} {names.PROGRAMS_TOPIC[:14]}"
+        return sum(call.startswith(prefix) for call in self.fleet.store.calls)
+
+    def test_the_next_turn_needs_no_record_before_it(self):
+        self.fleet.take_turn("a")
+        before = self.appends()
+        self.fleet.take_turn("b", previous_turn="a")
+        self.assertEqual(1, self.appends() - before)
+
+    def test_others_may_go_on(self):
+        budget = "200"
+        statuses = [
+            self.fleet.take_turn(
+                f"t{number}", vm=number % 2, token_budget=budget
+            ).status
+            for number in range(10)
+        ]
+        self.assertEqual([200] * 10, statuses)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -9,14 +9,12 @@
 from collections.abc import Callable
 import logging
 
-import xxhash
-
 from postspring.histories import accounts
 from postspring.histories import chains
 from postspring.histories import completion
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
-from postspring.histories import partition as partition_module
+from postspring.histories import partitions
 from postspring.histories import ports
 from postspring.histories import program as program_module
 from postspring.histories import records
@@ -27,14 +25,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Partitions that programs are spread over.  The more there are, the more
-# seldom two VMs write to one and have to read each other's records.
-PROGRAM_PARTITIONS = 384
-LOCATION_PARTITIONS = 24
-# A partition that nobody used for this long is forgotten, and read again
-# when it is needed; seconds, above the retention of the users' routes.
-UNUSED_SECONDS = 90.0
-SWEEP_SECONDS = 10.0
 # Turns of the same size that a VM would like to have reserved.
 AHEAD_TURNS = 4
 # How long records that have to get into the log are offered to it; seconds,
@@ -71,15 +61,11 @@
         author: str,
         companions: ports.Companions | None = None,
     ):
-        self._log = log
         self._timers = timers
+        self._partitions = partitions.Partitions(log, timers)
         self.accounts = accounts.LocalAccounts(author)
         self.companions = companions or ports.NoCompanions()
-        self._partition_by_place: dict[
-            keyedlog.LogPlace, partition_module.Partition
-        ] = {}
         self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
-        timers.call_every(SWEEP_SECONDS, self._sweep)
 
     @property
     def held(self) -> int:
@@ -100,7 +86,9 @@
     ) -> None:
         """Get the right to run a turn, from a reserve or from the log."""
         known = self._program(program)
-        is_away = self._is_failing(self._place_of_program(program))
+        is_away = self._partitions.is_failing(
+            partitions.place_of_program(program)
+        )
         if not is_away:
             self.accounts.close_home(program)
         ticket = self.accounts.take(known, turn, ceiling, budget, is_away)
@@ -246,8 +234,8 @@
 
     def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
         """Return a whole turn if this VM has it in memory."""
-        place = self._place_of_program(ref.program)
-        partition = self._partition_by_place.get(place)
+        place = partitions.place_of_program(ref.program)
+        partition = self._partitions.find(place)
         found = None
         if partition is not None:
             found = partition.fold.whole_turn(ref)
@@ -272,7 +260,9 @@
             ref = records.TurnRef(program, previous)
             if self.known_chain(ref) is None:
                 return False
-        is_away = self._is_failing(self._place_of_program(program))
+        is_away = self._partitions.is_failing(
+            partitions.place_of_program(program)
+        )
         known = self._program(program)
         return self.accounts.can_take(known, ceiling, is_away)
 
@@ -284,10 +274,10 @@
         on_error: OnError,
     ) -> None:
         """Fold all records of a program's partition."""
-        place = self._place_of_program(program)
-        if self._is_failing(place):
+        place = partitions.place_of_program(program)
+        if self._partitions.is_failing(place):
             patience = min(patience, FAILING_PATIENCE_SECONDS)
-        self._partition(place).refresh(
+        self._partitions.get(place).refresh(
             patience, lambda fold: on_done(), on_error
         )
 
@@ -299,7 +289,7 @@
         on_error: OnError,
     ) -> None:
         """Tell among which program's records a turn stands."""
-        partition = self._partition(self._place_of_location(turn))
+        partition = self._partitions.get(partitions.place_of_location(turn))
         known = partition.fold.program_by_turn.get(turn)
         if known is not None:
             on_done(known)
@@ -344,14 +334,14 @@
         self._commit(record, KEEP_SECONDS, folded, lost)
         location = records.TurnLocation(record.turn, record.program)
         entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
-        place = self._place_of_location(record.turn)
-        partition = self._partition(place)
+        place = partitions.place_of_location(record.turn)
+        partition = self._partitions.get(place)
         partition.commit(entry, KEEP_SECONDS, lambda fold: one_done(), lost)
-        own_place = self._place_of_program(record.program)
-        return not (self._is_failing(place) or self._is_failing(own_place))
-
-    def _is_failing(self, place: keyedlog.LogPlace) -> bool:
-        return self._log.is_down or self._partition(place).is_failing
+        own_place = partitions.place_of_program(record.program)
+        return not (
+            self._partitions.is_failing(place)
+            or self._partitions.is_failing(own_place)
+        )
 
     def _lost(self, item) -> OnError:
         """Return what reports a record that never got into the log."""
@@ -384,57 +374,16 @@
         )
 
     def _commit(self, record, patience, on_done, on_error) -> None:
-        partition = self._partition(self._place_of_program(record.program))
+        partition = self._partitions.get(
+            partitions.place_of_program(record.program)
+        )
         key = f"{record.program}/{record.turn}"
         entry = keyedlog.LogEntry(key, records.encode_record(record))
         partition.commit(entry, patience, on_done, on_error)
 
     def _program(self, program: records.ProgramId) -> program_module.Program:
-        partition = self._partition_by_place.get(
-            self._place_of_program(program)
-        )
+        partition = self._partitions.find(partitions.place_of_program(program))
         found = None
         if partition is not None:
             found = partition.fold.program_by_id.get(program)
         return found or program_module.Program(program)
-
-    def _partition(
-        self, place: keyedlog.LogPlace
-    ) -> partition_module.Partition:
-        partition = self._partition_by_place.get(place)
-        if partition is None:
-            fold_type = _fold_type_by_subject[place.subject]
-            partition = partition_module.Partition(
-                self._log, self._timers, place, fold_type, self._log_is_back
-            )
-            self._partition_by_place[place] = partition
-        return partition
-
-    @staticmethod
-    def _place_of_program(program: records.ProgramId) -> keyedlog.LogPlace:
-        digest = xxhash.xxh64_intdigest(program.encode())
-        number = digest % PROGRAM_PARTITIONS
-        return keyedlog.LogPlace(keyedlog.Subject.PROGRAMS, number)
-
-    @staticmethod
-    def _place_of_location(turn: records.TurnId) -> keyedlog.LogPlace:
-        digest = xxhash.xxh64_intdigest(turn.encode())
-        number = digest % LOCATION_PARTITIONS
-        return keyedlog.LogPlace(keyedlog.Subject.LOCATIONS, number)
-
-    def _log_is_back(self) -> None:
-        for partition in list(self._partition_by_place.values()):
-            partition.retry_now()
-
-    def _sweep(self) -> None:
-        """Forget what nobody has used for long."""
-        oldest = self._timers.now() - UNUSED_SECONDS
-        for place, partition in list(self._partition_by_place.items()):
-            if partition.idle and partition.used_at < oldest:
-                del self._partition_by_place[place]
-
-
-_fold_type_by_subject = {
-    keyedlog.Subject.PROGRAMS: fold_module.ProgramFold,
-    keyedlog.Subject.LOCATIONS: fold_module.LocationFold,
-}
--- /dev/null
+++ b/postspring/histories/partitions.py
@@ -0,0 +1,85 @@
+"""Which partition holds what, and the ones that this VM works on."""
+
+import xxhash
+
+from postspring.histories import fold as fold_module
+from postspring.histories import partition as partition_module
+from postspring.histories import records
+from postspring import keyedlog
+from postspring.transport import timers as timers_module
+
+__all__ = ["Partitions", "place_of_location", "place_of_program"]
+
+# Partitions that programs are spread over.  The more there are, the more
+# seldom two VMs write to one and have to read each other's records.
+PROGRAM_PARTITIONS = 384
+LOCATION_PARTITIONS = 24
+# A partition that nobody used for this long is forgotten, and read again
+# when it is needed; seconds, above the retention of the users' routes.
+UNUSED_SECONDS = 90.0
+SWEEP_SECONDS = 10.0
+
+_fold_type_by_subject = {
+    keyedlog.Subject.PROGRAMS: fold_module.ProgramFold,
+    keyedlog.Subject.LOCATIONS: fold_module.LocationFold,
+}
+
+
+def place_of_program(program: records.ProgramId) -> keyedlog.LogPlace:
+    """Return the partition of a program's records."""
+    number = xxhash.xxh64_intdigest(program.encode()) % PROGRAM_PARTITIONS
+    return keyedlog.LogPlace(keyedlog.Subject.PROGRAMS, number)
+
+
+def place_of_location(turn: records.TurnId) -> keyedlog.LogPlace:
+    """Return the partition that tells where a turn stands."""
+    number = xxhash.xxh64_intdigest(turn.encode()) % LOCATION_PARTITIONS
+    return keyedlog.LogPlace(keyedlog.Subject.LOCATIONS, number)
+
+
+class Partitions:
+    """The partitions that this VM has folded, made when they are needed."""
+
+    def __init__(self, log: keyedlog.KeyedLog, timers: timers_module.Timers):
+        self._log = log
+        self._timers = timers
+        self._by_place: dict[
+            keyedlog.LogPlace, partition_module.Partition
+        ] = {}
+        timers.call_every(SWEEP_SECONDS, self._forget_unused)
+
+    def find(
+        self, place: keyedlog.LogPlace
+    ) -> partition_module.Partition | None:
+        """Return a partition if this VM works on it."""
+        return self._by_place.get(place)
+
+    def get(self, place: keyedlog.LogPlace) -> partition_module.Partition:
+        """Return a partition; begin to work on it if that is new."""
+        partition = self._by_place.get(place)
+        if partition is None:
+            partition = partition_module.Partition(
+                self._log,
+                self._timers,
+                place,
+                _fold_type_by_subject[place.subject],
+                self._log_is_back,
+            )
+            self._by_place[place] = partition
+        return partition
+
+    def is_failing(self, place: keyedlog.LogPlace) -> bool:
+        """Return whether a partition can't be reached, as far as known."""
+        return self._log.is_down or self.get(place).is_failing
+
+    # -- own ------------------------------------------------------------------
+
+    def _log_is_back(self) -> None:
+        for partition in list(self._by_place.values()):
+            partition.retry_now()
+
+    def _forget_unused(self) -> None:
+        oldest = self._timers.now() - UNUSED_SECONDS
+        for place, partition in list(self._by_place.items()):
+            if partition.idle and partition.used_at < oldest:
+                del self._by_place[place]
