--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -30,8 +30,10 @@
 
 CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
 UPSTREAMS_PLACE = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
-# A read of the configuration waits this long for a change, in seconds.
-CONFIGURATION_WAIT_SECONDS = 10.0
+# A read of the configuration waits this long for a change, in seconds.  One
+# that is never answered is noticed only after that, and a change has to be
+# in force within 2 s.
+CONFIGURATION_WAIT_SECONDS = 1.4
 # Upstreams write every heartbeat; reading them once in this many seconds
 # keeps within the 2 s in which a leaving one has to be left alone.
 UPSTREAMS_PACE_SECONDS = 0.9
