Remove bounds that were declared and never used

Cause: delivery.py and http_server.py named a bound for buffered answers and one for slow callers, with comments that said they were in force; nothing read either. Behaviour is as it was: neither bound existed.

--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -30,8 +30,6 @@
 # An upstream stops at the deadline it was given; its own answer to that
 # may take this much longer, in seconds.
 DEADLINE_SLACK_SECONDS = 0.15
-# A plain answer is passed on whole; a larger one than this as it comes.
-BUFFERED_BYTES = 1024 * 1024
 GATEWAY_TIMEOUT = 504
 SERVER_ERROR = 500
 NOT_RUN_STATUSES = (408, 421, 429, 503)
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -24,8 +24,6 @@
 
 # How often connections are checked for being idle or too slow, in seconds.
 SWEEP_SECONDS = 0.5
-# Bytes that a slow caller may leave unread before its stream is paused.
-UNSENT_BYTES = 256 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -124,11 +122,6 @@
         if not self.gone:
             self._connection.abort()
 
-    @property
-    def is_slow(self) -> bool:
-        """Whether the caller leaves too much of the answer unread."""
-        return self._connection.unsent_bytes > UNSENT_BYTES
-
 
 class _ServerConnection(sockets.ConnectionHandler):
     """One caller's connection: requests one after another."""
@@ -175,11 +168,6 @@
 
     # -- from the call --------------------------------------------------------
 
-    @property
-    def unsent_bytes(self) -> int:
-        """How many bytes wait to be sent."""
-        return self._server.hub.unsent_bytes(self._sock)
-
     def send_answer(self, status: int, fields: list, body: bytes) -> None:
         """Send a whole answer."""
         data = self._head_bytes(status, fields)
