--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -51,7 +51,6 @@
         self._turn_services = turn_call.TurnServices(
             journal,
             neighbours or ports.NoNeighbours(),
-            turn_call.LastUpstreams(),
         )
         self._current = current
         self._inputs = inputs
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -1,6 +1,5 @@
 """Turns: calls whose history and budget the system keeps."""
 
-import collections
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -18,34 +17,13 @@
 from postspring import transport
 from postspring import upstreams
 
-__all__ = ["LastUpstreams", "TurnCall", "TurnServices"]
+__all__ = ["TurnCall", "TurnServices"]
 
 LOG = logging.getLogger(__name__)
 
 # How long a turn waits for the journal before other VMs are asked, in
 # seconds; above the slow store's 0.25 s for two calls.
 OPEN_PATIENCE_SECONDS = 0.6
-REMEMBERED_TURNS = 20_000
-
-
-class LastUpstreams:
-    """Which upstream has a turn's history in memory; bounded."""
-
-    def __init__(self, size: int = REMEMBERED_TURNS):
-        self._size = size
-        self._upstream_by_turn: collections.OrderedDict[str, str] = (
-            collections.OrderedDict()
-        )
-
-    def remember(self, turn: str, upstream: str) -> None:
-        """Note where a turn ran."""
-        self._upstream_by_turn[turn] = upstream
-        if len(self._upstream_by_turn) > self._size:
-            self._upstream_by_turn.popitem(last=False)
-
-    def find(self, turn: str | None) -> str:
-        """Return where a turn ran, or an empty text."""
-        return self._upstream_by_turn.get(turn, "") if turn else ""
 
 
 class TurnCall(relay.CallerRelay):
@@ -155,7 +133,7 @@
             body,
             self._deadline,
             self,
-            self._shared.last_upstreams.find(self._facts.previous),
+            self._chain.upstream,
         )
         self.delivery.start()
 
@@ -249,12 +227,6 @@
         super().answered(status, fields, body)
         self._settle()
 
-    def stream_started(self, status: int, fields: list) -> None:
-        """Begin the answer."""
-        upstream = self.delivery.upstream
-        self._shared.last_upstreams.remember(self._turn, upstream.id)
-        super().stream_started(status, fields)
-
     def stream_events(self, events: list[bytes]) -> None:
         """Keep the events' data, and pass them on."""
         limit = self._ticket.limit
@@ -286,6 +258,7 @@
             self._tokens,
             self._call.body,
             b"".join(self._output),
+            self.delivery.upstream.id,
             self._safe,
         )
 
@@ -337,4 +310,3 @@
 
     journal: histories.Journal
     neighbours: ports.Neighbours
-    last_upstreams: LastUpstreams
--- a/postspring/histories/chains.py
+++ b/postspring/histories/chains.py
@@ -12,10 +12,18 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Chain:
-    """A turn's history: inputs and outputs of its chain, oldest first."""
+    """A turn's history: inputs and outputs of its chain, oldest first.
+
+    Parameters
+    ==========
+
+    upstream : str
+        Id of the upstream where the head ran: it may have it in memory.
+    """
 
     head: records.TurnRef | None
     parts: tuple[bytes, ...] = ()
+    upstream: str = ""
 
 
 def collect(
@@ -29,15 +37,18 @@
         Returns a whole turn, or None.
     """
     parts: list[bytes] = []
+    upstream = ""
     ref: records.TurnRef | None = head
     while ref is not None:
         turn = find(ref)
         if turn is None:
             return None, ref
+        if ref == head:
+            upstream = turn.upstream
         parts.extend((turn.output, turn.input))
         ref = turn.parent
     parts.reverse()
-    return Chain(head, tuple(parts)), None
+    return Chain(head, tuple(parts), upstream), None
 
 
 class ChainSearch:
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -140,6 +140,7 @@
         tokens: int,
         given: bytes,
         generated: bytes,
+        upstream: str,
         on_done: Callable[[str], None],
     ) -> None:
         """Add a whole turn to the history, and note where it stands.
@@ -155,6 +156,7 @@
             tokens,
             given,
             generated,
+            upstream,
         )
         self.accounts.spent(ticket, tokens)
         safe = completion.Completion(
@@ -310,13 +312,7 @@
     ) -> bool:
         """Append a whole turn and its place; tell if that looks possible."""
         ref = records.TurnRef(record.program, record.turn)
-        self._held_by_ref[ref] = program_module.Turn(
-            program_module.TurnState.WHOLE,
-            record.tokens,
-            record.parent,
-            record.input,
-            record.output,
-        )
+        self._held_by_ref[ref] = program_module.Turn.of(record)
         left = 2
 
         def one_done() -> None:
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -9,6 +9,9 @@
 
 # Turns that stay free for other VMs when one reserves ahead.
 KEPT_FREE_TURNS = 2
+# One part in so many of the rest may be reserved by a VM.  A line of turns
+# goes through many VMs, and what a dead one has reserved is never free again.
+RESERVED_PART = 8
 
 
 class TurnState(enum.Enum):
@@ -36,6 +39,19 @@
     parent: records.TurnRef | None = None
     input: bytes = b""
     output: bytes = b""
+    upstream: str = ""
+
+    @classmethod
+    def of(cls, record: records.WholeTurn) -> "Turn":
+        """Return the turn that a record of a whole turn tells of."""
+        return cls(
+            TurnState.WHOLE,
+            record.tokens,
+            record.parent,
+            record.input,
+            record.output,
+            record.upstream,
+        )
 
 
 class Program:
@@ -97,14 +113,7 @@
         """Fold the record of a turn that ran to its end."""
         if self.whole_turn(record.turn) is not None:
             return
-        turn = Turn(
-            TurnState.WHOLE,
-            record.tokens,
-            record.parent,
-            record.input,
-            record.output,
-        )
-        self._settle(record, turn)
+        self._settle(record, Turn.of(record))
 
     def end(self, record: records.EndedTurn) -> None:
         """Fold the record of a turn that ended without an answer."""
@@ -151,14 +160,14 @@
     def _top_up(self, claim: records.Claim) -> None:
         """Reserve what the author asks for, if others keep enough.
 
-        At most half of the rest, and two turns of this size stay free; a
-        reserve that no turn fits in is of no use.
+        At most an eighth of the rest, and two turns of this size stay
+        free; a reserve that no turn fits in is of no use.
         """
         if claim.budget is None:
             return
         own = self.reserve_by_author.get(claim.author, 0)
         rest = claim.budget - self.charged - self.reserved
-        spare = min(rest // 2, rest - KEPT_FREE_TURNS * claim.ceiling)
+        spare = min(rest // RESERVED_PART, rest - KEPT_FREE_TURNS * claim.ceiling)
         added = min(claim.ahead - own, spare)
         if added > 0 and own + added >= claim.ceiling:
             self.reserve_by_author[claim.author] = own + added
--- a/postspring/histories/records.py
+++ b/postspring/histories/records.py
@@ -108,6 +108,8 @@
         Tokens handed to the caller.
     input, output : bytes
         The caller's body; the data of each event with a line feed.
+    upstream : str
+        Id of the upstream that has the turn's history in memory.
     """
 
     program: ProgramId
@@ -117,6 +119,7 @@
     tokens: int
     input: bytes
     output: bytes
+    upstream: str = ""
 
 
 @_record("ended")
@@ -180,6 +183,7 @@
     "tokens": int,
     "input": bytes,
     "output": bytes,
+    "upstream": str,
 }
 
 
--- a/postspring/histories/tests/test_journal.py
+++ b/postspring/histories/tests/test_journal.py
@@ -57,7 +57,13 @@
         ref = parent and histories.TurnRef(*parent)
         heard = []
         self.journal.complete_turn(
-            ticket, ref, tokens, b"<" + turn.encode(), b">", heard.append
+            ticket,
+            ref,
+            tokens,
+            b"<" + turn.encode(),
+            b">",
+            f"engine-of-{turn}",
+            heard.append,
         )
         self.clock.run_until(lambda: heard, 30)
         return heard[0] if heard else None
