--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -122,7 +122,7 @@
     is_answered : bool
         Some VM answered.
     reached_enough : bool
-        So many answered that a turn that is kept anywhere was found.
+        All answered that might keep a turn, and none has started lately.
     reached_all : bool
         Every VM answered.
     is_known : bool
@@ -158,6 +158,8 @@
 
     # Marks a request that another VM has passed on.
     relayed_field: tuple[str, str] = ("X-Relayed-By", "vm")
+    # Whether callers are better served by other data centres just now.
+    send_away: bool = False
 
     @abc.abstractmethod
     def find(
--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -21,6 +21,7 @@
 
     NO_CONFIGURATION = ("no_configuration", 503, 0.5)
     UPSTREAMS_UNREACHABLE = ("upstreams_unreachable", 503, 1.2)
+    CUT_OFF = ("cut_off", 503, 1.2)
     SHUTTING_DOWN = ("shutting_down", 503, 0.05)
     NO_ROUTE = ("no_route", 404, None)
     NO_UPSTREAM = ("no_upstream", 503, 0.3)
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -56,6 +56,8 @@
         fields = self._dispatcher.wire.own_fields(
             self._facts.request, refusal.retry_after_within(remaining)
         )
+        if refusal is refusals.Refusal.CUT_OFF:
+            self._call.close_after = True
         self._call.respond(refusal.status, fields)
         self._add_delivery()
         self._outcome.report_refusal(refusal, now)
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -72,6 +72,9 @@
     def start(self) -> None:
         """Find the chain that the turn continues."""
         self._call.on_gone = self._gone
+        if self._is_better_elsewhere:
+            self._close(refusals.Refusal.CUT_OFF)
+            return
         if self._facts.previous is None:
             self._open()
             return
@@ -163,6 +166,16 @@
 
         neighbours.find(self._facts, found)
 
+    @property
+    def _is_better_elsewhere(self) -> bool:
+        """Whether this VM is cut off, and others know the program as well."""
+        neighbours = self._shared.neighbours
+        return (
+            neighbours.send_away
+            and not neighbours.is_relayed(self._call.header)
+            and self._journal.is_recorded(self._program, self._facts.previous)
+        )
+
     @property
     def _has_chain(self) -> bool:
         previous = self._facts.previous
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -120,6 +120,7 @@
             },
         )
         self.members.start()
+        self.isolation.start()
         self._configuration_follower.start()
         self._upstream_follower.start()
         self.timers.call_every(
@@ -150,6 +151,7 @@
         """Whether new callers should come here."""
         return (
             not self.shutdown.leaving
+            and not self.isolation.is_isolated
             and self.configuration.snapshot is not None
             and bool(self.directory.by_id)
         )
@@ -215,8 +217,19 @@
             self._ask_view,
         )
         promises = peering.Promises(self.vm.vm, self.timers.now)
+        self.isolation = peering.Isolation(
+            self._peer_http,
+            self.timers,
+            self.members,
+            lambda: self.log.is_direct,
+            lambda: self.log.silence,
+        )
         self.neighbourhood = peering.Neighbourhood(
-            self._peer_http, self.members, promises, self._is_complete
+            self._peer_http,
+            self.members,
+            promises,
+            self._is_complete,
+            self.isolation,
         )
         self.journal.companions = self.neighbourhood
         self._peer_service = peering.PeerService(
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -251,6 +251,21 @@
             or any(ref.program == program for ref in self._held_by_ref)
         )
 
+    def is_recorded(
+        self, program: records.ProgramId, previous: records.TurnId | None
+    ) -> bool:
+        """Return whether all that is known here of a program is in the log.
+
+        Not so if this VM does not know the turn that is to be continued.
+        """
+        if self.accounts.is_home(program):
+            return False
+        if any(ref.program == program for ref in self._held_by_ref):
+            return False
+        if previous is None:
+            return True
+        return self.known_turn(records.TurnRef(program, previous)) is not None
+
     def can_take(
         self,
         program: records.ProgramId,
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -167,7 +167,9 @@
             return
         own = self.reserve_by_author.get(claim.author, 0)
         rest = claim.budget - self.charged - self.reserved
-        spare = min(rest // RESERVED_PART, rest - KEPT_FREE_TURNS * claim.ceiling)
+        spare = min(
+            rest // RESERVED_PART, rest - KEPT_FREE_TURNS * claim.ceiling
+        )
         added = min(claim.ahead - own, spare)
         if added > 0 and own + added >= claim.ceiling:
             self.reserve_by_author[claim.author] = own + added
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -56,6 +56,7 @@
     ):
         self._on_change = on_change
         self._is_down = False
+        self._answered_at = timers.now()
         self._direct = direct
         self._through = through
         self._members = members
@@ -71,6 +72,11 @@
         """Whether the direct way leads to the log at all."""
         return self._failing_since is None
 
+    @property
+    def silence(self) -> float:
+        """Seconds since the log answered, by any way."""
+        return self._timers.now() - self._answered_at
+
     @property
     def is_down(self) -> bool:
         """Whether the last call failed, by all ways."""
@@ -145,6 +151,7 @@
         """Take note of how a call ended."""
         self._is_down = is_down
         if not is_down:
+            self._answered_at = self._timers.now()
             self._away_until.pop(place, None)
         elif self._away_until.get(place, 0.0) <= self._timers.now():
             until = self._timers.now() + PLACE_AWAY_SECONDS
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -6,6 +6,7 @@
 import cbor2
 
 from postspring import errors
+from postspring import transport
 
 __all__ = [
     "FindRequest",
@@ -15,11 +16,13 @@
     "ViewRequest",
     "decode",
     "encode",
+    "request_to",
 ]
 
 KEEP_PATH = "/peer/keep"
 FIND_PATH = "/peer/find"
 VIEW_PATH = "/peer/view"
+PING_PATH = "/peer/ping"
 # Calls to the platform's store that are to be passed on stand behind this.
 STORE_PREFIX = "/peer/store"
 
@@ -120,6 +123,20 @@
     next: int
 
 
+def request_to(
+    address: tuple[str, int], path: str, body: bytes, seconds: float
+) -> transport.HttpRequest:
+    """Return a request to the VM at an address, answered in ``seconds``."""
+    return transport.HttpRequest(
+        address=address,
+        method="POST",
+        path=path,
+        body=body,
+        connect_timeout=seconds,
+        timeout=seconds,
+    )
+
+
 def encode(message: Any) -> bytes:
     """Return a message as bytes."""
     return cbor2.dumps([getattr(message, name) for name in message.__slots__])
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -9,6 +9,7 @@
 from postspring import forwarding
 from postspring import histories
 from postspring import keyedlog
+from postspring.peering import isolation as isolation_module
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
@@ -31,8 +32,6 @@
 # also while the log is away.
 KEEPERS = 4
 ENOUGH_COPIES = 2
-# The VM that answered a turn, and the copies.
-KEEPERS_OF_A_TURN = 1 + ENOUGH_COPIES
 
 
 class Neighbourhood(forwarding.Neighbours, histories.Companions):
@@ -47,6 +46,8 @@
         Whom to ask.
     promises : Promises
         Which VM may let a program go on.
+    isolation : Isolation
+        Whether this VM is cut off.
     """
 
     def __init__(
@@ -55,12 +56,19 @@
         members: members_module.Members,
         promises: promises_module.Promises,
         is_complete: Callable[[], bool],
+        isolation: isolation_module.Isolation,
     ):
+        self._isolation = isolation
         self._promises = promises
         self._http = http
         self._members = members
         self._is_complete = is_complete
 
+    @property
+    def send_away(self) -> bool:
+        """Whether other data centres serve callers better just now."""
+        return self._isolation.sends_away
+
     # -- copies ---------------------------------------------------------------
 
     def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
@@ -111,7 +119,9 @@
         body = messages.encode(request)
         for member in others:
             self._http.send(
-                _request(member, messages.FIND_PATH, body, FIND_SECONDS),
+                messages.request_to(
+                    member.peers, messages.FIND_PATH, body, FIND_SECONDS
+                ),
                 transport.AnswerCollector(
                     functools.partial(search.take, member),
                     lambda error: search.failed(),
@@ -136,7 +146,9 @@
         asked = [member.peers for member in members.nearest_first()]
         for address in (asked or members.seeds)[:VIEW_VMS]:
             self._http.send(
-                _request_to(address, messages.VIEW_PATH, body, VIEW_SECONDS),
+                messages.request_to(
+                    address, messages.VIEW_PATH, body, VIEW_SECONDS
+                ),
                 transport.AnswerCollector(
                     functools.partial(_take_view, on_page=on_page),
                     lambda error: LOG.info(
@@ -230,7 +242,7 @@
             taker=_as_upstream(self._taker),
             keeper=_as_upstream(self._keeper),
             is_answered=bool(answers),
-            reached_enough=lost < KEEPERS_OF_A_TURN,
+            reached_enough=not lost,
             reached_all=not unanswered,
             is_known=any(item.knows for item in answers),
             is_certain=complete and here_answered,
@@ -253,7 +265,9 @@
         """Ask all keepers."""
         for member in keepers:
             http.send(
-                _request(member, messages.KEEP_PATH, body, seconds),
+                messages.request_to(
+                    member.peers, messages.KEEP_PATH, body, seconds
+                ),
                 transport.AnswerCollector(
                     lambda status, body: self.answered(status == 200),
                     lambda error: self.answered(False),
@@ -271,25 +285,6 @@
             on_done(self._kept)
 
 
-def _request(
-    member: members_module.Member, path: str, body: bytes, seconds: float
-) -> transport.HttpRequest:
-    return _request_to(member.peers, path, body, seconds)
-
-
-def _request_to(
-    address: tuple[str, int], path: str, body: bytes, seconds: float
-) -> transport.HttpRequest:
-    return transport.HttpRequest(
-        address=address,
-        method="POST",
-        path=path,
-        body=body,
-        connect_timeout=seconds,
-        timeout=seconds,
-    )
-
-
 def _as_upstream(
     member: members_module.Member | None,
 ) -> upstreams.Upstream | None:
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -62,6 +62,8 @@
                 self._keep(call)
             elif call.target == messages.VIEW_PATH:
                 self._view(call)
+            elif call.target == messages.PING_PATH:
+                call.respond(200, [])
             elif call.target == messages.FIND_PATH:
                 self._find(call)
             else:
--- a/postspring/testing/fleet/fleet.py
+++ b/postspring/testing/fleet/fleet.py
@@ -137,11 +137,13 @@
         """Remove an upstream's entry."""
         self.store.put(names.SERVERS_TOPIC, upstream.id, None)
 
-    def start_vm(self, name: str, **own) -> node_module.FrontNode:
+    def start_vm(
+        self, name: str, data_center: str = "z1", **own
+    ) -> node_module.FrontNode:
         """Start an entry VM and wait until it is ready."""
         vm = platform_settings.VmSettings(
             vm=name,
-            data_center="z1",
+            data_center=data_center,
             callers=("127.0.0.1", 0),
             readiness=("127.0.0.1", 0),
             store=self.store.address,
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -63,6 +63,12 @@
         Header fields in the caller's order and case.
     received_at : float
         Monotonic time of the request's last byte, in seconds.
+
+    Attributes
+    ==========
+
+    close_after : bool
+        The answer ends the connection: the caller is to make a new one.
     """
 
     def __init__(
@@ -81,6 +87,7 @@
         self.body = body
         self.received_at = received_at
         self.gone = False
+        self.close_after = False
         self.answered = False
         self.on_gone: Callable[[], None] | None = None
         self._value_by_name: dict[str, str] = {}
@@ -275,7 +282,7 @@
         self._server.dispatch(call)
 
     def _head_bytes(self, status: int, fields: list) -> bytes:
-        if self._server.closing:
+        if self._server.closing or self.call.close_after:
             fields = [*fields, ("Connection", "close")]
         event = h11.Response(status_code=status, headers=fields)
         return self._http.send(event)
