--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -99,6 +99,7 @@
         self._buffer = bytearray()
         self._splitter = event_splitter.EventSplitter()
         self._timer: transport.TimerHandle | None = None
+        self._hedge: transport.TimerHandle | None = None
         self._holds_place = False
         self.upstream: upstreams.Upstream | None = None
         self.attempts = 0
@@ -144,10 +145,45 @@
         self._phase = _Phase.SENT
         self._status = 0
         self._buffer.clear()
+        self._plan_hedge()
         self._exchange = self._dispatcher.http.send(
             self._request(upstream), self
         )
 
+    def _plan_hedge(self) -> None:
+        """A call that may run twice does not wait for a slow upstream."""
+        if not self._route.may_repeat or self._only is not None:
+            return
+        if self._hedge is None:
+            self._dispatcher.hedges.deposit()
+        else:
+            self._hedge.cancel()
+        self._hedge = self._dispatcher.timers.call_later(
+            self._route.objective, self._try_elsewhere
+        )
+
+    def _try_elsewhere(self) -> None:
+        """Leave an upstream that has not answered within the objective.
+
+        The last attempt keeps all the time that is left, and hedges are a
+        small share of calls: when all upstreams are slow they don't help.
+        """
+        if self._phase is not _Phase.SENT or self._status:
+            return
+        if self.attempts + 1 >= self._route.max_attempts:
+            return
+        others = self._dispatcher.directory.usable(self._service)
+        if all(item.id in self._tried for item in others):
+            return
+        if not self._dispatcher.hedges.take():
+            return
+        self._exchange.cancel()
+        self._settle()
+        self.upstream.note_failure(self._dispatcher.timers.now())
+        self.may_have_run = True
+        self.attempts += 1
+        self._retry("slow", refusals.Refusal.UNKNOWN_OUTCOME)
+
     def _why_none(self) -> refusals.Refusal:
         if self.may_have_run:
             return refusals.Refusal.UNKNOWN_OUTCOME
@@ -320,7 +356,7 @@
         """Try another upstream if that is allowed, or give up."""
         ran = self.may_have_run
         now = self._dispatcher.timers.now()
-        self.unsent += reason != "broken"
+        self.unsent += reason in ("not_sent", "shed")
         if (
             (ran and not self._route.may_repeat)
             or self.attempts >= self._route.max_attempts
@@ -379,5 +415,6 @@
     def _finish(self) -> None:
         self._settle()
         self._phase = _Phase.DONE
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._hedge):
+            if timer is not None:
+                timer.cancel()
--- a/postspring/forwarding/dispatch.py
+++ b/postspring/forwarding/dispatch.py
@@ -6,7 +6,7 @@
 
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
-from postspring.scheduling import placement as placement_module
+from postspring import scheduling
 from postspring import transport
 from postspring import upstreams
 
@@ -52,13 +52,18 @@
         Counts retries by reason.
     data_center : str
         This VM's.
+    hedges : RetryBudget
+        How many slow calls may be tried elsewhere.
     """
 
     http: transport.HttpClient
     timers: transport.Timers
     directory: upstreams.Directory
-    placement: placement_module.Placement
+    placement: scheduling.Placement
     wire: ports.WireFormat
     metrics: object
     data_center: str = ""
     draw: Callable[[], float] = random.random
+    hedges: scheduling.RetryBudget = dataclasses.field(
+        default_factory=scheduling.RetryBudget
+    )
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -30,13 +30,13 @@
 
 CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
 UPSTREAMS_PLACE = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
-# A read of the configuration waits this long for a change, in seconds.  One
-# that is never answered is noticed only after that, and a change has to be
-# in force within 2 s.
-CONFIGURATION_WAIT_SECONDS = 1.4
-# Upstreams write every heartbeat; reading them once in this many seconds
-# keeps within the 2 s in which a leaving one has to be left alone.
-UPSTREAMS_PACE_SECONDS = 0.9
+# A read of the configuration waits for a change during this share of the
+# time in which one has to be in force: a read that is never answered is
+# noticed only after that.
+CONFIGURATION_WAIT_SHARE = 0.7
+# Upstreams write every heartbeat; they are read once in this share of the
+# time in which a leaving one has to be left alone.
+UPSTREAMS_PACE_SHARE = 0.45
 MISSING_SWEEP_SECONDS = 0.5
 # A VM that has been up for this long knows all that began here within the
 # retention of turns, 60 s on the users' routes; in seconds.
@@ -168,7 +168,7 @@
             CONFIGURATION_PLACE,
             self.configuration.take,
             self.configuration.take,
-            wait=CONFIGURATION_WAIT_SECONDS,
+            wait=CONFIGURATION_WAIT_SHARE * self.vm.configuration,
             ask_others=self._ask_view,
         )
         self._upstream_follower = keyedlog.Follower(
@@ -177,7 +177,7 @@
             UPSTREAMS_PLACE,
             watch.reset,
             watch.take,
-            pace=UPSTREAMS_PACE_SECONDS,
+            pace=UPSTREAMS_PACE_SHARE * self.vm.drain,
             on_regained=self._log_regained,
             ask_others=self._ask_view,
         )
--- a/postspring/front/tests/test_plain_calls.py
+++ b/postspring/front/tests/test_plain_calls.py
@@ -86,6 +86,22 @@
             answer = self.fleet.call("GET", "/safe/x", f"r{number}")
             self.assertEqual(200, answer.status)
 
+    def test_a_call_that_hangs_is_tried_elsewhere(self):
+        # Found on tallgrass scale-1: look-ups waited for an upstream that
+        # had lost their answers until their callers left.
+        self.fleet.tools[0].faults.hang = True
+        for number in range(4):
+            answer = self.fleet.call("GET", "/safe/x", f"r{number}")
+            self.assertEqual(200, answer.status)
+
+    def test_a_hanging_call_that_may_not_run_twice_waits(self):
+        self.break_all(hang=True)
+        answer = self.fleet.call(
+            "POST", "/once/x", "r1", b"x", deadline_ms=500
+        )
+        self.assertEqual(504, answer.status)
+        self.assertEqual(1, self.total_runs())
+
     def test_a_call_that_may_not_is_not(self):
         self.break_all(lose_answer=9)
         answer = self.fleet.call("POST", "/once/x", "r1", b"x")
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -30,6 +30,10 @@
 # How long records that have to get into the log are offered to it; seconds,
 # above the retention of the users' routes.
 KEEP_SECONDS = 120.0
+# When another VM's record is looked for in the log, in seconds: its author
+# appends it as soon as the log answers, and only if that VM is gone, or the
+# log stays away, the copy has to be appended here.
+COPY_CHECK_SECONDS = 2.0
 # Patience with a partition that failed just now, in seconds; above the
 # store's usual 4 ms.
 FAILING_PATIENCE_SECONDS = 0.05
@@ -168,7 +172,7 @@
         safe.start(on_done, at_once=not logged)
 
     def keep_copy(self, data: bytes) -> None:
-        """Keep another VM's record, and offer it to the log.
+        """Keep another VM's record; see to it that it gets into the log.
 
         Raises
         ------
@@ -178,7 +182,12 @@
         record = records.decode_record(data)
         if not isinstance(record, records.WholeTurn):
             raise errors.MalformedRecord("not a whole turn")
-        self._record_whole(record, lambda: None, lambda: None)
+        ref = records.TurnRef(record.program, record.turn)
+        if self.known_turn(ref) is None:
+            self._held_by_ref[ref] = program_module.Turn.of(record)
+            self._timers.call_later(
+                COPY_CHECK_SECONDS, self._check_copy, record
+            )
 
     def begin_home(
         self,
@@ -354,6 +363,27 @@
             or self._partitions.is_failing(own_place)
         )
 
+    def _check_copy(self, record: records.WholeTurn) -> None:
+        """Read whether a copy stands in the log; append it if not."""
+        ref = records.TurnRef(record.program, record.turn)
+        place = partitions.place_of_program(record.program)
+
+        def located(program: records.ProgramId | None) -> None:
+            if program is None:
+                self._record_whole(record, lambda: None, lambda: None)
+            else:
+                self._held_by_ref.pop(ref, None)
+
+        def folded(fold: fold_module.ProgramFold) -> None:
+            if fold.whole_turn(ref) is None:
+                self._record_whole(record, lambda: None, lambda: None)
+                return
+            self.locate(record.turn, KEEP_SECONDS, located, self._lost(record))
+
+        self._partitions.get(place).refresh(
+            KEEP_SECONDS, folded, self._lost(record)
+        )
+
     def _lost(self, item) -> OnError:
         """Return what reports a record that never got into the log."""
 
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -26,6 +26,9 @@
 # second figure.  Every call is paid for, failed ones too.
 RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
+# Pause when the log is busy, in seconds: many VMs share its rate, and calls
+# that come again at once would keep it busy.
+BUSY_RETRY_SECONDS = 0.5
 # An append without an answer for this long counts as failing; the slow
 # store takes 0.25 s.
 SLOW_SECONDS = 0.4
@@ -52,6 +55,10 @@
         start.
     on_back : callable
         Called when a call succeeds after others have failed.
+    is_ordered : bool
+        What an entry comes to depends on those before it, so an append is
+        done only when they are folded.  Otherwise it is done when it stands
+        in the log, and what others wrote is read when somebody asks.
     """
 
     def __init__(
@@ -61,7 +68,9 @@
         place: keyedlog.LogPlace,
         fold_type: type,
         on_back: Callable[[], None] = lambda: None,
+        is_ordered: bool = True,
     ):
+        self._is_ordered = is_ordered
         self._on_back = on_back
         self._log = log
         self._timers = timers
@@ -173,6 +182,8 @@
                 self.fold.apply(commit.entry.value)
             self.end = end
             self._release(self._commits, commits)
+        elif not self._is_ordered:
+            self._release(self._commits, commits)
         else:
             self._read_to(end, lambda: self._release(self._commits, commits))
 
@@ -180,6 +191,8 @@
         """Take note that a batch was not accepted; try again."""
         self._note_failure("append failed", error)
         self._sent_at = math.inf
+        if isinstance(error, keyedlog.LogBusy):
+            self._pause = max(self._pause, BUSY_RETRY_SECONDS)
         self._retry_later(self._go_on)
 
     def retry_now(self) -> None:
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -11,8 +11,9 @@
 __all__ = ["Partitions", "place_of_location", "place_of_program"]
 
 # Partitions that programs are spread over.  The more there are, the more
-# seldom two VMs write to one and have to read each other's records.
-PROGRAM_PARTITIONS = 384
+# seldom two VMs write to one and have to read each other's records.  The
+# platform has 100 topics of 24 partitions; 20 topics are left for others.
+PROGRAM_PARTITIONS = 1920
 LOCATION_PARTITIONS = 24
 # A partition that nobody used for this long is forgotten, and read again
 # when it is needed; seconds, above the retention of the users' routes.
@@ -64,6 +65,7 @@
                 place,
                 _fold_type_by_subject[place.subject],
                 self._log_is_back,
+                is_ordered=place.subject is keyedlog.Subject.PROGRAMS,
             )
             self._by_place[place] = partition
         return partition
--- a/postspring/keyedlog/__init__.py
+++ b/postspring/keyedlog/__init__.py
@@ -1,6 +1,7 @@
 """Keyed log: partitions of keyed records, and how they are followed."""
 
 from postspring.keyedlog.errors import KeyedLogError
+from postspring.keyedlog.errors import LogBusy
 from postspring.keyedlog.errors import LogExpired
 from postspring.keyedlog.errors import LogUnavailable
 from postspring.keyedlog.follower import Follower
@@ -15,6 +16,7 @@
     "KeyedLog",
     "KeyedLogError",
     "LogEntry",
+    "LogBusy",
     "LogExpired",
     "LogPage",
     "LogPlace",
--- a/postspring/keyedlog/errors.py
+++ b/postspring/keyedlog/errors.py
@@ -2,7 +2,7 @@
 
 from postspring import errors
 
-__all__ = ["KeyedLogError", "LogExpired", "LogUnavailable"]
+__all__ = ["KeyedLogError", "LogBusy", "LogExpired", "LogUnavailable"]
 
 
 class KeyedLogError(errors.PostspringError):
@@ -23,5 +23,9 @@
         self.reason = reason
 
 
+class LogBusy(LogUnavailable):
+    """The log gets more calls than it takes; this one was not done."""
+
+
 class LogExpired(KeyedLogError):
     """The records that were asked for have expired."""
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -222,6 +222,10 @@
             self._fail(error)
             return
         self._log.direct_failed(self._place, str(error))
+        if isinstance(error, keyedlog.LogBusy) and self._log.is_direct:
+            # The call would be one too many from another VM as well.
+            self._fail(error)
+            return
         self._ask(error)
 
     def _overdue(self) -> None:
--- a/postspring/peering/isolation.py
+++ b/postspring/peering/isolation.py
@@ -14,13 +14,15 @@
 
 # How often VMs elsewhere are asked while the direct way to the log is lost,
 # and how long an answer may take; VMs answer each other in a few ms.
-CHECK_SECONDS = 0.25
-ANSWER_SECONDS = 0.25
+CHECK_SECONDS = 0.1
+ANSWER_SECONDS = 0.2
+# Rounds in a row without an answer; a single one may meet VMs that restart.
+SILENT_ROUNDS = 2
 # Asked at the same time; one answer is enough.
 ASKED_VMS = 4
-# With the help of another VM the log answers followers this often, in
-# seconds; a VM that nobody helps has heard nothing for longer.
-SILENCE_SECONDS = 0.6
+# A VM that another one helps hears from the log within this time after the
+# direct way was lost, in seconds.
+SILENCE_SECONDS = 0.3
 # The balancer asks once a second and needs two refusals; callers that come
 # after this many seconds have no other way in.
 SENT_AWAY_SECONDS = 3.0
@@ -66,6 +68,8 @@
         self._is_direct = is_direct
         self._silence = silence
         self._began_at = math.inf
+        self._is_asking = False
+        self._silent_rounds = 0
 
     def start(self) -> None:
         """Begin to watch."""
@@ -87,10 +91,12 @@
 
     def _check(self) -> None:
         if self._is_direct():
+            self._silent_rounds = 0
             self._end("log")
             return
         asked = self._whom_to_ask()
-        if asked:
+        if asked and not self._is_asking:
+            self._is_asking = True
             _Round(self._http, asked, self._answered, self._nobody).start()
 
     def _whom_to_ask(self) -> list[members_module.Member]:
@@ -104,12 +110,18 @@
         return (first + rest)[:ASKED_VMS]
 
     def _answered(self) -> None:
+        self._is_asking = False
+        self._silent_rounds = 0
         self._end("vm")
 
     def _nobody(self) -> None:
+        self._is_asking = False
+        self._silent_rounds += 1
         silence = self._silence()
         if self.is_isolated or self._is_direct() or silence < SILENCE_SECONDS:
             return
+        if self._silent_rounds < SILENT_ROUNDS:
+            return
         self._began_at = self._timers.now()
         LOG.warning("cut off", extra={"log_silent": round(silence, 2)})
 
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -36,6 +36,8 @@
         Where some other VMs listen for VMs; they may be gone.
     drain : float
         Within this time a leaving upstream gets no more work.
+    configuration : float
+        Within this time a new configuration is in force.
     grace : float
         Time from SIGTERM to SIGKILL.
     """
@@ -49,6 +51,7 @@
     record_bytes: int
     peers: Address
     drain: float
+    configuration: float
     grace: float
     seeds: tuple[Address, ...] = ()
     memory_mb: int = 0
@@ -97,6 +100,7 @@
         # VMs reach each other where the platform's seeds point to
         peers=split_address(listen["control"]),
         drain=float(bounds["drain_ms"]) / 1000,
+        configuration=float(bounds["config_ms"]) / 1000,
         grace=float(bounds["grace_s"]),
         seeds=tuple(split_address(seed) for seed in raw.get("seeds") or ()),
         memory_mb=int(limits.get("memory_mb") or 0),
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -231,6 +231,9 @@
             if status == 410:
                 fail(keyedlog.LogExpired("the records expired"))
                 return
+            if status == 429:
+                fail(keyedlog.LogBusy("status_429"))
+                return
             if status != 200:
                 fail(keyedlog.LogUnavailable(f"status_{status}"))
                 return
--- a/postspring/testing/fleet/fleet.py
+++ b/postspring/testing/fleet/fleet.py
@@ -151,6 +151,7 @@
             record_bytes=262144,
             peers=("127.0.0.1", 0),
             drain=2.0,
+            configuration=2.0,
             grace=8.0,
             seeds=tuple(node.peers.address for node in self.nodes[:3]),
             first_start=True,
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -113,8 +113,13 @@
         self._parse()
 
     def was_reset(self, is_unreachable: bool) -> None:
-        """Take note that the connection broke: no answer ends with it."""
+        """Take note that the connection broke: no answer ends with it.
+
+        The path or the other machine may be gone, so connections that are
+        kept to the same address are not used again.
+        """
         self._socket = None
+        self._client.discard(self.request.address)
         if self.done or self._retry_on_fresh():
             return
         self._fail("connection reset", is_unreachable)
