--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -207,7 +207,7 @@
         if finding.reached_enough and not finding.is_known_turn:
             self._close(refusals.Refusal.NO_SUCH_TURN)
         else:
-            self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
+            self._close(refusals.Refusal.TURN_UNCERTAIN)
 
     def _begin_home(self, finding: ports.Finding) -> None:
         """The log is away: the program may go on here all the same.
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -230,6 +230,7 @@
             promises,
             self._is_complete,
             self.isolation,
+            self.timers,
         )
         self.journal.companions = self.neighbourhood
         self._peer_service = peering.PeerService(
--- a/postspring/front/tests/test_isolation.py
+++ b/postspring/front/tests/test_isolation.py
@@ -86,3 +86,20 @@
         self.fleet.turn_for(1.5)
         self.assertTrue(near.is_ready)
         self.assertTrue(far.is_ready)
+
+
+class SilentVmTest(case.FleetCase):
+    """A VM that does not answer."""
+
+    def test_it_is_not_asked_for_each_turn(self):
+        # Found on tallgrass-ops-grown scale-2: each turn in a cut opened a
+        # connection to every VM behind it, 64 of them.
+        far = self.fleet.start_vm("far", data_center="z2")
+        near = self.fleet.nodes[0]
+        self.fleet.turn_until(lambda: near.members.others)
+        self.fleet.stop_vm(far)
+        self.fleet.take_turn("a", previous_turn="x")
+        opened = near._peer_http.connections_opened
+        for number in range(5):
+            self.fleet.take_turn(f"b{number}", previous_turn="x")
+        self.assertEqual(opened, near._peer_http.connections_opened)
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -25,6 +25,9 @@
 FIND_SECONDS = 0.15
 KEEP_SECONDS = 0.25
 VIEW_SECONDS = 0.5
+# A VM that did not answer is not asked again for this long, in seconds: in a
+# cut each turn would otherwise open a connection to every VM behind it.
+AVOID_SECONDS = 1.0
 # VMs that are asked for their view at the same time.
 VIEW_VMS = 3
 # VMs that are asked to keep a record at the same time, and how many copies
@@ -48,6 +51,8 @@
         Which VM may let a program go on.
     isolation : Isolation
         Whether this VM is cut off.
+    timers : Timers
+        For leaving silent VMs alone.
     """
 
     def __init__(
@@ -57,9 +62,12 @@
         promises: promises_module.Promises,
         is_complete: Callable[[], bool],
         isolation: isolation_module.Isolation,
+        timers: transport.Timers,
     ):
+        self._timers = timers
         self._isolation = isolation
         self._promises = promises
+        self._avoided_until: dict[str, float] = {}
         self._http = http
         self._members = members
         self._is_complete = is_complete
@@ -84,7 +92,7 @@
 
     def _keepers(self) -> list[members_module.Member]:
         """One of this data centre, the others from elsewhere if possible."""
-        found = self._members.nearest_first()
+        found = sorted(self._members.nearest_first(), key=self._is_avoided)
         here = self._members.own.data_center
         near = [member for member in found if member.data_center == here]
         far = [member for member in found if member.data_center != here]
@@ -106,6 +114,7 @@
             facts.ceiling,
         )
         others = self._members.others
+        asked = [member for member in others if not self._is_avoided(member)]
         self._promises.begin_asking(facts.program)
 
         def answered(search: "_Search") -> None:
@@ -115,21 +124,30 @@
                 finding = dataclasses.replace(finding, is_deferred=True)
             on_done(finding)
 
-        search = _Search(others, answered)
+        search = _Search(others, len(asked), answered)
         body = messages.encode(request)
-        for member in others:
+        for member in asked:
             self._http.send(
                 messages.request_to(
                     member.peers, messages.FIND_PATH, body, FIND_SECONDS
                 ),
                 transport.AnswerCollector(
                     functools.partial(search.take, member),
-                    lambda error: search.failed(),
+                    functools.partial(self._unanswered, member, search),
                 ),
             )
-        if not others:
+        if not asked:
             answered(search)
 
+    def _unanswered(self, member, search: "_Search", error) -> None:
+        until = self._timers.now() + AVOID_SECONDS
+        self._avoided_until[member.name] = until
+        search.failed()
+
+    def _is_avoided(self, member: members_module.Member) -> bool:
+        until = self._avoided_until.get(member.name, 0.0)
+        return until > self._timers.now()
+
     # -- views ----------------------------------------------------------------
 
     def ask_view(
@@ -178,13 +196,27 @@
 
 
 class _Search:
-    """Collects the answers to one question."""
+    """Collects the answers to one question.
+
+    Parameters
+    ==========
 
-    def __init__(self, asked: list, on_done: Callable[["_Search"], None]):
-        self._asked = asked
+    others : list of Member
+        All VMs that might know something.
+    asked : int
+        How many of them were asked.
+    """
+
+    def __init__(
+        self,
+        others: list[members_module.Member],
+        asked: int,
+        on_done: Callable[["_Search"], None],
+    ):
+        self._others = others
         self._on_done = on_done
         self._answers: dict[str, messages.Found] = {}
-        self._open = len(asked)
+        self._open = asked
         self._taker: members_module.Member | None = None
         self._keeper: members_module.Member | None = None
         self._is_finished = False
@@ -228,10 +260,10 @@
     ) -> forwarding.Finding:
         """Return what the answers add up to."""
         answers = self._answers.values()
-        unanswered = len(self._asked) - len(self._answers)
+        unanswered = len(self._others) - len(self._answers)
         here_answered = all(
             member.name in self._answers
-            for member in self._asked
+            for member in self._others
             if member.data_center == own.data_center
         )
         complete = is_complete and all(item.is_complete for item in answers)
