--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -330,6 +330,8 @@
     def _direct_way_changed(self) -> None:
         """A read that waits for a change may hang on the way that is lost."""
         self._configuration_follower.read_now()
+        if not self.log.is_down:
+            self.journal.log_is_back()
 
     def _ask_view(self, place, on_page) -> None:
         self.neighbourhood.ask_view(place, on_page)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -78,6 +78,10 @@
         """Number of whole turns that are not in the log yet."""
         return len(self._held_by_ref)
 
+    def log_is_back(self) -> None:
+        """Do at once what waits for the log."""
+        self._partitions.log_is_back()
+
     # -- writing --------------------------------------------------------------
 
     def open_turn(
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -98,6 +98,11 @@
         waited = self._timers.now() - self._sent_at
         return self._failing or waited > SLOW_SECONDS
 
+    @property
+    def is_waiting(self) -> bool:
+        """Whether something waits for its next try."""
+        return self._retry is not None
+
     @property
     def idle(self) -> bool:
         """Whether nobody waits for this partition."""
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -1,5 +1,7 @@
 """Which partition holds what, and the ones that this VM works on."""
 
+import random
+
 import xxhash
 
 from postspring.histories import fold as fold_module
@@ -19,6 +21,10 @@
 # when it is needed; seconds, above the retention of the users' routes.
 UNUSED_SECONDS = 90.0
 SWEEP_SECONDS = 10.0
+# When the log is back, more partitions than this are not tried at once but
+# within so many seconds: every VM does the same, and they share its rate.
+AT_ONCE = 8
+SPREAD_SECONDS = 1.0
 
 _fold_type_by_subject = {
     keyedlog.Subject.PROGRAMS: fold_module.ProgramFold,
@@ -64,7 +70,7 @@
                 self._timers,
                 place,
                 _fold_type_by_subject[place.subject],
-                self._log_is_back,
+                self.log_is_back,
                 is_ordered=place.subject is keyedlog.Subject.PROGRAMS,
             )
             self._by_place[place] = partition
@@ -74,11 +80,22 @@
         """Return whether a partition can't be reached, as far as known."""
         return self._log.is_down or self.get(place).is_failing
 
-    # -- own ------------------------------------------------------------------
+    def log_is_back(self) -> None:
+        """Do what waits for its next try, spread over a little time."""
+        waiting = [
+            partition
+            for partition in self._by_place.values()
+            if partition.is_waiting
+        ]
+        if len(waiting) <= AT_ONCE:
+            for partition in waiting:
+                partition.retry_now()
+            return
+        for partition in waiting:
+            seconds = random.uniform(0.0, SPREAD_SECONDS)
+            self._timers.call_later(seconds, partition.retry_now)
 
-    def _log_is_back(self) -> None:
-        for partition in list(self._by_place.values()):
-            partition.retry_now()
+    # -- own ------------------------------------------------------------------
 
     def _forget_unused(self) -> None:
         oldest = self._timers.now() - UNUSED_SECONDS
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -1,7 +1,9 @@
 """The log by way of another VM, while this one can't reach it."""
 
 from collections.abc import Callable
+import functools
 import logging
+import math
 
 from postspring import keyedlog
 from postspring.peering import members as members_module
@@ -25,6 +27,10 @@
 # A partition that no way leads to is only tried directly for this long, in
 # seconds: each call is paid for, failed ones too.
 PLACE_AWAY_SECONDS = 2.0
+# Without any answer for this long the log counts as down, in seconds: then
+# calls fail at once but for one in each PROBE_SECONDS.  All VMs together
+# would otherwise send it thousands of calls a second.
+BREAKER_SECONDS = 0.5
 # Longest wait of a read that another VM makes, in seconds: below the time
 # that it gives a call.
 HELPED_WAIT_SECONDS = 0.8
@@ -43,7 +49,7 @@
     members : callable
         Returns the other VMs, best helpers first.
     on_change : callable
-        Called when the direct way is lost, and when it is back.
+        Called when the direct way is lost, and when the log answers again.
     """
 
     def __init__(
@@ -63,6 +69,8 @@
         self._timers = timers
         self._failing_since: float | None = None
         self._failures_in_a_row = 0
+        self._probed_at = -math.inf
+        self._was_down = False
         self._probed_at_by_place: dict[keyedlog.LogPlace, float] = {}
         self._avoided_until: dict[str, float] = {}
         self._away_until: dict[keyedlog.LogPlace, float] = {}
@@ -110,6 +118,17 @@
 
     # -- for calls ------------------------------------------------------------
 
+    def fails_at_once(self) -> bool:
+        """Return whether a call should fail at once, for the log is down."""
+        if self.is_direct or self.silence < BREAKER_SECONDS:
+            return False
+        now = self._timers.now()
+        if now - self._probed_at < PROBE_SECONDS:
+            self._was_down = True
+            return True
+        self._probed_at = now
+        return False
+
     def try_direct(self, place: keyedlog.LogPlace) -> bool:
         """Return whether a call should go the direct way.
 
@@ -152,6 +171,9 @@
         self._is_down = is_down
         if not is_down:
             self._answered_at = self._timers.now()
+            if self._was_down:
+                self._was_down = False
+                self._timers.call_later(0, self._on_change)
             self._away_until.pop(place, None)
         elif self._away_until.get(place, 0.0) <= self._timers.now():
             until = self._timers.now() + PLACE_AWAY_SECONDS
@@ -202,7 +224,10 @@
 
     def start(self) -> None:
         """Go the direct way if it may work, else through another VM."""
-        if self._log.try_direct(self._place):
+        if self._log.fails_at_once():
+            error = keyedlog.LogUnavailable("down")
+            self._log.call_later(0, functools.partial(self._fail, error))
+        elif self._log.try_direct(self._place):
             self._open += 1
             self._timer = self._log.call_later(self._patience, self._overdue)
             self._start(
--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -81,6 +81,31 @@
             self.append()
         self.assertLessEqual(len(self.helped.calls), 2)
 
+    def test_while_the_log_is_down_calls_fail_at_once(self):
+        # Found on tallgrass-ops-grown trouble-3: each VM tried each of its
+        # partitions again and again, 111,000 calls in 29 s.
+        self.direct.faults.down = True
+        self.helped.faults.down = True
+        for number in range(200):
+            place = keyedlog.LogPlace(keyedlog.Subject.PROGRAMS, number)
+            self.assertIsInstance(self.append(place), keyedlog.LogUnavailable)
+            self.clock.run_for(0.05)
+        # 10 s, two probes a second, and what went before the breaker
+        self.assertLess(len(self.direct.calls), 20 + 20)
+        self.assertTrue(self.log.is_down)
+
+    def test_after_it_was_down_others_are_told(self):
+        self.test_while_the_log_is_down_calls_fail_at_once()
+        self.changes.clear()
+        self.direct.faults.down = False
+        self.clock.run_for(1.0)
+        self.append()
+        self.clock.run_for(0.1)
+        self.assertIn(True, self.changes)
+        self.assertEqual(
+            1, self.append(keyedlog.LogPlace(PLACE.subject, 999)) + 1
+        )
+
     def test_expired_records_are_not_a_lost_way(self):
         self.append()
         self.data.expire(PLACE)
