--- a/postspring/platform/tests/test_settings.py
+++ b/postspring/platform/tests/test_settings.py
@@ -22,7 +22,7 @@
     },
     "seeds": ["10.1.0.38:8144", "10.2.0.40:8144"],
     "limits": {"memory_mb": 160},
-    "bounds": {"drain_ms": 2000, "grace_s": 8},
+    "bounds": {"drain_ms": 2000, "config_ms": 2000, "grace_s": 8},
     "platform": {
         "address": "10.200.1.7:8142",
         "parts": 24,
