--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -1,6 +1,8 @@
 """Messages between entry VMs, in CBOR."""
 
 import dataclasses
+import types
+import typing
 from typing import Any
 
 import cbor2
@@ -157,7 +159,11 @@
     True
     """
     try:
-        return cls(*cbor2.loads(data))
+        message = cls(*cbor2.loads(data))
+        for field in dataclasses.fields(cls):
+            if not _fits(getattr(message, field.name), field.type):
+                raise ValueError(f"{field.name} is not {field.type}")
+        return message
     except (
         cbor2.CBORDecodeError,
         RecursionError,
@@ -166,3 +172,22 @@
     ) as error:
         text = f"not a {cls.__name__}: {str(error)[:200]}"
         raise errors.PeerError(text) from error
+
+
+def _fits(value: Any, expected: Any) -> bool:
+    """Return whether a value has the type that a message declares."""
+    arguments = typing.get_args(expected)
+    origin = typing.get_origin(expected)
+    if origin is types.UnionType:
+        return any(_fits(value, argument) for argument in arguments)
+    if origin is list:
+        return isinstance(value, list) and all(
+            _fits(item, arguments[0]) for item in value
+        )
+    if origin is tuple:
+        return (
+            isinstance(value, list | tuple)
+            and len(value) == len(arguments)
+            and all(map(_fits, value, arguments))
+        )
+    return type(value) is expected
--- a/postspring/peering/tests/test_messages.py
+++ b/postspring/peering/tests/test_messages.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+import cbor2
 import hypothesis
 from hypothesis import strategies
 
@@ -29,6 +30,20 @@
             except errors.PeerError:
                 pass
 
+    def test_a_field_of_another_type(self):
+        # Ended in a 500 and a traceback in the log.
+        wrong = (
+            (messages.KeepRequest, [["text"]]),
+            (messages.FindRequest, ["vm", "p", None, "8"]),
+            (messages.Found, [1, True, False, True]),
+            (messages.View, [[["key"]], 3]),
+            (messages.ViewRequest, ["members", "vm", "entry"]),
+        )
+        for cls, values in wrong:
+            with self.subTest(cls.__name__):
+                with self.assertRaises(errors.PeerError):
+                    messages.decode(cls, cbor2.dumps(values))
+
     @hypothesis.given(strategies.binary(max_size=100))
     def test_any_record(self, data):
         try:
