--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -5,14 +5,14 @@
 upstream says so.
 """
 
-import dataclasses
 import enum
 import logging
-import random
 
 from postspring import errors
+from postspring.forwarding import choice
 from postspring.forwarding import dispatch
 from postspring.forwarding import event_splitter
+from postspring.forwarding import pace
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
 from postspring import routing
@@ -23,30 +23,13 @@
 
 LOG = logging.getLogger(__name__)
 
-# Links take a few ms; an address that does not answer by then is dead.
-CONNECT_TIMEOUT_SECONDS = 0.4
 # Sends that certainly did not run, after which a call is given up.
 MAX_UNSENT = 4
-# An upstream stops at the deadline it was given; its own answer to that
-# may take this much longer, in seconds.
-DEADLINE_SLACK_SECONDS = 0.15
-# A stream with fewer pauses between events says little about the pace.
-LEAST_PAUSES = 3
 GATEWAY_TIMEOUT = 504
 SERVER_ERROR = 500
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
 
-@dataclasses.dataclass(slots=True)
-class _Order:
-    """A call as placement sees it."""
-
-    last_upstream: str = ""
-    affinity_key: str = ""
-    data_center: str = ""
-    now: float = 0.0
-
-
 class _Phase(enum.Enum):
     WAITING = "waiting"
     SENT = "sent"
@@ -101,9 +84,7 @@
         self._answer = ports.AnswerFacts()
         self._buffer = bytearray()
         self._splitter = event_splitter.EventSplitter()
-        self._events = 0
-        self._first_events = 0
-        self._streaming_since = 0.0
+        self._pace = pace.StreamPace()
         self._timer: transport.TimerHandle | None = None
         self._hedge: transport.TimerHandle | None = None
         self._holds_place = False
@@ -200,39 +181,26 @@
     def _choose(self) -> upstreams.Upstream | None:
         if self._only is not None:
             return None if self._only.id in self._tried else self._only
-        directory = self._dispatcher.directory
-        candidates = directory.usable(self._service)
-        if not candidates:
-            candidates = directory.last_resort(self._service)
-        fresh = [item for item in candidates if item.id not in self._tried]
-        candidates = fresh or candidates
-        if not candidates:
-            return None
-        random.shuffle(candidates)
-        order = _Order(
+        order = choice.Order(
             self._preferred,
             self._facts.affinity_key,
             self._dispatcher.data_center,
             self._dispatcher.timers.now(),
         )
-        return self._dispatcher.placement.choose(order, candidates)
+        return choice.choose_upstream(
+            self._dispatcher, self._service, self._tried, order
+        )
 
     def _request(self, upstream: upstreams.Upstream) -> transport.HttpRequest:
         remaining = self._deadline - self._dispatcher.timers.now()
-        extra = ports.UpstreamExtra(remaining, upstream.id)
-        wire = self._dispatcher.wire
-        return transport.HttpRequest(
-            address=upstream.address,
-            method=self._call.method,
-            path=self._call.target,
-            body=self._body,
-            headers=(
-                *wire.upstream_fields(self._call.fields, extra),
-                *self._extra_fields,
-            ),
-            connect_timeout=CONNECT_TIMEOUT_SECONDS,
-            timeout=max(0.0, remaining) + 2 * DEADLINE_SLACK_SECONDS,
-            is_answer=self._is_answer,
+        return choice.upstream_request(
+            self._dispatcher,
+            upstream,
+            self._call,
+            self._body,
+            remaining,
+            self._extra_fields,
+            self._is_answer,
         )
 
     def _is_answer(self, headers: dict[str, str]) -> bool:
@@ -304,25 +272,15 @@
             self._phase = _Phase.STREAMING
             self.may_have_run = True
             self.attempts += 1
-            self._first_events = len(events)
-            self._streaming_since = self._dispatcher.timers.now()
             self._receiver.stream_started(self._status, self._fields())
-        self._events += len(events)
+        self._pace.take(len(events), self._dispatcher.timers.now())
         self._receiver.stream_events(events)
 
-    def _note_pace(self) -> None:
-        """Tell how fast the stream's events came after the first ones."""
-        pauses = self._events - self._first_events
-        if pauses >= LEAST_PAUSES:
-            now = self._dispatcher.timers.now()
-            seconds = (now - self._streaming_since) / pauses
-            self.upstream.note_pace(seconds, now)
-
     def _end_stream(self) -> None:
         started = self._phase is _Phase.STREAMING
         self._finish()
         self.upstream.note_success()
-        self._note_pace()
+        self._pace.tell(self.upstream, self._dispatcher.timers.now())
         if not self._splitter.is_between_events:
             self._end_broken(started, "cut_event")
         elif not started:
@@ -394,7 +352,7 @@
         """The caller has waited as long as it may."""
         if self._phase is _Phase.STREAMING:
             self._timer = self._dispatcher.timers.call_later(
-                DEADLINE_SLACK_SECONDS, self._stream_overdue
+                choice.DEADLINE_SLACK_SECONDS, self._stream_overdue
             )
             return
         sent = self._exchange is not None and self._exchange.sent
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -222,7 +222,7 @@
             self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
             return
         self._tried_home = True
-        journal.begin_home(
+        journal.accounts.begin_home(
             self._program,
             self._facts.ceiling,
             self._facts.budget,
--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -175,6 +175,33 @@
         """Take note that the log holds what was given back."""
         self._drop(program, Origin.RESERVE, turn)
 
+    def begin_home(
+        self,
+        program: records.ProgramId,
+        ceiling: int,
+        budget: int | None,
+        charged: int,
+        elsewhere: int,
+        is_certain: bool,
+    ) -> None:
+        """Let a program go on here while the log is away.
+
+        If it is not certain that nobody else does the same, all homes
+        together get no more than the one turn by which a budget may be
+        passed.
+
+        Parameters
+        ----------
+        charged : int
+            Tokens that records charge it with, as far as anybody knows.
+        elsewhere : int
+            Tokens of its other homes.
+        """
+        if budget is not None:
+            left = budget - charged - elsewhere
+            tokens = left if is_certain else min(left, ceiling - elsewhere)
+            self.make_home(program, tokens, is_certain)
+
     def make_home(
         self, program: records.ProgramId, tokens: int, is_certain: bool
     ) -> None:
--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -5,7 +5,7 @@
 from postspring.histories import ports
 from postspring.transport import timers as timers_module
 
-__all__ = ["Completion"]
+__all__ = ["Both", "Completion"]
 
 # The log's usual answer takes 4 ms; a turn that is not recorded by then is
 # given to other VMs as well.  In seconds.
@@ -16,6 +16,29 @@
 GIVE_UP_SECONDS = 15.0
 
 
+class Both:
+    """Calls a function when two things are done.
+
+    Examples
+    ========
+
+    >>> both = Both(lambda: print("done"))
+    >>> both.one_done()
+    >>> both.one_done()
+    done
+    """
+
+    def __init__(self, on_done: Callable[[], None]):
+        self._on_done = on_done
+        self._left = 2
+
+    def one_done(self) -> None:
+        """Take note that one of them is."""
+        self._left -= 1
+        if not self._left:
+            self._on_done()
+
+
 class Completion:
     """Waits until a turn is recorded, or copies of it are kept.
 
--- /dev/null
+++ b/postspring/histories/copies.py
@@ -0,0 +1,91 @@
+"""Copies of other VMs' turns, kept until they stand in the log."""
+
+import logging
+import random
+import typing
+
+from postspring.histories import errors
+from postspring.histories import records
+from postspring.transport import timers as timers_module
+
+if typing.TYPE_CHECKING:
+    from postspring.histories import journal as journal_module
+
+__all__ = ["CopyCheck"]
+
+LOG = logging.getLogger(__name__)
+
+# When a copy is looked for in the log, in seconds: its author appends it as
+# soon as the log answers, and only if that VM is gone, or the log stays away,
+# it has to be appended here.  VMs look at different times, so that one finds
+# what another has appended.
+CHECK_SECONDS = (2.0, 3.0)
+# How long the log may be away, in seconds; above the retention of the users'
+# routes.
+PATIENCE_SECONDS = 120.0
+
+
+class CopyCheck:
+    """Looks whether a copy stands in the log, and appends it if not.
+
+    One read costs the log less than an append, and all VMs that keep a copy
+    would append it at the same time.
+
+    Parameters
+    ==========
+
+    record : WholeTurn
+        The copy.
+    """
+
+    def __init__(
+        self,
+        journal: "journal_module.Journal",
+        timers: timers_module.Timers,
+        record: records.WholeTurn,
+    ):
+        self._journal = journal
+        self._timers = timers
+        self._record = record
+        self._ref = records.TurnRef(record.program, record.turn)
+
+    def start(self) -> None:
+        """Look after a while."""
+        seconds = random.uniform(*CHECK_SECONDS)
+        self._timers.call_later(seconds, self._look)
+
+    # -- own ------------------------------------------------------------------
+
+    def _look(self) -> None:
+        self._journal.refresh_program(
+            self._record.program,
+            PATIENCE_SECONDS,
+            self._folded,
+            self._lost,
+            waits_long=True,
+        )
+
+    def _folded(self) -> None:
+        if not self._journal.is_logged(self._ref):
+            self._journal.record_copy(self._record)
+            return
+        self._journal.locate(
+            self._record.turn, PATIENCE_SECONDS, self._located, self._lost
+        )
+
+    def _located(self, program: records.ProgramId | None) -> None:
+        if program is None:
+            self._journal.record_copy(self._record)
+        else:
+            self._journal.drop_copy(self._ref)
+
+    def _lost(self, error: errors.HistoryError) -> None:
+        self._journal.drop_copy(self._ref)
+        LOG.error(
+            "copy lost",
+            extra={
+                "program": self._record.program,
+                "request": self._record.turn,
+                "reason": str(error),
+            },
+        )
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -8,11 +8,11 @@
 
 from collections.abc import Callable
 import logging
-import random
 
 from postspring.histories import accounts
 from postspring.histories import chains
 from postspring.histories import completion
+from postspring.histories import copies
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
 from postspring.histories import partitions
@@ -31,11 +31,6 @@
 # How long records that have to get into the log are offered to it; seconds,
 # above the retention of the users' routes.
 KEEP_SECONDS = 120.0
-# When another VM's record is looked for in the log, in seconds: its author
-# appends it as soon as the log answers, and only if that VM is gone, or the
-# log stays away, the copy has to be appended here.
-# VMs look at different times, so that one finds what another has appended.
-COPY_CHECK_SECONDS = (2.0, 3.0)
 # Patience with a partition that failed just now, in seconds; above the
 # store's usual 4 ms.
 FAILING_PATIENCE_SECONDS = 0.05
@@ -95,7 +90,7 @@
         on_error: OnError,
     ) -> None:
         """Get the right to run a turn, from a reserve or from the log."""
-        known = self._program(program)
+        known = self._partitions.program(program)
         is_away = self._partitions.is_failing(
             partitions.place_of_program(program)
         )
@@ -191,39 +186,19 @@
         ref = records.TurnRef(record.program, record.turn)
         if self.known_turn(ref) is None:
             self._held_by_ref[ref] = program_module.Turn.of(record)
-            seconds = random.uniform(*COPY_CHECK_SECONDS)
-            self._timers.call_later(seconds, self._check_copy, record)
+            copies.CopyCheck(self, self._timers, record).start()
 
-    def begin_home(
-        self,
-        program: records.ProgramId,
-        ceiling: int,
-        budget: int | None,
-        charged: int,
-        elsewhere: int,
-        is_certain: bool,
-    ) -> None:
-        """Let a program go on here while the log is away.
+    def drop_copy(self, ref: records.TurnRef) -> None:
+        """Forget a copy whose record stands in the log."""
+        self._held_by_ref.pop(ref, None)
 
-        If it is not certain that nobody else does the same, all homes
-        together get no more than the one turn by which a budget may be
-        passed.
-
-        Parameters
-        ----------
-        charged : int
-            Tokens that records charge it with, as far as anybody knows.
-        elsewhere : int
-            Tokens of its other homes.
-        """
-        if budget is not None:
-            left = budget - charged - elsewhere
-            tokens = left if is_certain else min(left, ceiling - elsewhere)
-            self.accounts.make_home(program, tokens, is_certain)
+    def record_copy(self, record: records.WholeTurn) -> None:
+        """Append a copy that is not in the log."""
+        self._record_whole(record, lambda: None, lambda: None)
 
     def charged(self, program: records.ProgramId) -> int:
         """Return what the records here charge a program with."""
-        known = self._program(program)
+        known = self._partitions.program(program)
         return known.charged + known.reserved
 
     # -- reading --------------------------------------------------------------
@@ -250,17 +225,16 @@
 
     def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
         """Return a whole turn if this VM has it in memory."""
-        place = partitions.place_of_program(ref.program)
-        partition = self._partitions.find(place)
-        found = None
-        if partition is not None:
-            found = partition.fold.whole_turn(ref)
-        return found or self._held_by_ref.get(ref)
+        return self._partitions.whole_turn(ref) or self._held_by_ref.get(ref)
+
+    def is_logged(self, ref: records.TurnRef) -> bool:
+        """Return whether a whole turn is known to stand in the log."""
+        return self._partitions.whole_turn(ref) is not None
 
     def knows(self, program: records.ProgramId) -> bool:
         """Return whether this VM has any turn of a program in memory."""
         return (
-            bool(self._program(program).turn_by_id)
+            bool(self._partitions.program(program).turn_by_id)
             or self.accounts.is_home(program)
             or any(ref.program == program for ref in self._held_by_ref)
         )
@@ -294,7 +268,7 @@
         is_away = self._partitions.is_failing(
             partitions.place_of_program(program)
         )
-        known = self._program(program)
+        known = self._partitions.program(program)
         return self.accounts.can_take(known, ceiling, is_away)
 
     def refresh_program(
@@ -303,10 +277,17 @@
         patience: float,
         on_done: Callable[[], None],
         on_error: OnError,
+        waits_long: bool = False,
     ) -> None:
-        """Fold all records of a program's partition."""
+        """Fold all records of a program's partition.
+
+        Parameters
+        ----------
+        waits_long : bool
+            Nobody waits: have all the patience while the log is away, too.
+        """
         place = partitions.place_of_program(program)
-        if self._partitions.is_failing(place):
+        if self._partitions.is_failing(place) and not waits_long:
             patience = min(patience, FAILING_PATIENCE_SECONDS)
         self._partitions.get(place).refresh(
             patience, lambda fold: on_done(), on_error
@@ -342,18 +323,12 @@
         """Append a whole turn and its place; tell if that looks possible."""
         ref = records.TurnRef(record.program, record.turn)
         self._held_by_ref[ref] = program_module.Turn.of(record)
-        left = 2
-
-        def one_done() -> None:
-            nonlocal left
-            left -= 1
-            if not left:
-                on_logged()
+        both = completion.Both(on_logged)
 
         def folded(fold: fold_module.ProgramFold) -> None:
             self._held_by_ref.pop(ref, None)
             on_folded()
-            one_done()
+            both.one_done()
 
         lost = self._lost(record)
         self._commit(record, KEEP_SECONDS, folded, lost)
@@ -361,34 +336,15 @@
         entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
         place = partitions.place_of_location(record.turn)
         partition = self._partitions.get(place)
-        partition.commit(entry, KEEP_SECONDS, lambda fold: one_done(), lost)
+        partition.commit(
+            entry, KEEP_SECONDS, lambda fold: both.one_done(), lost
+        )
         own_place = partitions.place_of_program(record.program)
         return not (
             self._partitions.is_failing(place)
             or self._partitions.is_failing(own_place)
         )
 
-    def _check_copy(self, record: records.WholeTurn) -> None:
-        """Read whether a copy stands in the log; append it if not."""
-        ref = records.TurnRef(record.program, record.turn)
-        place = partitions.place_of_program(record.program)
-
-        def located(program: records.ProgramId | None) -> None:
-            if program is None:
-                self._record_whole(record, lambda: None, lambda: None)
-            else:
-                self._held_by_ref.pop(ref, None)
-
-        def folded(fold: fold_module.ProgramFold) -> None:
-            if fold.whole_turn(ref) is None:
-                self._record_whole(record, lambda: None, lambda: None)
-                return
-            self.locate(record.turn, KEEP_SECONDS, located, self._lost(record))
-
-        self._partitions.get(place).refresh(
-            KEEP_SECONDS, folded, self._lost(record)
-        )
-
     def _lost(self, item) -> OnError:
         """Return what reports a record that never got into the log."""
 
@@ -426,10 +382,3 @@
         key = f"{record.program}/{record.turn}"
         entry = keyedlog.LogEntry(key, records.encode_record(record))
         partition.commit(entry, patience, on_done, on_error)
-
-    def _program(self, program: records.ProgramId) -> program_module.Program:
-        partition = self._partitions.find(partitions.place_of_program(program))
-        found = None
-        if partition is not None:
-            found = partition.fold.program_by_id.get(program)
-        return found or program_module.Program(program)
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -222,8 +222,8 @@
             self._on_back()
 
     def _note_failure(self, text: str, error: keyedlog.KeyedLogError) -> None:
-        """Log the first failure in a row only."""
-        if not self._failing:
+        """Log the first failure in a row, unless no call was made."""
+        if not self._failing and not isinstance(error, keyedlog.LogDown):
             extra = {"place": str(self._place), "reason": str(error)}
             LOG.info(text, extra=extra)
         self._failing = True
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -6,6 +6,7 @@
 
 from postspring.histories import fold as fold_module
 from postspring.histories import partition as partition_module
+from postspring.histories import program as program_module
 from postspring.histories import records
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
@@ -76,6 +77,19 @@
             self._by_place[place] = partition
         return partition
 
+    def program(self, program: records.ProgramId) -> program_module.Program:
+        """Return a program as this VM knows it, which may be not at all."""
+        partition = self.find(place_of_program(program))
+        found = None
+        if partition is not None:
+            found = partition.fold.program_by_id.get(program)
+        return found or program_module.Program(program)
+
+    def whole_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
+        """Return a turn of the history if this VM has folded it."""
+        partition = self.find(place_of_program(ref.program))
+        return None if partition is None else partition.fold.whole_turn(ref)
+
     def is_failing(self, place: keyedlog.LogPlace) -> bool:
         """Return whether a partition can't be reached, as far as known."""
         return self._log.is_down or self.get(place).is_failing
--- a/postspring/histories/tests/test_journal.py
+++ b/postspring/histories/tests/test_journal.py
@@ -235,6 +235,15 @@
         self.clock.run_until(lambda: not self.two.journal.held, 10)
         self.assertEqual(b"<a>", self.one.chain("a"))
 
+    def test_a_copy_outlives_a_long_outage(self):
+        self.two.log.faults.down = True
+        self.two.journal.keep_copy(self.copy_of("a"))
+        self.clock.run_for(30.0)
+        self.assertEqual(1, self.two.journal.held)
+        self.two.log.faults.down = False
+        self.clock.run_until(lambda: not self.two.journal.held, 10)
+        self.assertEqual(b"<a>", self.one.chain("a"))
+
     def test_a_copy_that_its_author_recorded_is_not_appended_again(self):
         # Found on tallgrass-ops-grown scale-2: every VM that kept a copy
         # appended it, five calls for each turn, and the store never again
--- a/postspring/keyedlog/__init__.py
+++ b/postspring/keyedlog/__init__.py
@@ -2,6 +2,7 @@
 
 from postspring.keyedlog.errors import KeyedLogError
 from postspring.keyedlog.errors import LogBusy
+from postspring.keyedlog.errors import LogDown
 from postspring.keyedlog.errors import LogExpired
 from postspring.keyedlog.errors import LogUnavailable
 from postspring.keyedlog.follower import Follower
@@ -17,6 +18,7 @@
     "KeyedLogError",
     "LogEntry",
     "LogBusy",
+    "LogDown",
     "LogExpired",
     "LogPage",
     "LogPlace",
--- a/postspring/keyedlog/errors.py
+++ b/postspring/keyedlog/errors.py
@@ -2,7 +2,13 @@
 
 from postspring import errors
 
-__all__ = ["KeyedLogError", "LogBusy", "LogExpired", "LogUnavailable"]
+__all__ = [
+    "KeyedLogError",
+    "LogBusy",
+    "LogDown",
+    "LogExpired",
+    "LogUnavailable",
+]
 
 
 class KeyedLogError(errors.PostspringError):
@@ -27,5 +33,9 @@
     """The log gets more calls than it takes; this one was not done."""
 
 
+class LogDown(LogUnavailable):
+    """The log did not answer lately, so the call was not made."""
+
+
 class LogExpired(KeyedLogError):
     """The records that were asked for have expired."""
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -225,7 +225,7 @@
     def start(self) -> None:
         """Go the direct way if it may work, else through another VM."""
         if self._log.fails_at_once():
-            error = keyedlog.LogUnavailable("down")
+            error = keyedlog.LogDown("down")
             self._log.call_later(0, functools.partial(self._fail, error))
         elif self._log.try_direct(self._place):
             self._open += 1
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -6,8 +6,8 @@
 from postspring.transport.http_messages import HttpListener
 from postspring.transport.http_messages import HttpRequest
 from postspring.transport.http_server import HttpServer
-from postspring.transport.http_server import IncomingCall
-from postspring.transport.http_server import ServerLimits
+from postspring.transport.incoming import IncomingCall
+from postspring.transport.incoming import ServerLimits
 from postspring.transport.sockets import ConnectionHandler
 from postspring.transport.sockets import SocketHub
 from postspring.transport.timers import TimerHandle
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -6,130 +6,23 @@
 """
 
 from collections.abc import Callable
-from collections.abc import Iterable
-import dataclasses
 import logging
 import socket
 
 import h11
 
+from postspring.transport import incoming
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
 
-__all__ = ["Fields", "HttpServer", "IncomingCall", "ServerLimits"]
+__all__ = ["HttpServer"]
 
 LOG = logging.getLogger(__name__)
 
-Fields = Iterable[tuple[str | bytes, str | bytes]]
-
 # How often connections are checked for being idle or too slow, in seconds.
 SWEEP_SECONDS = 0.5
 
 
-@dataclasses.dataclass(slots=True)
-class ServerLimits:
-    """What a caller may send; sizes in bytes, times in seconds.
-
-    Explanation
-    ===========
-
-    A server reads the current values at each use, so a new configuration
-    is in force at once.  ``body_seconds`` bounds a body that comes slowly.
-    """
-
-    header_bytes: int = 16 * 1024
-    body_bytes: int = 4 * 1024 * 1024
-    header_seconds: float = 5.0
-    body_seconds: float = 30.0
-    idle_seconds: float = 60.0
-    connections: int = 4000
-
-
-class IncomingCall:
-    """A request and the answer to it, which may come at any later time.
-
-    Explanation
-    ===========
-
-    Answer with :meth:`respond`, or with :meth:`start`, :meth:`send` and
-    :meth:`finish`.  :meth:`abort` closes the connection, so that an answer
-    that ends early does not look complete.  When the caller is gone,
-    answers go nowhere and ``on_gone`` was called.
-
-    Parameters
-    ==========
-
-    fields : list of (str, str)
-        Header fields in the caller's order and case.
-    received_at : float
-        Monotonic time of the request's last byte, in seconds.
-
-    Attributes
-    ==========
-
-    close_after : bool
-        The answer ends the connection: the caller is to make a new one.
-    """
-
-    def __init__(
-        self,
-        connection: "_ServerConnection",
-        method: str,
-        target: str,
-        fields: list[tuple[str, str]],
-        body: bytes,
-        received_at: float,
-    ):
-        self._connection = connection
-        self.method = method
-        self.target = target
-        self.fields = fields
-        self.body = body
-        self.received_at = received_at
-        self.gone = False
-        self.close_after = False
-        self.answered = False
-        self.on_gone: Callable[[], None] | None = None
-        self._value_by_name: dict[str, str] = {}
-        for name, value in fields:
-            self._value_by_name.setdefault(name.lower(), value)
-
-    def header(self, name: str, default: str = "") -> str:
-        """Return the first value of a header field, in any case."""
-        return self._value_by_name.get(name.lower(), default)
-
-    def respond(self, status: int, fields: Fields, body: bytes = b"") -> None:
-        """Give a whole answer."""
-        if self.answered or self.gone:
-            return
-        self.answered = True
-        length = ("Content-Length", str(len(body)))
-        self._connection.send_answer(status, [*fields, length], body)
-
-    def start(self, status: int, fields: Fields) -> None:
-        """Begin an answer whose length is not known."""
-        if self.answered or self.gone:
-            return
-        self.answered = True
-        self._connection.send_head(status, list(fields))
-
-    def send(self, data: bytes) -> None:
-        """Send a part of a started answer."""
-        if not self.gone and data:
-            self._connection.send_data(data)
-
-    def finish(self) -> None:
-        """End a started answer as complete."""
-        if not self.gone:
-            self._connection.send_end()
-
-    def abort(self) -> None:
-        """Close the connection without completing the answer."""
-        self.answered = True
-        if not self.gone:
-            self._connection.abort()
-
-
 class _ServerConnection(sockets.ConnectionHandler):
     """One caller's connection: requests one after another."""
 
@@ -144,7 +37,7 @@
         self._body: list[bytes] = []
         self._body_bytes = 0
         self._close_after = False
-        self.call: IncomingCall | None = None
+        self.call: incoming.IncomingCall | None = None
         self.since = server.timers.now()
         self.receiving = False
 
@@ -270,7 +163,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
         ]
-        call = IncomingCall(
+        call = incoming.IncomingCall(
             self,
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
@@ -330,8 +223,8 @@
     timers : Timers
         For sweeping out idle and slow connections.
     application : callable
-        Called with each :class:`IncomingCall`.
-    limits : ServerLimits
+        Called with each :class:`~.incoming.IncomingCall`.
+    limits : incoming.ServerLimits
         Bounds, read at each use.
     on_refused : callable, optional
         Called with the status of each request that could not be read.
@@ -340,8 +233,8 @@
     def __init__(
         self,
         timers: timers_module.Timers,
-        application: Callable[[IncomingCall], None],
-        limits: ServerLimits,
+        application: Callable[[incoming.IncomingCall], None],
+        limits: incoming.ServerLimits,
         on_refused: Callable[[int], None] = lambda status: None,
     ):
         self.hub: sockets.SocketHub | None = None
@@ -393,7 +286,7 @@
         """Report a request that could not be read."""
         self._on_refused(status)
 
-    def dispatch(self, call: IncomingCall) -> None:
+    def dispatch(self, call: incoming.IncomingCall) -> None:
         """Hand a request to the application."""
         try:
             self._application(call)
