--- a/postspring/peering/isolation.py
+++ b/postspring/peering/isolation.py
@@ -83,9 +83,9 @@
     @property
     def sends_away(self) -> bool:
         """Whether callers should come back by way of the balancer."""
-        return self._timers.now() - self._began_at < SENT_AWAY_SECONDS and (
-            self.is_isolated
-        )
+        if not self.is_isolated:
+            return False
+        return self._timers.now() - self._began_at < SENT_AWAY_SECONDS
 
     # -- own ------------------------------------------------------------------
 
