A log that is back is heard at once; near VMs are asked first

The breaker lets two calls a second through, and those were partitions' appends; the read of the configuration failed at once again and again. What waited was sent within 1 s by 64 VMs, more than the store takes, and its 429 counted as a lost way.

Change: the breaker never stops reads of the configuration. A 429 is no lost way if the log took another call in the last second. VMs catch up with half of the store's rate, divided by the VMs that there are. A program is asked for in its data centre first, elsewhere only if no VM there can run it.

Tests (first failing): test_failover (three), test_search.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -37,6 +37,9 @@
 # Upstreams write every heartbeat; they are read once in this share of the
 # time in which a leaving one has to be left alone.
 UPSTREAMS_PACE_SHARE = 0.45
+# Share of the store's rate that is left for catching up after an outage;
+# the rest is for turns that go on meanwhile.
+CATCH_UP_SHARE = 0.5
 MISSING_SWEEP_SECONDS = 0.5
 # A VM that has been up for this long knows all that began here within the
 # retention of turns, 60 s on the users' routes; in seconds.
@@ -93,7 +96,10 @@
         )
         self.incarnation = f"{vm.vm}/{os.urandom(4).hex()}"
         self.journal = histories.Journal(
-            self.log, self.timers, self.incarnation
+            self.log,
+            self.timers,
+            self.incarnation,
+            catch_up_rate=self._catch_up_rate,
         )
         self._started_at = self.timers.now()
         self._has_left = False
@@ -327,6 +333,11 @@
             path_prefix=peering.STORE_PREFIX,
         )
 
+    def _catch_up_rate(self) -> float:
+        """This VM's share of half of what the store takes; appends/s."""
+        vms = max(1, len(self.members.by_name))
+        return CATCH_UP_SHARE * self.vm.store_writes / vms
+
     def _direct_way_changed(self) -> None:
         """A read that waits for a change may hang on the way that is lost."""
         self._configuration_follower.read_now()
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -53,6 +53,9 @@
         This VM's incarnation: another one after each start.
     companions : Companions
         Keep copies of what is not in the log yet.
+    catch_up_rate : callable
+        Returns with how many appends a second this VM may catch up when
+        the log is back.
     """
 
     def __init__(
@@ -61,9 +64,10 @@
         timers: timers_module.Timers,
         author: str,
         companions: ports.Companions | None = None,
+        catch_up_rate: Callable[[], float] = lambda: partitions.CATCH_UP_RATE,
     ):
         self._timers = timers
-        self._partitions = partitions.Partitions(log, timers)
+        self._partitions = partitions.Partitions(log, timers, catch_up_rate)
         self.accounts = accounts.LocalAccounts(author)
         self.companions = companions or ports.NoCompanions()
         self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -1,5 +1,6 @@
 """Which partition holds what, and the ones that this VM works on."""
 
+from collections.abc import Callable
 import random
 
 import xxhash
@@ -23,9 +24,10 @@
 UNUSED_SECONDS = 90.0
 SWEEP_SECONDS = 10.0
 # When the log is back, more partitions than this are not tried at once but
-# within so many seconds: every VM does the same, and they share its rate.
+# one after the other: every VM does the same, and they share its rate.
 AT_ONCE = 8
-SPREAD_SECONDS = 1.0
+# Appends a second with which a VM catches up, unless it is told otherwise.
+CATCH_UP_RATE = 50.0
 
 _fold_type_by_subject = {
     keyedlog.Subject.PROGRAMS: fold_module.ProgramFold,
@@ -46,9 +48,22 @@
 
 
 class Partitions:
-    """The partitions that this VM has folded, made when they are needed."""
-
-    def __init__(self, log: keyedlog.KeyedLog, timers: timers_module.Timers):
+    """The partitions that this VM has folded, made when they are needed.
+
+    Parameters
+    ==========
+
+    catch_up_rate : callable
+        Returns with how many appends a second this VM may catch up.
+    """
+
+    def __init__(
+        self,
+        log: keyedlog.KeyedLog,
+        timers: timers_module.Timers,
+        catch_up_rate: Callable[[], float] = lambda: CATCH_UP_RATE,
+    ):
+        self._catch_up_rate = catch_up_rate
         self._log = log
         self._timers = timers
         self._by_place: dict[
@@ -105,8 +120,9 @@
             for partition in waiting:
                 partition.retry_now()
             return
+        longest = len(waiting) / max(1.0, self._catch_up_rate())
         for partition in waiting:
-            seconds = random.uniform(0.0, SPREAD_SECONDS)
+            seconds = random.uniform(0.0, longest)
             self._timers.call_later(seconds, partition.retry_now)
 
     # -- own ------------------------------------------------------------------
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -31,6 +31,9 @@
 # calls fail at once but for one in each PROBE_SECONDS.  All VMs together
 # would otherwise send it thousands of calls a second.
 BREAKER_SECONDS = 0.5
+# A log that has taken a call within this time and refuses others as too many
+# is busy; otherwise it turns this VM away.  In seconds.
+BUSY_SECONDS = 1.0
 # Longest wait of a read that another VM makes, in seconds: below the time
 # that it gives a call.
 HELPED_WAIT_SECONDS = 0.8
@@ -80,6 +83,11 @@
         """Whether the direct way leads to the log at all."""
         return self._failing_since is None
 
+    @property
+    def has_answered(self) -> bool:
+        """Whether the log has taken a call lately."""
+        return self.silence < BUSY_SECONDS
+
     @property
     def silence(self) -> float:
         """Seconds since the log answered, by any way."""
@@ -118,10 +126,16 @@
 
     # -- for calls ------------------------------------------------------------
 
-    def fails_at_once(self) -> bool:
-        """Return whether a call should fail at once, for the log is down."""
+    def fails_at_once(self, place: keyedlog.LogPlace) -> bool:
+        """Return whether a call should fail at once, for the log is down.
+
+        The configuration is always asked for: it has to be in force soon
+        after the log's return, and its reads are few.
+        """
         if self.is_direct or self.silence < BREAKER_SECONDS:
             return False
+        if place.subject is keyedlog.Subject.CONFIGURATION:
+            return False
         now = self._timers.now()
         if now - self._probed_at < PROBE_SECONDS:
             self._was_down = True
@@ -224,7 +238,7 @@
 
     def start(self) -> None:
         """Go the direct way if it may work, else through another VM."""
-        if self._log.fails_at_once():
+        if self._log.fails_at_once(self._place):
             error = keyedlog.LogDown("down")
             self._log.call_later(0, functools.partial(self._fail, error))
         elif self._log.try_direct(self._place):
@@ -246,11 +260,12 @@
             self._log.direct_done(self._place)
             self._fail(error)
             return
-        self._log.direct_failed(self._place, str(error))
-        if isinstance(error, keyedlog.LogBusy) and self._log.is_direct:
-            # The call would be one too many from another VM as well.
+        if isinstance(error, keyedlog.LogBusy) and self._log.has_answered:
+            # It takes some calls of this VM, and this one would be one too
+            # many from another VM as well.
             self._fail(error)
             return
+        self._log.direct_failed(self._place, str(error))
         self._ask(error)
 
     def _overdue(self) -> None:
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -106,15 +106,22 @@
         facts: forwarding.CallFacts,
         on_done: Callable[[forwarding.Finding], None],
     ) -> None:
-        """Ask all other VMs about a turn's program and its chain."""
+        """Ask the other VMs about a turn's program and its chain.
+
+        Those of this data centre first: most programs stay in one, and a VM
+        there that can run the turn saves asking all others.
+        """
         request = messages.FindRequest(
             self._members.own.name,
             facts.program,
             facts.previous,
             facts.ceiling,
         )
+        here = self._members.own.data_center
         others = self._members.others
         asked = [member for member in others if not self._is_avoided(member)]
+        near = [member for member in asked if member.data_center == here]
+        far = [member for member in asked if member.data_center != here]
         self._promises.begin_asking(facts.program)
 
         def answered(search: "_Search") -> None:
@@ -124,9 +131,9 @@
                 finding = dataclasses.replace(finding, is_deferred=True)
             on_done(finding)
 
-        search = _Search(others, len(asked), answered)
         body = messages.encode(request)
-        for member in asked:
+
+        def ask(member: members_module.Member) -> None:
             self._http.send(
                 messages.request_to(
                     member.peers, messages.FIND_PATH, body, FIND_SECONDS
@@ -136,8 +143,9 @@
                     functools.partial(self._unanswered, member, search),
                 ),
             )
-        if not asked:
-            answered(search)
+
+        search = _Search(others, [near, far], ask, answered)
+        search.start()
 
     def _unanswered(self, member, search: "_Search", error) -> None:
         until = self._timers.now() + AVOID_SECONDS
@@ -203,20 +211,25 @@
 
     others : list of Member
         All VMs that might know something.
-    asked : int
-        How many of them were asked.
+    stages : list of list of Member
+        Whom to ask first, and whom if none of those can take the turn.
+    ask : callable
+        Sends the question to a VM.
     """
 
     def __init__(
         self,
         others: list[members_module.Member],
-        asked: int,
+        stages: list[list[members_module.Member]],
+        ask: Callable[[members_module.Member], None],
         on_done: Callable[["_Search"], None],
     ):
+        self._stages = stages
+        self._ask = ask
         self._others = others
         self._on_done = on_done
         self._answers: dict[str, messages.Found] = {}
-        self._open = asked
+        self._open = 0
         self._taker: members_module.Member | None = None
         self._keeper: members_module.Member | None = None
         self._is_finished = False
@@ -248,12 +261,25 @@
         """Take note that a VM did not answer."""
         self._count_down()
 
+    def start(self) -> None:
+        """Ask the next VMs, or report if there are none left."""
+        while self._stages:
+            stage = self._stages.pop(0)
+            if stage:
+                self._open = len(stage)
+                for member in stage:
+                    self._ask(member)
+                return
+        self._is_finished = True
+        self._on_done(self)
+
     def _count_down(self) -> None:
         self._open -= 1
         if self._is_finished or (self._open and self._taker is None):
             return
-        self._is_finished = True
-        self._on_done(self)
+        if self._taker is not None:
+            self._stages = []
+        self.start()
 
     def finding(
         self, own: members_module.Member, is_complete: bool
--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -94,6 +94,35 @@
         self.assertLess(len(self.direct.calls), 20 + 20)
         self.assertTrue(self.log.is_down)
 
+    def test_the_configuration_is_asked_for_all_the_same(self):
+        # Found on tallgrass-ops-grown trouble-3: the probes of a log that
+        # was back went to partitions, and an old configuration was in force
+        # 4 s later.
+        self.test_while_the_log_is_down_calls_fail_at_once()
+        self.direct.faults.down = False
+        heard = []
+        place = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
+        self.log.append(OTHER, [ENTRY], lambda offset: None, lambda error: 0)
+        self.log.read(place, 0, heard.append, heard.append)
+        self.clock.run_until(lambda: heard, 1)
+        self.assertIsInstance(heard[0], keyedlog.LogPage)
+
+    def test_a_busy_log_is_not_lost(self):
+        self.append()
+        self.direct.faults.busy = 5
+        for _ in range(5):
+            self.assertIsInstance(self.append(), keyedlog.LogBusy)
+        self.assertTrue(self.log.is_direct)
+        self.assertEqual([], self.helped.calls)
+
+    def test_a_vm_whose_calls_are_all_too_many_is_helped(self):
+        # The store may turn one VM away with the same answer.
+        self.append()
+        self.clock.run_for(2.0)
+        self.direct.faults.busy = 99
+        self.assertEqual(1, self.append())
+        self.assertEqual(["append"], self.helped.calls)
+
     def test_after_it_was_down_others_are_told(self):
         self.test_while_the_log_is_down_calls_fail_at_once()
         self.changes.clear()
--- /dev/null
+++ b/postspring/peering/tests/test_search.py
@@ -0,0 +1,60 @@
+"""Whom a VM asks about a program."""
+
+import unittest
+
+from postspring import peering
+from postspring.peering import messages
+from postspring.peering import neighbourhood
+
+
+def member(name, place):
+    """Return a VM."""
+    return peering.Member(name, f"{name}/1", place, ("", 1), ("", 2))
+
+
+class SearchTest(unittest.TestCase):
+    """Two VMs near, two far."""
+
+    def setUp(self):
+        self.near = [member("a", "z1"), member("b", "z1")]
+        self.far = [member("c", "z2"), member("d", "z2")]
+        self.asked = []
+        self.done = []
+        self.search = neighbourhood._Search(
+            self.near + self.far,
+            [self.near, self.far],
+            self.asked.append,
+            self.done.append,
+        )
+        self.search.start()
+
+    def answer(self, vm, can_take=False):
+        """Let a VM answer."""
+        found = messages.Found(can_take, can_take, can_take, True)
+        self.search.answered(vm, found)
+
+    def test_a_near_vm_that_takes_it_saves_asking_the_others(self):
+        self.answer(self.near[0], can_take=True)
+        self.answer(self.near[1])
+        self.assertEqual(self.near, self.asked)
+        self.assertEqual(1, len(self.done))
+        finding = self.search.finding(member("own", "z1"), True)
+        self.assertEqual("a", finding.taker.id)
+        self.assertFalse(finding.reached_all)
+
+    def test_all_are_asked_if_no_near_one_takes_it(self):
+        for vm in self.near:
+            self.answer(vm)
+        self.assertEqual(self.near + self.far, self.asked)
+        self.assertEqual([], self.done)
+        self.answer(self.far[0])
+        self.search.failed()
+        finding = self.search.finding(member("own", "z1"), True)
+        self.assertEqual(1, len(self.done))
+        self.assertFalse(finding.reached_all)
+
+    def test_nobody_is_there(self):
+        done = []
+        search = neighbourhood._Search([], [[], []], None, done.append)
+        search.start()
+        self.assertEqual([search], done)
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -32,6 +32,8 @@
         Where to listen for other VMs.
     partitions : int
         Partitions of each of the store's topics.
+    store_writes : float
+        Appends a second that the store takes from all VMs together.
     seeds : tuple of (str, int)
         Where some other VMs listen for VMs; they may be gone.
     drain : float
@@ -54,6 +56,7 @@
     configuration: float
     grace: float
     seeds: tuple[Address, ...] = ()
+    store_writes: float = 800.0
     memory_mb: int = 0
     first_start: bool = False
 
@@ -103,6 +106,7 @@
         configuration=float(bounds["config_ms"]) / 1000,
         grace=float(bounds["grace_s"]),
         seeds=tuple(split_address(seed) for seed in raw.get("seeds") or ()),
+        store_writes=float(store.get("writes_per_s") or 800.0),
         memory_mb=int(limits.get("memory_mb") or 0),
         first_start=bool(raw.get("bootstrap")),
     )
--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -27,6 +27,8 @@
         So many appends fail now and are done ``late_seconds`` after.
     down_places : set
         Partitions that fail while the others work.
+    busy : int
+        So many calls are one too many.
     """
 
     down: bool = False
@@ -36,6 +38,7 @@
     late_seconds: float = 3.0
     latency: float = LATENCY_SECONDS
     down_places: set = dataclasses.field(default_factory=set)
+    busy: int = 0
 
 
 class LogData:
@@ -143,8 +146,12 @@
         if self.faults.down or place in self.faults.down_places:
             self._fail(on_error)
             return True
+        if self.faults.busy:
+            self.faults.busy -= 1
+            self._fail(on_error, keyedlog.LogBusy("busy"))
+            return True
         return False
 
-    def _fail(self, on_error) -> None:
-        error = keyedlog.LogUnavailable("down")
+    def _fail(self, on_error, error=None) -> None:
+        error = error or keyedlog.LogUnavailable("down")
         self._timers.call_later(self.faults.latency, on_error, error)
