A call that hangs does not hide that the log is back

Cause: while the store is silent, a read of the configuration waited 0.3 s for the direct way, then up to 1.2 s at each of two VMs that were asked for help and hung as well. While no way leads to the log, a call is given up after 0.5 s.

--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -31,6 +31,9 @@
 # calls fail at once but for one in each PROBE_SECONDS.  All VMs together
 # would otherwise send it thousands of calls a second.
 BREAKER_SECONDS = 0.5
+# Then a call is given up after this long, in seconds: above the hedge, and
+# below the store's own time-out, so that the next one is soon made.
+BROKEN_PATIENCE_SECONDS = 0.5
 # A log that has taken a call within this time and refuses others as too many
 # is busy; otherwise it turns this VM away.  In seconds.
 BUSY_SECONDS = 1.0
@@ -93,6 +96,11 @@
         """Seconds since the log answered, by any way."""
         return self._timers.now() - self._answered_at
 
+    @property
+    def is_broken(self) -> bool:
+        """Whether no way has led to the log for some time."""
+        return not self.is_direct and self.silence > BREAKER_SECONDS
+
     @property
     def is_down(self) -> bool:
         """Whether the last call failed, by all ways."""
@@ -132,7 +140,7 @@
         The configuration is always asked for: it has to be in force soon
         after the log's return, and its reads are few.
         """
-        if self.is_direct or self.silence < BREAKER_SECONDS:
+        if not self.is_broken:
             return False
         if place.subject is keyedlog.Subject.CONFIGURATION:
             return False
@@ -235,9 +243,18 @@
         self._helpers: list[members_module.Member] | None = None
         self._finished = False
         self._timer = None
+        self._limit = None
 
     def start(self) -> None:
-        """Go the direct way if it may work, else through another VM."""
+        """Go the direct way if it may work, else through another VM.
+
+        While the log does not answer at all, a call that hangs would keep
+        the next one from hearing that it is back.
+        """
+        if self._log.is_broken:
+            self._limit = self._log.call_later(
+                BROKEN_PATIENCE_SECONDS, self._give_up
+            )
         if self._log.fails_at_once(self._place):
             error = keyedlog.LogDown("down")
             self._log.call_later(0, functools.partial(self._fail, error))
@@ -273,6 +290,10 @@
             self._log.direct_failed(self._place, "slow")
             self._ask(keyedlog.LogUnavailable("slow"))
 
+    def _give_up(self) -> None:
+        if not self._finished:
+            self._fail(keyedlog.LogUnavailable("slow"))
+
     def _ask(self, error: keyedlog.KeyedLogError) -> None:
         """Try the next helper; without one, the call has failed."""
         if self._finished:
@@ -311,5 +332,6 @@
 
     def _finish(self) -> None:
         self._finished = True
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._limit):
+            if timer is not None:
+                timer.cancel()
--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -107,6 +107,44 @@
         self.clock.run_until(lambda: heard, 1)
         self.assertIsInstance(heard[0], keyedlog.LogPage)
 
+    def test_a_silent_log_is_heard_soon_after_its_return(self):
+        # Found on tallgrass-ops-grown trouble-3, and it may explain
+        # campanario hunt-4c26-7: a read of the configuration that hung,
+        # first on the direct way and then at the VMs that helped.
+        for step in range(12):
+            with self.subTest(step):
+                self.setUp()
+                self.assertLess(self.seconds_until_heard(step * 0.2), 1.0)
+
+    def seconds_until_heard(self, outage):
+        """Return how long a reader does not notice that a log is back."""
+        for log in (self.direct, self.helped):
+            log.faults.silent = True
+            log.faults.gives_up_after = 1.2
+        place = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
+        timers = self.log._timers
+        heard = []
+
+        def answered(page):
+            heard.append(self.clock.now)
+
+        def read():
+            self.log.read(place, 0, answered, failed)
+
+        def failed(error):
+            timers.call_later(0.3, read)
+
+        read()
+        for number in range(3):
+            other = keyedlog.LogPlace(keyedlog.Subject.PROGRAMS, number)
+            self.log.append(other, [ENTRY], heard.append, lambda error: None)
+        self.clock.run_for(5.0 + outage)
+        for log in (self.direct, self.helped):
+            log.faults.silent = False
+        back = self.clock.now
+        self.clock.run_until(lambda: heard, 5)
+        return heard[0] - back
+
     def test_a_busy_log_is_not_lost(self):
         self.append()
         self.direct.faults.busy = 5
--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -21,6 +21,8 @@
         Calls fail and nothing is done.
     silent : bool
         Calls are neither done nor answered.
+    gives_up_after : float
+        Seconds after which the client gives a silent call up; 0 for never.
     lose_answers : int
         So many appends are done and not answered.
     late_appends : int
@@ -33,6 +35,7 @@
 
     down: bool = False
     silent: bool = False
+    gives_up_after: float = 0.0
     lose_answers: int = 0
     late_appends: int = 0
     late_seconds: float = 3.0
@@ -142,6 +145,10 @@
 
     def _fails(self, place, on_error) -> bool:
         if self.faults.silent:
+            if self.faults.gives_up_after:
+                error = keyedlog.LogUnavailable("no_answer")
+                seconds = self.faults.gives_up_after
+                self._timers.call_later(seconds, on_error, error)
             return True
         if self.faults.down or place in self.faults.down_places:
             self._fail(on_error)
