--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -240,7 +240,7 @@
         return (
             bool(self._partitions.program(program).turn_by_id)
             or self.accounts.is_home(program)
-            or any(ref.program == program for ref in self._held_by_ref)
+            or self._holds(program)
         )
 
     def is_recorded(
@@ -250,9 +250,7 @@
 
         Not so if this VM does not know the turn that is to be continued.
         """
-        if self.accounts.is_home(program):
-            return False
-        if any(ref.program == program for ref in self._held_by_ref):
+        if self.accounts.is_home(program) or self._holds(program):
             return False
         if previous is None:
             return True
@@ -318,6 +316,10 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _holds(self, program: records.ProgramId) -> bool:
+        """Return whether a turn of a program is not in the log yet."""
+        return any(ref.program == program for ref in self._held_by_ref)
+
     def _record_whole(
         self,
         record: records.WholeTurn,
