A VM that can't be heard is not gone: one place tells why a turn is uncertain

Cause: "there is no such turn" was said when everybody on the list of VMs had been heard. A VM whose entry had expired was not on the list, one that had joined lately not yet, and one that left was off it before all that it kept stood in the log.

Now: a VM that expired without leaving counts as not heard for 15 minutes; the list is read after the question, the log once more after the answers; a VM leaves the list when nothing is kept there, and ends turns of its own only if it is on it. The premises that do not hold are a list of Doubt, and stand in the line of the refused turn. Entries of VMs that are away for longer are dropped by one VM. The same list decides whether a program may go on from its whole budget while the log is away (both sides of a long cut could be sure to be alone).

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from postspring.forwarding.delivery import Delivery
 from postspring.forwarding.dispatch import Dispatcher
 from postspring.forwarding.dispatch import Receiver
+from postspring.forwarding.doubts import Doubt
 from postspring.forwarding.event_splitter import EventSplitter
 from postspring.forwarding.forwarder import Forwarder
 from postspring.forwarding.ports import AnswerFacts
@@ -20,6 +21,7 @@
     "CallFacts",
     "Delivery",
     "Dispatcher",
+    "Doubt",
     "EventSplitter",
     "Finding",
     "Forwarder",
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -8,6 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from postspring.forwarding import doubts as doubts_module
 from postspring import histories
 from postspring import upstreams
 
@@ -121,8 +122,8 @@
         A VM that has the whole chain that is to be continued.
     is_answered : bool
         Some VM answered.
-    reached_enough : bool
-        All answered that might keep a turn, and none has started lately.
+    doubts : tuple of Doubt
+        Why a turn that nobody knows might be kept by a VM all the same.
     reached_all : bool
         Every VM answered.
     is_known : bool
@@ -143,7 +144,7 @@
     taker: upstreams.Upstream | None = None
     keeper: upstreams.Upstream | None = None
     is_answered: bool = False
-    reached_enough: bool = False
+    doubts: tuple[doubts_module.Doubt, ...] = (doubts_module.Doubt.UNHEARD,)
     reached_all: bool = False
     is_known: bool = False
     is_certain: bool = False
@@ -166,8 +167,16 @@
         self,
         facts: CallFacts,
         on_done: Callable[[Finding], None],
+        by_newest_list: bool = False,
     ) -> None:
-        """Ask the other VMs about a turn's program and its chain."""
+        """Ask the other VMs about a turn's program and its chain.
+
+        Parameters
+        ----------
+        by_newest_list : bool
+            Read the list of VMs first: the answer may be that nobody knows
+            the turn, and a VM may have joined since it was read.
+        """
 
     def is_relayed(self, header: HeaderGetter) -> bool:
         """Return whether another VM has passed a request on."""
@@ -177,9 +186,9 @@
 class NoNeighbours(Neighbours):
     """A VM alone."""
 
-    def find(self, facts, on_done) -> None:
+    def find(self, facts, on_done, by_newest_list=False) -> None:
         """Report that there is nobody."""
-        on_done(Finding(reached_enough=True, reached_all=True))
+        on_done(Finding(doubts=(), reached_all=True))
 
 
 class WireFormat(abc.ABC):
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -90,7 +90,7 @@
         if self._closed:
             return
         if chain is None:
-            self._ask_others(self._not_found)
+            self._ask_others(self._not_found, by_newest_list=True)
             return
         self._chain = chain
         self._open()
@@ -146,7 +146,11 @@
 
     # -- with the help of other VMs -------------------------------------------
 
-    def _ask_others(self, otherwise: Callable[[ports.Finding], None]) -> None:
+    def _ask_others(
+        self,
+        otherwise: Callable[[ports.Finding], None],
+        by_newest_list: bool = False,
+    ) -> None:
         """Pass the turn on to a VM that can run it, or go on otherwise."""
         if self._closed:
             return
@@ -164,7 +168,7 @@
             else:
                 otherwise(finding)
 
-        neighbours.find(self._facts, found)
+        neighbours.find(self._facts, found, by_newest_list)
 
     @property
     def _is_better_elsewhere(self) -> bool:
@@ -204,9 +208,30 @@
 
     def _not_found(self, finding: ports.Finding) -> None:
         """The log has no such turn; another VM might still keep it."""
-        if finding.reached_enough and not finding.is_known_turn:
+        if finding.doubts or finding.is_known_turn:
+            self._uncertain([doubt.value for doubt in finding.doubts])
+            return
+        # A VM that recorded the turn and left meanwhile was not asked.
+        self._journal.find_chain(
+            self._program,
+            self._facts.previous,
+            OPEN_PATIENCE_SECONDS,
+            self._found_at_last,
+            lambda error: self._uncertain(["log_unread"]),
+        )
+
+    def _found_at_last(self, chain: histories.Chain | None) -> None:
+        if self._closed:
+            return
+        if chain is None:
             self._close(refusals.Refusal.NO_SUCH_TURN)
-        else:
+            return
+        self._chain = chain
+        self._open()
+
+    def _uncertain(self, doubts: list[str]) -> None:
+        if not self._closed:
+            self._outcome.add(doubts=doubts)
             self._close(refusals.Refusal.TURN_UNCERTAIN)
 
     def _begin_home(self, finding: ports.Finding) -> None:
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -44,6 +44,9 @@
 # A VM that has been up for this long knows all that began here within the
 # retention of turns, 60 s on the users' routes; in seconds.
 COMPLETE_SECONDS = 65.0
+# How long a VM that stops waits for the log to take its leave, in seconds:
+# without it the VM counts as not heard for a while, no more.
+LEAVE_SECONDS = 1.0
 
 
 class FrontNode(BaseComponent):
@@ -102,7 +105,7 @@
             catch_up_rate=self._catch_up_rate,
         )
         self._started_at = self.timers.now()
-        self._has_left = False
+        self._left_at: float | None = None
         self._limits = transport.ServerLimits()
         self._follow()
         self._listen()
@@ -246,6 +249,7 @@
             self._is_complete,
             self._view_of,
             self.members.introduce,
+            lambda: not self.members.is_leaving,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
@@ -314,11 +318,17 @@
         self._limits.idle_seconds = snapshot.limits.idle_seconds
 
     def _last_words(self) -> bool:
-        """Leave the others' list; tell whether all is recorded."""
-        if not self._has_left:
-            self._has_left = True
-            self.members.leave()
-        return not self.journal.held
+        """Leave the others' list when all is recorded; tell if that is done.
+
+        Whoever is not on it isn't asked before a turn is said not to exist.
+        """
+        if self.journal.held:
+            return False
+        self.members.leave()
+        if self._left_at is None:
+            self._left_at = self.timers.now()
+        waited = self.timers.now() - self._left_at
+        return self.members.has_left or waited > LEAVE_SECONDS
 
     def _is_complete(self) -> bool:
         """Whether this VM knows all that began here lately."""
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -21,6 +21,11 @@
 # for good, as far as anybody can tell; in seconds while the log answers.
 EXPIRY_SECONDS = 13.0
 RETRY_SECONDS = 0.5
+# A VM that expired without having left may be cut off, and keep turns that
+# its callers had whole.  For so long it counts as not heard, in seconds: data
+# centres lose each other for minutes, and turns are kept for one.  A played
+# cut of 24 s lost two turns while expired VMs counted as gone.
+ABSENCE_SECONDS = 900.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -58,6 +63,12 @@
         Addresses of VMs to ask while the list can't be read.
     ask_others : callable
         Asks other VMs for their view of the list.
+
+    Attributes
+    ==========
+
+    is_announced, is_leaving, has_left : bool
+        This VM stands in the list; takes itself off it; is off it.
     """
 
     def __init__(
@@ -74,6 +85,10 @@
         self.own = own
         self.by_name: dict[str, Member] = {}
         self._seen_at_by_name: dict[str, float] = {}
+        self._expired_by_name: dict[str, Member] = {}
+        self.is_announced = False
+        self.is_leaving = False
+        self.has_left = False
         self._heartbeat: timers_module.TimerHandle | None = None
         self._follower = keyedlog.Follower(
             log,
@@ -88,17 +103,40 @@
 
     def start(self) -> None:
         """Announce this VM, and follow the list."""
-        self._announce(_encode(self.own))
+        self._announce(_encode(self.own), self._announced)
         self._follower.start()
         self._heartbeat = self._timers.call_every(
             HEARTBEAT_SECONDS, self._renew
         )
 
     def leave(self) -> None:
-        """Take this VM off the list."""
+        """Take this VM off the list, once; nothing may be kept here then."""
+        if self.is_leaving:
+            return
+        self.is_leaving = True
         if self._heartbeat is not None:
             self._heartbeat.cancel()
-        self._announce(b"")
+        self._announce(b"", self._left)
+
+    @property
+    def absent(self) -> list[Member]:
+        """VMs that dropped off the list and may be alive all the same."""
+        oldest = self._timers.now() - ABSENCE_SECONDS
+        return [
+            member
+            for name, member in self._expired_by_name.items()
+            if self._seen_at_by_name[name] > oldest
+        ]
+
+    def refresh(
+        self, on_done: Callable[[], None], on_error: Callable[[], None]
+    ) -> None:
+        """Read what was announced until now."""
+        page = self._follower.view
+        if page is None:
+            on_error()
+        else:
+            self._read_from(page.next, on_done, on_error)
 
     @property
     def own_entry(self) -> bytes:
@@ -139,13 +177,31 @@
 
     # -- own ------------------------------------------------------------------
 
-    def _announce(self, value: bytes) -> None:
+    def _announce(self, value: bytes, on_done: Callable[[int], None]) -> None:
         entry = keyedlog.LogEntry(self.own.name, value)
 
         def failed(error: keyedlog.KeyedLogError) -> None:
-            self._timers.call_later(RETRY_SECONDS, self._announce, value)
+            self._timers.call_later(
+                RETRY_SECONDS, self._announce, value, on_done
+            )
+
+        self._log.append(PLACE, [entry], on_done, failed)
+
+    def _announced(self, offset: int) -> None:
+        self.is_announced = True
+
+    def _left(self, offset: int) -> None:
+        self.has_left = True
+
+    def _read_from(self, start: int, on_done, on_error) -> None:
+        def on_page(page: keyedlog.LogPage) -> None:
+            self._take(page.entries)
+            if page.next < page.end:
+                self._read_from(page.next, on_done, on_error)
+            else:
+                on_done()
 
-        self._log.append(PLACE, [entry], lambda offset: None, failed)
+        self._log.read(PLACE, start, on_page, lambda error: on_error())
 
     def _renew(self) -> None:
         entry = keyedlog.LogEntry(self.own.name, _encode(self.own))
@@ -160,7 +216,26 @@
         for name, seen_at in list(self._seen_at_by_name.items()):
             if seen_at < oldest and name in self.by_name:
                 LOG.info("member expired", extra={"member": name})
-                del self.by_name[name]
+                self._expired_by_name[name] = self.by_name.pop(name)
+        self._drop_gone()
+
+    def _drop_gone(self) -> None:
+        """Drop the entries of VMs that have been away for very long.
+
+        One VM does so in the log as well: whoever starts reads the entries
+        of all that ever were, and can't tell how old they are.
+        """
+        absent = {member.name for member in self.absent}
+        gone = [name for name in self._expired_by_name if name not in absent]
+        drops = self.own.name == min([self.own.name, *self.by_name])
+        for name in gone:
+            del self._expired_by_name[name]
+            if drops:
+                LOG.info("member dropped", extra={"member": name})
+                entry = keyedlog.LogEntry(name, b"")
+                self._log.append(
+                    PLACE, [entry], lambda offset: None, lambda error: None
+                )
 
     def _log_regained(self, seconds: float) -> None:
         """Nobody could renew an entry while the log was away."""
@@ -174,6 +249,7 @@
 
     def _take(self, entries: list[keyedlog.LogEntry]) -> None:
         for entry in entries:
+            self._expired_by_name.pop(entry.key, None)
             member = _decode(entry) if entry.value else None
             if member is not None:
                 self.by_name[entry.key] = member
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -1,6 +1,7 @@
 """Asks the other VMs: to keep records, and what they know of a program."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import functools
 import logging
@@ -35,6 +36,7 @@
 # also while the log is away.
 KEEPERS = 4
 ENOUGH_COPIES = 2
+UNREACHED = {forwarding.Doubt.UNHEARD, forwarding.Doubt.ABSENT}
 
 
 class Neighbourhood(forwarding.Neighbours, histories.Companions):
@@ -83,7 +85,8 @@
         """Give a copy to the nearest VM and to others elsewhere."""
         body = messages.encode(messages.KeepRequest([record]))
         keepers = self._keepers()
-        if not keepers:
+        # Of a turn that others keep its author is asked, if they know it.
+        if not keepers or not self._members.is_announced:
             on_done(0)
             return
         _Copies(len(keepers), on_done).send(
@@ -105,12 +108,27 @@
         self,
         facts: forwarding.CallFacts,
         on_done: Callable[[forwarding.Finding], None],
+        by_newest_list: bool = False,
     ) -> None:
         """Ask the other VMs about a turn's program and its chain.
 
         Those of this data centre first: most programs stay in one, and a VM
         there that can run the turn saves asking all others.
         """
+        if not by_newest_list:
+            self._ask_all(facts, False, on_done)
+            return
+        self._members.refresh(
+            functools.partial(self._ask_all, facts, True, on_done),
+            functools.partial(self._ask_all, facts, False, on_done),
+        )
+
+    def _ask_all(
+        self,
+        facts: forwarding.CallFacts,
+        is_newest_list: bool,
+        on_done: Callable[[forwarding.Finding], None],
+    ) -> None:
         request = messages.FindRequest(
             self._members.own.name,
             facts.program,
@@ -127,6 +145,12 @@
         def answered(search: "_Search") -> None:
             self._promises.end_asking(facts.program)
             finding = search.finding(self._members.own, self._is_complete())
+            if not is_newest_list:
+                doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
+                finding = dataclasses.replace(finding, doubts=doubts)
+            if not self._members.is_announced:
+                # Others would not know to ask here: nothing begins here.
+                finding = dataclasses.replace(finding, is_answered=False)
             if self._promises.binds(facts.program):
                 finding = dataclasses.replace(finding, is_deferred=True)
             on_done(finding)
@@ -144,7 +168,9 @@
                 ),
             )
 
-        search = _Search(others, [near, far], ask, answered)
+        search = _Search(
+            others, [near, far], ask, answered, self._members.absent
+        )
         search.start()
 
     def _unanswered(self, member, search: "_Search", error) -> None:
@@ -215,6 +241,8 @@
         Whom to ask first, and whom if none of those can take the turn.
     ask : callable
         Sends the question to a VM.
+    absent : list of Member
+        VMs that can't be asked and may be alive.
     """
 
     def __init__(
@@ -223,7 +251,9 @@
         stages: list[list[members_module.Member]],
         ask: Callable[[members_module.Member], None],
         on_done: Callable[["_Search"], None],
+        absent: Sequence[members_module.Member] = (),
     ):
+        self._absent = absent
         self._stages = stages
         self._ask = ask
         self._others = others
@@ -286,22 +316,19 @@
     ) -> forwarding.Finding:
         """Return what the answers add up to."""
         answers = self._answers.values()
-        unanswered = len(self._others) - len(self._answers)
         here_answered = all(
             member.name in self._answers
-            for member in self._others
+            for member in (*self._others, *self._absent)
             if member.data_center == own.data_center
         )
         complete = is_complete and all(item.is_complete for item in answers)
-        # A VM that was started lately has lost what it kept before.
-        forgetful = sum(not item.is_complete for item in answers)
-        lost = unanswered + forgetful + (not is_complete)
+        doubts = self._doubts(is_complete)
         return forwarding.Finding(
             taker=_as_upstream(self._taker),
             keeper=_as_upstream(self._keeper),
             is_answered=bool(answers),
-            reached_enough=not lost,
-            reached_all=not unanswered,
+            doubts=doubts,
+            reached_all=not UNREACHED & set(doubts),
             is_known=any(item.knows for item in answers),
             is_certain=complete and here_answered,
             is_deferred=any(item.goes_first for item in answers),
@@ -310,6 +337,20 @@
             home_tokens=sum(item.home_tokens for item in answers),
         )
 
+    def _doubts(self, is_complete: bool) -> tuple[forwarding.Doubt, ...]:
+        """Return why a VM may keep what nobody told of."""
+        # A VM that was started lately has lost what it kept before.
+        restarted = not all(
+            item.is_complete for item in self._answers.values()
+        )
+        holds_by_doubt = {
+            forwarding.Doubt.UNHEARD: len(self._answers) < len(self._others),
+            forwarding.Doubt.ABSENT: bool(self._absent),
+            forwarding.Doubt.RESTARTED: restarted,
+            forwarding.Doubt.STARTED_LATELY: not is_complete,
+        }
+        return tuple(doubt for doubt, holds in holds_by_doubt.items() if holds)
+
 
 class _Copies:
     """Counts copies; reports once, when there are enough or no more come."""
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -34,6 +34,8 @@
         Told the name and the entry of a VM that may be new.
     is_complete : callable
         Returns whether this VM knows all that began here lately.
+    takes_copies : callable
+        Returns whether this VM stays long enough to keep something.
     """
 
     def __init__(
@@ -44,7 +46,9 @@
         is_complete: Callable[[], bool],
         view_of: Callable[[str], keyedlog.LogPage | None],
         introduce: Callable[[str, bytes], None],
+        takes_copies: Callable[[], bool],
     ):
+        self._takes_copies = takes_copies
         self._introduce = introduce
         self._view_of = view_of
         self._journal = journal
@@ -80,6 +84,9 @@
 
     def _keep(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.KeepRequest, call.body)
+        if not self._takes_copies():
+            call.respond(503, [])
+            return
         for record in request.records:
             self._journal.keep_copy(record)
         call.respond(200, [])
