Failing tests: a kept turn that another program continues is answered 404

Where a turn of another program stands is told by its location in the log. While it is kept by VMs and not in the log, they were asked for it under the program that continues it, and did not find it.

--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -128,6 +128,29 @@
         self.assertEqual(200, self.go_on_here())
 
 
+class OtherProgramTest(AbsenceCase):
+    """The turn that is continued belongs to another program.
+
+    Where it stands is told by the log; it is not in the log yet.
+    """
+
+    def keep(self, node):
+        """Let a VM keep a copy of a turn of another program."""
+        claim = histories.Claim("author", 16, 1000)
+        turn = histories.WholeTurn("p0", "a", claim, None, 4, b"<a>", b"w\n")
+        node.journal.keep_copy(histories.encode_record(turn))
+
+    def test_it_is_kept_elsewhere(self):
+        self.start_there()
+        self.meet()
+        self.keep(self.there[0])
+        self.assertEqual(200, self.go_on_here())
+
+    def test_it_is_kept_here(self):
+        self.keep(self.here)
+        self.assertEqual(200, self.go_on_here())
+
+
 class LeavingVmTest(AbsenceCase):
     """A VM ends while it keeps what is not in the log."""
 
