Kept turns are found whatever program continues them

Cause: the question to other VMs, and the search in what a VM keeps itself, named the program that continues the turn. Now a kept turn is found by its id.

--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -221,12 +221,27 @@
         continue another's turn.
         """
         search = chains.ChainSearch(self, patience, on_done, on_error)
-        search.start(records.TurnRef(program, turn))
+        search.start(self.ref_of(program, turn))
 
     def known_chain(self, ref: records.TurnRef) -> chains.Chain | None:
         """Return a chain if this VM has all of it in memory."""
         return chains.collect(self.known_turn, ref)[0]
 
+    def ref_of(
+        self, program: records.ProgramId, turn: records.TurnId
+    ) -> records.TurnRef:
+        """Return where a turn is looked for; ``program`` may continue it.
+
+        Where a turn of another program stands is told by the log, unless
+        the turn is not in the log yet.
+        """
+        ref = records.TurnRef(program, turn)
+        if self.known_turn(ref) is None:
+            for held in self._held_by_ref:
+                if held.turn == turn:
+                    return held
+        return ref
+
     def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
         """Return a whole turn if this VM has it in memory."""
         return self._partitions.whole_turn(ref) or self._held_by_ref.get(ref)
@@ -264,8 +279,7 @@
     ) -> bool:
         """Return whether this VM could run a turn without the log."""
         if previous is not None:
-            ref = records.TurnRef(program, previous)
-            if self.known_chain(ref) is None:
+            if self.known_chain(self.ref_of(program, previous)) is None:
                 return False
         is_away = self._partitions.is_failing(
             partitions.place_of_program(program)
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -109,7 +109,7 @@
         previous = request.previous
         knows_turn = has_chain = False
         if previous is not None:
-            ref = histories.TurnRef(program, histories.TurnId(previous))
+            ref = journal.ref_of(program, histories.TurnId(previous))
             knows_turn = journal.known_turn(ref) is not None
             has_chain = journal.known_chain(ref) is not None
         goes_first = not self._promises.give(request.program, request.vm)
