--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -168,6 +168,43 @@
         self.fleet.turn_until(lambda: "there-1" not in others(self.here))
 
 
+class RestartedVmTest(AbsenceCase):
+    """A VM that was restarted has forgotten what it kept.
+
+    Found by the model of the claim: it has nothing to record, leaves the
+    list at once, and nobody counts it as restarted any more.
+    """
+
+    def test_it_does_not_leave_the_list(self):
+        self.start_there()
+        self.meet()
+        restarted = self.there[0]
+        restarted.vm = dataclasses.replace(restarted.vm, first_start=False)
+        self.fleet.turn_until(restarted._last_words)
+        self.fleet.turn_for(0.5)
+        self.assertIn("there-1", others(self.here))
+        self.assertEqual(503, self.go_on_here())
+
+    def test_a_late_leave_does_not_strike_its_successor(self):
+        self.start_there()
+        self.meet()
+        successor = dataclasses.replace(
+            self.there[0].members.own, incarnation="there-1/next"
+        )
+        listed = self.here.members.by_name["there-1"].incarnation
+        self.assertNotEqual(successor.incarnation, listed)
+        self.here.members.introduce("there-1", members._encode(successor))
+        self.there[0].members.leave()
+        self.fleet.turn_until(lambda: self.there[0].members.has_left)
+        heard = []
+        self.here.members.refresh(
+            lambda: heard.append(True), lambda: heard.append(False)
+        )
+        self.fleet.turn_until(lambda: heard)
+        self.assertEqual([True], heard)
+        self.assertIn("there-1", others(self.here))
+
+
 class OtherTurnsTest(AbsenceCase):
     """What must go on to work."""
 
