Followers claim to know the log as of now: two tests that fail

A follower that the log never answered says that its view is as old as the follower, and an answer that took a second on its way says zero. The log in memory now ends a waiting read with the first record, as the store does, and leaves one unanswered that a silence meets.

--- a/postspring/keyedlog/tests/test_follower.py
+++ b/postspring/keyedlog/tests/test_follower.py
@@ -88,3 +88,74 @@
         self.log.faults.down = False
         self.clock.run_for(1)
         self.assertEqual([("a", b"1")], self.added)
+
+
+class AgeTest(unittest.TestCase):
+    """As of when all that the log acknowledged is known.
+
+    Seen: callers of VMs with a configuration over 3 s old were told that
+    their host does not exist.  A follower took the time at which it was
+    made, and the arrival of an answer however late, for the time as of
+    which it knew the log; the tests below failed on that.
+    """
+
+    wait = 1.4
+
+    def setUp(self):
+        self.clock = clock_module.VirtualClock()
+        process = clock_module.VirtualProcess("vm")
+        timers = clock_module.VirtualTimers(self.clock, process)
+        self.data = memory_log.LogData()
+        self.log = memory_log.MemoryLog(self.data, timers)
+        self.added = []
+        self.follower = keyedlog.Follower(
+            self.log,
+            timers,
+            PLACE,
+            self.added.extend,
+            self.added.extend,
+            wait=self.wait,
+        )
+
+    def put(self, value):
+        """Add a record."""
+        self.data.append(PLACE, [keyedlog.LogEntry("a", value)])
+
+    def test_a_log_that_never_answered_is_not_known(self):
+        entry = keyedlog.LogEntry("z", b"9")
+        self.follower._ask_others = lambda place, on_page: on_page(
+            keyedlog.LogPage([entry], 0, 0)
+        )
+        self.log.faults.down = True
+        self.follower.start()
+        self.clock.run_for(0.1)
+        self.assertEqual([entry], self.added)
+        self.assertGreater(self.follower.age, 1000)
+
+    def test_an_answer_that_comes_late_is_old(self):
+        self.follower.start()
+        self.clock.run_for(0.1)
+        self.log.faults.latency = 1.0
+        for _ in range(50):
+            self.clock.run_for(0.1)
+            self.put(b"x")
+            known = len(self.added)
+            self.clock.run_until(lambda: len(self.added) > known, 5)
+            self.assertGreaterEqual(self.follower.age, 1.0)
+
+    def test_while_the_log_is_calm_it_is_known_by_the_wait(self):
+        self.follower.start()
+        self.clock.run_for(1)
+        for step in range(100):
+            self.clock.run_for(0.1)
+            self.assertLess(self.follower.age, self.wait + 0.05)
+
+    def test_a_record_makes_the_view_no_older(self):
+        self.follower.start()
+        self.clock.run_for(3.0)
+        for _ in range(20):
+            self.clock.run_for(1.3)
+            self.put(b"x")
+            for _ in range(10):
+                self.clock.run_for(0.13)
+                self.assertLess(self.follower.age, self.wait + 0.05)
--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -1,5 +1,6 @@
 """A keyed log in memory, with the faults that the platform's store has."""
 
+from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
 
@@ -55,6 +56,7 @@
             keyedlog.LogPlace, list[keyedlog.LogEntry]
         ] = {}
         self.first_by_place: dict[keyedlog.LogPlace, int] = {}
+        self.waiting_by_place: dict[keyedlog.LogPlace, list[Callable]] = {}
 
     def append(
         self,
@@ -64,8 +66,14 @@
         """Add records; return the first one's offset."""
         records = self.records_by_place.setdefault(place, [])
         records.extend(entries)
+        for function in self.waiting_by_place.pop(place, ()):
+            function()
         return len(records) - len(entries)
 
+    def wait(self, place: keyedlog.LogPlace, function: Callable) -> None:
+        """Call a function when the next record is added."""
+        self.waiting_by_place.setdefault(place, []).append(function)
+
     def expire(self, place: keyedlog.LogPlace) -> None:
         """Forget the history of a partition."""
         count = len(self.records_by_place.get(place, ()))
@@ -127,11 +135,7 @@
             error = keyedlog.LogExpired("expired")
             self._timers.call_later(self.faults.latency, on_error, error)
             return
-        records = self.data.records_by_place.get(place, [])
-        entries = records[start:]
-        delay = self.faults.latency if entries else wait
-        page = keyedlog.LogPage(entries, start + len(entries), len(records))
-        self._timers.call_later(max(delay, self.faults.latency), on_page, page)
+        _Read(self, place, start, on_page, on_error, wait).start()
 
     def read_newest(self, place, on_page, on_error) -> None:
         """Read the newest record of each key."""
@@ -143,12 +147,17 @@
         page = keyedlog.LogPage(entries, end, end)
         self._timers.call_later(self.faults.latency, on_page, page)
 
+    def _is_silent(self, on_error) -> bool:
+        if not self.faults.silent:
+            return False
+        if self.faults.gives_up_after:
+            error = keyedlog.LogUnavailable("no_answer")
+            seconds = self.faults.gives_up_after
+            self._timers.call_later(seconds, on_error, error)
+        return True
+
     def _fails(self, place, on_error) -> bool:
-        if self.faults.silent:
-            if self.faults.gives_up_after:
-                error = keyedlog.LogUnavailable("no_answer")
-                seconds = self.faults.gives_up_after
-                self._timers.call_later(seconds, on_error, error)
+        if self._is_silent(on_error):
             return True
         if self.faults.down or place in self.faults.down_places:
             self._fail(on_error)
@@ -162,3 +171,39 @@
     def _fail(self, on_error, error=None) -> None:
         error = error or keyedlog.LogUnavailable("down")
         self._timers.call_later(self.faults.latency, on_error, error)
+
+
+class _Read:
+    """A read that ends with the first record, or when its wait is over."""
+
+    def __init__(self, log: MemoryLog, place, start, on_page, on_error, wait):
+        self._log = log
+        self._place = place
+        self._from = start
+        self._on_page = on_page
+        self._on_error = on_error
+        self._wait = wait
+        self._ended = False
+
+    def start(self) -> None:
+        """Answer at once if there is something, or wait."""
+        records = self._log.data.records_by_place.get(self._place, [])
+        if records[self._from :] or not self._wait:
+            self._end()
+            return
+        self._log.data.wait(self._place, self._end)
+        self._log._timers.call_later(self._wait, self._end)
+
+    def _end(self) -> None:
+        if self._ended:
+            return
+        self._ended = True
+        if self._log._is_silent(self._on_error):
+            return
+        records = self._log.data.records_by_place.get(self._place, [])
+        entries = records[self._from :]
+        end = len(records)
+        page = keyedlog.LogPage(entries, self._from + len(entries), end)
+        self._log._timers.call_later(
+            self._log.faults.latency, self._on_page, page
+        )
