A follower's age counts from when the log was asked, not from its answer

The time as of which a view is known begins at minus infinity, is the time of the call, and moves on by as long as the log waited in vain (a page's known_after; a way through another VM adds when that VM was asked). Records that end a waiting read don't tell how late they were: the next read does not wait, so a calm log is known to within the wait at all times.

Costs one more read for each change of the configuration and VM.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 import os
 import time
 
@@ -304,7 +305,7 @@
     def _decision_inputs(self) -> dict:
         return {
             "configuration": self.configuration.version,
-            "upstreams_age": round(self._upstream_follower.age, 2),
+            "upstreams_age": _told_age(self._upstream_follower.age),
         }
 
     def _configuration_changed(self, snapshot: routing.Snapshot) -> None:
@@ -377,3 +378,8 @@
     def _count_unreadable(self, status: int) -> None:
         self.metrics.refused(f"unreadable_{status}", "no")
         LOG.info("request not readable", extra={"status": status})
+
+
+def _told_age(age: float) -> float | None:
+    """Return an age for the log; JSON has no number without end."""
+    return round(age, 2) if math.isfinite(age) else None
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 import logging
+import math
 
 from postspring.keyedlog import errors
 from postspring.keyedlog import ports
@@ -71,7 +72,10 @@
         self._wait = wait
         self._next: int | None = None
         self._round = 0
-        self.fresh_at = timers.now()
+        self._sent_at = timers.now()
+        self._may_wait = True
+        # What another VM told does not count: it may be of any age.
+        self.fresh_at = -math.inf
         self.lost_since: float | None = None
 
     def start(self) -> None:
@@ -84,7 +88,11 @@
 
     @property
     def age(self) -> float:
-        """Seconds since the log last answered."""
+        """Seconds since when records may be missing here.
+
+        Counted from when the log was asked, or had waited in vain; without
+        end while it has not answered yet.
+        """
         return self._timers.now() - self.fresh_at
 
     @property
@@ -99,6 +107,7 @@
 
     def _read(self) -> None:
         self._round += 1
+        self._sent_at = self._timers.now()
         number = self._round
 
         def on_page(page: ports.LogPage) -> None:
@@ -112,13 +121,17 @@
         if self._next is None:
             self._log.read_newest(self._place, on_page, on_error)
         else:
-            wait = self._wait if self.lost_since is None else 0.0
+            can_wait = self._may_wait and self.lost_since is None
+            wait = self._wait if can_wait else 0.0
             self._log.read(self._place, self._next, on_page, on_error, wait)
 
     def _take(self, page: ports.LogPage) -> None:
         was_reset = self._next is None
         self._next = page.next
-        self._note_success()
+        self._note_success(page)
+        # When records end a read that waited, nobody knows how late they
+        # were; the next read does not wait, so that the age stays low.
+        self._may_wait = was_reset or not page.entries
         self._keep(page, was_reset)
         if was_reset:
             self._on_reset(page.entries)
@@ -169,11 +182,13 @@
             self._ask_others(self._place, self._take_view)
         self._plan(RETRY_SECONDS)
 
-    def _note_success(self) -> None:
-        self.fresh_at = self._timers.now()
+    def _note_success(self, page: ports.LogPage) -> None:
+        now = self._timers.now()
+        if page.next >= page.end:
+            self.fresh_at = min(now, self._sent_at + page.known_after)
         if self.lost_since is None:
             return
-        seconds = self.fresh_at - self.lost_since
+        seconds = now - self.lost_since
         self.lost_since = None
         LOG.info(
             "log regained",
--- a/postspring/keyedlog/ports.py
+++ b/postspring/keyedlog/ports.py
@@ -52,11 +52,16 @@
         Offset to read on from.
     end : int
         Offset behind the partition's last record, as of the read.
+    known_after : float
+        Seconds after the call began at which the log had no more than this,
+        for certain: an answer may be long on its way, and only one without
+        records tells how long the log waited for them.
     """
 
     entries: list[LogEntry]
     next: int
     end: int
+    known_after: float = 0.0
 
 
 OnError = Callable[[errors.KeyedLogError], None]
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -118,9 +118,17 @@
     def read(self, place, start, on_page, on_error, wait=0.0) -> None:
         """Read records, by one way or another."""
 
+        began = self._timers.now()
+
         def begin(log, done, failed) -> None:
             longest = wait if log is self._direct else HELPED_WAIT_SECONDS
-            log.read(place, start, done, failed, min(wait, longest))
+            later = self._timers.now() - began
+
+            def take(page: keyedlog.LogPage) -> None:
+                known_after = page.known_after + later
+                done(page._replace(known_after=known_after))
+
+            log.read(place, start, take, failed, min(wait, longest))
 
         patience = HEDGE_SECONDS + wait
         _Call(self, place, begin, on_page, on_error, patience).start()
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -145,7 +145,8 @@
                 raise keyedlog.LogExpired(f"{start} is before {first}")
             entries = unpack_records(body[_OFFSETS.size :])
             next_offset = start + len(entries)
-            on_page(keyedlog.LogPage(entries, next_offset, end))
+            known_after = 0.0 if entries else wait
+            on_page(keyedlog.LogPage(entries, next_offset, end, known_after))
 
         self._call("read", request, answered, on_error)
 
--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -203,7 +203,12 @@
         records = self._log.data.records_by_place.get(self._place, [])
         entries = records[self._from :]
         end = len(records)
-        page = keyedlog.LogPage(entries, self._from + len(entries), end)
+        page = keyedlog.LogPage(
+            entries,
+            self._from + len(entries),
+            end,
+            0.0 if entries else self._wait,
+        )
         self._log._timers.call_later(
             self._log.faults.latency, self._on_page, page
         )
