404 by a VM that can't know: three tests that fail

A VM that the log has not answered for longer than the bound of a configuration, one that knows only what another VM told, and one that could not read the newest record all answer 404 for a route that they don't know.

--- a/postspring/front/tests/test_changes.py
+++ b/postspring/front/tests/test_changes.py
@@ -25,6 +25,48 @@
         self.assertEqual(5, node.configuration.version)
 
 
+class UnknownRouteTest(case.FleetCase):
+    """That there is no such route is said only by who can know.
+
+    Seen: hosts and routes that every configuration in force had were
+    answered 404 while the store turned VMs away.  A VM that knew none took
+    its own configuration, however old, for the newest.  The configuration
+    has to be in force within 2 s here.
+    """
+
+    def ask(self, vm=0):
+        """Ask for a route that this VM does not know."""
+        return self.fleet.call("GET", "/new/x", "r", vm=vm)
+
+    def test_while_the_log_answers(self):
+        for _ in range(12):
+            self.fleet.turn_for(0.3)
+            self.assertEqual(404, self.ask().status)
+
+    def test_when_the_log_has_been_away_for_longer_than_the_bound(self):
+        self.fleet.store.refuse = 503
+        self.fleet.turn_for(2.1)
+        answer = self.ask()
+        self.assertEqual(503, answer.status)
+        self.assertGreater(float(answer.headers["retry-after"]), 0)
+        self.fleet.store.refuse = 0
+        self.fleet.turn_for(1.5)
+        self.assertEqual(404, self.ask().status)
+
+    def test_when_another_vm_told_the_configuration(self):
+        self.fleet.store.refuse = 429
+        self.fleet.start_vm("late")
+        self.assertEqual(503, self.ask(vm=1).status)
+
+    def test_when_the_newest_configuration_can_not_be_read(self):
+        self.fleet.configure({"version": 9})
+        self.fleet.turn_for(0.3)
+        self.assertEqual(503, self.ask().status)
+        self.fleet.configure(fleet_module.default_configuration(10))
+        self.fleet.turn_for(0.3)
+        self.assertEqual(404, self.ask().status)
+
+
 class LeavingUpstreamTest(case.FleetCase):
     """Upstreams that leave get no more work."""
 
