404 for a route only by a VM that knows the newest configuration

forwarding/certainty.py says why a VM can't be certain that there is none: the log never answered it, its answer is older than the bound of a new configuration, or the newest record could not be read. Then the answer is 503 route_uncertain with a Retry-After; it is counted, and its line has the age and the doubts.

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -1,5 +1,8 @@
 """Forwarding: callers' requests to upstreams, and the answers back."""
 
+from postspring.forwarding.certainty import Certainty
+from postspring.forwarding.certainty import Doubt
+from postspring.forwarding.certainty import doubts_of
 from postspring.forwarding.delivery import Delivery
 from postspring.forwarding.dispatch import Dispatcher
 from postspring.forwarding.dispatch import Receiver
@@ -18,8 +21,10 @@
 __all__ = [
     "AnswerFacts",
     "CallFacts",
+    "Certainty",
     "Delivery",
     "Dispatcher",
+    "Doubt",
     "EventSplitter",
     "Finding",
     "Forwarder",
@@ -30,4 +35,5 @@
     "Refusal",
     "UpstreamExtra",
     "WireFormat",
+    "doubts_of",
 ]
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from postspring.forwarding import certainty as certainty_module
 from postspring.forwarding import dispatch
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import plain
@@ -35,6 +36,8 @@
         Returns whether there is time left to finish a call.
     inputs : callable
         Returns what decisions rest on, for the log: versions and ages.
+    routes_certainty : callable
+        Returns whether a route that is not known can't be there.
     """
 
     def __init__(
@@ -45,7 +48,11 @@
         inputs: Callable[[], dict] = dict,
         neighbours: ports.Neighbours | None = None,
         takes_work: Callable[[], bool] = lambda: True,
+        routes_certainty: Callable[[], certainty_module.Certainty] = lambda: (
+            certainty_module.Certainty(0.0)
+        ),
     ):
+        self._routes_certainty = routes_certainty
         self._takes_work = takes_work
         self._dispatcher = dispatcher
         self._turn_services = turn_call.TurnServices(
@@ -69,7 +76,7 @@
         if snapshot is None:
             refusal = refusals.Refusal.NO_CONFIGURATION
         elif route is None:
-            refusal = refusals.Refusal.NO_ROUTE
+            refusal = self._refuse_unknown(outcome)
         elif not self._takes_work():
             refusal = refusals.Refusal.SHUTTING_DOWN
         if refusal is not None:
@@ -78,6 +85,23 @@
             return
         self._start(call, facts, route, snapshot, outcome)
 
+    def _refuse_unknown(
+        self, outcome: outcome_module.Outcome
+    ) -> refusals.Refusal:
+        """Return what to say of a route that this VM does not know.
+
+        VMs said 404 by configurations that were seconds old, and callers
+        don't come back after that.
+        """
+        certainty = self._routes_certainty()
+        if not certainty.doubts:
+            return refusals.Refusal.NO_ROUTE
+        outcome.add(
+            configuration_age=certainty.told_age,
+            doubts=[doubt.value for doubt in certainty.doubts],
+        )
+        return refusals.Refusal.ROUTE_UNCERTAIN
+
     def _start(self, call, facts, route, snapshot, outcome) -> None:
         patience = route.timeout
         if facts.deadline is not None:
--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -24,6 +24,7 @@
     CUT_OFF = ("cut_off", 503, 1.2)
     SHUTTING_DOWN = ("shutting_down", 503, 0.05)
     NO_ROUTE = ("no_route", 404, None)
+    ROUTE_UNCERTAIN = ("route_uncertain", 503, 0.5)
     NO_UPSTREAM = ("no_upstream", 503, 0.3)
     UPSTREAMS_REFUSED = ("upstreams_refused", 503, 0.1)
     JOURNAL_UNAVAILABLE = ("journal_unavailable", 503, 1.2)
--- a/postspring/front/configuration.py
+++ b/postspring/front/configuration.py
@@ -36,6 +36,8 @@
         self._decode = decode
         self._on_change = on_change
         self.snapshot: routing.Snapshot | None = None
+        # Whether the last record could be read; else an older one counts.
+        self.is_newest = True
 
     @property
     def version(self) -> int:
@@ -53,7 +55,9 @@
             snapshot = self._decode(value)
         except errors.ConfigurationError as error:
             LOG.error("configuration refused", extra={"error": str(error)})
+            self.is_newest = False
             return
+        self.is_newest = True
         if snapshot.version <= self.version:
             return
         LOG.info(
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -266,6 +266,7 @@
             self._decision_inputs,
             self.neighbourhood,
             lambda: self.shutdown.takes_work,
+            self._routes_certainty,
         )
         if own.metrics_port:
             page = transport.HttpServer(
@@ -308,6 +309,14 @@
             "upstreams_age": _told_age(self._upstream_follower.age),
         }
 
+    def _routes_certainty(self) -> forwarding.Certainty:
+        """Return whether the newest configuration is known here."""
+        age = self._configuration_follower.age
+        bound = self.vm.configuration
+        is_readable = self.configuration.is_newest
+        doubts = forwarding.doubts_of(age, bound, is_readable)
+        return forwarding.Certainty(age, doubts)
+
     def _configuration_changed(self, snapshot: routing.Snapshot) -> None:
         self._limits.header_bytes = snapshot.limits.header_bytes
         self._limits.body_bytes = snapshot.limits.body_bytes
