--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 import dataclasses
+import math
 
 from postspring import keyedlog
 
@@ -32,6 +33,8 @@
         Partitions that fail while the others work.
     busy : int
         So many calls are one too many.
+    busy_places : set
+        Partitions of which every call is one too many.
     """
 
     down: bool = False
@@ -43,15 +46,26 @@
     latency: float = LATENCY_SECONDS
     down_places: set = dataclasses.field(default_factory=set)
     busy: int = 0
+    busy_places: set = dataclasses.field(default_factory=set)
 
 
 class LogData:
     """What the log holds; many clients share it.
 
     ``expire`` forgets the history and keeps the newest record of each key.
+
+    Parameters
+    ==========
+
+    writes, reads : float
+        Calls a second that it takes from all clients together.
     """
 
-    def __init__(self):
+    def __init__(self, writes: float = math.inf, reads: float = math.inf):
+        self.writes = writes
+        self.reads = reads
+        self.called_at: list[float] = []
+        self._taken: dict[tuple[bool, int], int] = {}
         self.records_by_place: dict[
             keyedlog.LogPlace, list[keyedlog.LogEntry]
         ] = {}
@@ -70,6 +84,20 @@
             function()
         return len(records) - len(entries)
 
+    def takes_call(self, now: float, is_append: bool) -> bool:
+        """Count a call; return whether it is within the rate.
+
+        A second is counted in tenths, as a store that is evenly loaded.
+        """
+        self.called_at.append(now)
+        slice_of_time = (is_append, int(now * 10))
+        taken = self._taken.get(slice_of_time, 0)
+        rate = self.writes if is_append else self.reads
+        if taken >= rate / 10:
+            return False
+        self._taken[slice_of_time] = taken + 1
+        return True
+
     def wait(self, place: keyedlog.LogPlace, function: Callable) -> None:
         """Call a function when the next record is added."""
         self.waiting_by_place.setdefault(place, []).append(function)
@@ -106,12 +134,13 @@
         self.faults = LogFaults()
         self.calls: list[str] = []
         self._timers = timers
+        self._connection = 0
 
     def append(self, place, entries, on_done, on_error) -> None:
         """Append records, or what the faults make of it."""
         self.calls.append("append")
         faults = self.faults
-        if self._fails(place, on_error):
+        if self._fails(place, on_error, is_append=True):
             return
         if faults.late_appends:
             faults.late_appends -= 1
@@ -156,14 +185,21 @@
             self._timers.call_later(seconds, on_error, error)
         return True
 
-    def _fails(self, place, on_error) -> bool:
+    def drop_under_way(self) -> None:
+        """Never answer the calls under way; new ones are."""
+        self._connection += 1
+
+    def _fails(self, place, on_error, is_append=False) -> bool:
         if self._is_silent(on_error):
             return True
         if self.faults.down or place in self.faults.down_places:
             self._fail(on_error)
             return True
-        if self.faults.busy:
-            self.faults.busy -= 1
+        if self.faults.busy or place in self.faults.busy_places:
+            self.faults.busy = max(0, self.faults.busy - 1)
+            self._fail(on_error, keyedlog.LogBusy("busy"))
+            return True
+        if not self.data.takes_call(self._timers.now(), is_append):
             self._fail(on_error, keyedlog.LogBusy("busy"))
             return True
         return False
@@ -183,6 +219,7 @@
         self._on_page = on_page
         self._on_error = on_error
         self._wait = wait
+        self._connection = log._connection
         self._ended = False
 
     def start(self) -> None:
@@ -200,6 +237,8 @@
         self._ended = True
         if self._log._is_silent(self._on_error):
             return
+        if self._connection != self._log._connection:
+            return
         records = self._log.data.records_by_place.get(self._place, [])
         entries = records[self._from :]
         end = len(records)
