The configuration is heard through any VM that reaches the log

A read that was one too many was never made by another VM.

Now only a way that works is read with a wait; for the configuration up to eight VMs are asked a call, three at once, the next ones 0.1 s apart, the one that helped last first and alone; a VM that does not reach the log refuses to help at once; 429 to these reads leads to other VMs, two at the most. After two calls in vain one VM is asked a call. A call is its own module now.

The new test's bound on messages was first guessed (3 a second and VM) and is now one for each try of the follower (0.3 s).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -247,6 +247,7 @@
             self._is_complete,
             self._view_of,
             self.members.introduce,
+            lambda: self.log.is_direct,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -12,7 +12,8 @@
 
 LOG = logging.getLogger(__name__)
 
-# Pause after a failed call, in seconds.
+# Pause after a failed call, in seconds, and after a read that was meant to
+# wait and did not: another VM reads without.
 RETRY_SECONDS = 0.3
 
 
@@ -74,6 +75,7 @@
         self._round = 0
         self._sent_at = timers.now()
         self._may_wait = True
+        self._asked = 0.0
         # What another VM told does not count: it may be of any age.
         self.fresh_at = -math.inf
         self.lost_since: float | None = None
@@ -118,12 +120,15 @@
             if number == self._round:
                 self._failed(error)
 
+        self._asked = 0.0
         if self._next is None:
             self._log.read_newest(self._place, on_page, on_error)
         else:
             can_wait = self._may_wait and self.lost_since is None
-            wait = self._wait if can_wait else 0.0
-            self._log.read(self._place, self._next, on_page, on_error, wait)
+            self._asked = self._wait if can_wait else 0.0
+            self._log.read(
+                self._place, self._next, on_page, on_error, self._asked
+            )
 
     def _take(self, page: ports.LogPage) -> None:
         was_reset = self._next is None
@@ -138,7 +143,12 @@
         elif page.entries:
             self._on_entries(page.entries)
         behind = page.next < page.end
-        self._plan(0.0 if behind else self._pace)
+        self._plan(0.0 if behind else self._pause(page))
+
+    def _pause(self, page: ports.LogPage) -> float:
+        if page.entries or page.known_after >= self._asked:
+            return self._pace
+        return max(self._pace, RETRY_SECONDS)
 
     def _keep(self, page: ports.LogPage, was_reset: bool) -> None:
         if was_reset:
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -1,11 +1,11 @@
 """The log by way of another VM, while this one can't reach it."""
 
 from collections.abc import Callable
-import functools
 import logging
 import math
 
 from postspring import keyedlog
+from postspring.peering import failover_call
 from postspring.peering import members as members_module
 from postspring.transport import timers as timers_module
 
@@ -20,7 +20,6 @@
 PROBE_SECONDS = 0.5
 # A VM that could not help is not asked for this long, in seconds.
 AVOID_SECONDS = 1.0
-MAX_HELPERS = 2
 # After so many failures without a success the whole log counts as out of
 # reach; before, the partitions that failed.
 FAILURES_IN_A_ROW = 3
@@ -31,15 +30,9 @@
 # calls fail at once but for one in each PROBE_SECONDS.  All VMs together
 # would otherwise send it thousands of calls a second.
 BREAKER_SECONDS = 0.5
-# Then a call is given up after this long, in seconds: above the hedge, and
-# below the store's own time-out, so that the next one is soon made.
-BROKEN_PATIENCE_SECONDS = 0.5
 # A log that has taken a call within this time and refuses others as too many
 # is busy; otherwise it turns this VM away.  In seconds.
 BUSY_SECONDS = 1.0
-# Longest wait of a read that another VM makes, in seconds: below the time
-# that it gives a call.
-HELPED_WAIT_SECONDS = 0.8
 
 
 class FailoverLog(keyedlog.KeyedLog):
@@ -68,9 +61,12 @@
     ):
         self._on_change = on_change
         self._is_down = False
+        self._helper: str | None = None
+        # Calls for the configuration in a row that failed by all ways.
+        self.calls_in_vain = 0
         self._answered_at = timers.now()
         self._taken_at = -math.inf
-        self._direct = direct
+        self.direct = direct
         self._through = through
         self._members = members
         self._timers = timers
@@ -113,25 +109,30 @@
         def start(log, done, failed) -> None:
             log.append(place, entries, done, failed)
 
-        _Call(self, place, start, on_done, on_error, HEDGE_SECONDS).start()
+        self._call(place, start, on_done, on_error)
 
     def read(self, place, start, on_page, on_error, wait=0.0) -> None:
-        """Read records, by one way or another."""
+        """Read records, by one way or another.
 
+        Only a way that works is read with a wait: reads that waited on a
+        lost way, and at VMs that were turned away as well, left VMs with
+        configurations that were 8 s old.
+        """
+        if not self.works(place):
+            wait = 0.0
         began = self._timers.now()
 
         def begin(log, done, failed) -> None:
-            longest = wait if log is self._direct else HELPED_WAIT_SECONDS
+            way_wait = wait if log is self.direct else 0.0
             later = self._timers.now() - began
 
             def take(page: keyedlog.LogPage) -> None:
                 known_after = page.known_after + later
                 done(page._replace(known_after=known_after))
 
-            log.read(place, start, take, failed, min(wait, longest))
+            log.read(place, start, take, failed, way_wait)
 
-        patience = HEDGE_SECONDS + wait
-        _Call(self, place, begin, on_page, on_error, patience).start()
+        self._call(place, begin, on_page, on_error, wait)
 
     def read_newest(self, place, on_page, on_error) -> None:
         """Read the newest records, by one way or another."""
@@ -139,7 +140,12 @@
         def start(log, done, failed) -> None:
             log.read_newest(place, done, failed)
 
-        _Call(self, place, start, on_page, on_error, HEDGE_SECONDS).start()
+        self._call(place, start, on_page, on_error)
+
+    def _call(self, place, start, on_done, on_error, wait=0.0) -> None:
+        failover_call.FailoverCall(
+            self, place, start, on_done, on_error, HEDGE_SECONDS + wait
+        ).start()
 
     # -- for calls ------------------------------------------------------------
 
@@ -160,6 +166,10 @@
         self._probed_at = now
         return False
 
+    def works(self, place: keyedlog.LogPlace) -> bool:
+        """Return whether the direct way works, as far as is known."""
+        return self.is_direct and place not in self._probed_at_by_place
+
     def try_direct(self, place: keyedlog.LogPlace) -> bool:
         """Return whether a call should go the direct way.
 
@@ -167,7 +177,7 @@
         way, but for a try now and then.
         """
         probed_at = self._probed_at_by_place.get(place)
-        if probed_at is None and self.is_direct:
+        if self.works(place):
             return True
         now = self._timers.now()
         if probed_at is not None and now - probed_at < PROBE_SECONDS:
@@ -198,6 +208,10 @@
             LOG.info("direct way lost", extra={"reason": reason})
             self._timers.call_later(0, self._on_change)
 
+    def direct_refused(self, place: keyedlog.LogPlace) -> None:
+        """Take note that the log, as busy as it is, refused a call."""
+        self._probed_at_by_place[place] = self._timers.now()
+
     def note_outcome(self, place: keyedlog.LogPlace, is_down: bool) -> None:
         """Take note of how a call ended."""
         self._is_down = is_down
@@ -214,14 +228,26 @@
     def helpers(self, place: keyedlog.LogPlace) -> list[members_module.Member]:
         """Return the VMs to ask for help with a partition."""
         now = self._timers.now()
-        if self._away_until.get(place, 0.0) > now:
+        is_away = self._away_until.get(place, 0.0) > now
+        if is_away and place.subject is not keyedlog.Subject.CONFIGURATION:
             return []
         found = [
             member
             for member in self._members()
             if self._avoided_until.get(member.name, 0.0) <= now
         ]
-        return found[:MAX_HELPERS]
+        if place.subject is keyedlog.Subject.CONFIGURATION:
+            found.sort(key=lambda member: member.name != self._helper)
+        return found
+
+    @property
+    def has_helper(self) -> bool:
+        """Whether another VM has helped, and none has failed since."""
+        return self._helper is not None
+
+    def note_helper(self, member: members_module.Member) -> None:
+        """Ask a VM that helped first, and alone, the next time."""
+        self._helper = member.name
 
     def through(self, member: members_module.Member) -> keyedlog.KeyedLog:
         """Return the log as reached through a VM."""
@@ -229,121 +255,11 @@
 
     def avoid(self, member: members_module.Member) -> None:
         """Don't ask a VM again for a while."""
+        if member.name == self._helper:
+            self._helper = None
         until = self._timers.now() + AVOID_SECONDS
         self._avoided_until[member.name] = until
 
     def call_later(self, seconds: float, function: Callable):
         """Call a function later."""
         return self._timers.call_later(seconds, function)
-
-
-class _Call:
-    """One call; the first way that succeeds ends it."""
-
-    def __init__(
-        self, log: FailoverLog, place, start, on_done, on_error, patience
-    ):
-        self._log = log
-        self._place = place
-        self._start = start
-        self._on_done = on_done
-        self._on_error = on_error
-        self._patience = patience
-        self._open = 0
-        self._helpers: list[members_module.Member] | None = None
-        self._finished = False
-        self._timer = None
-        self._limit = None
-
-    def start(self) -> None:
-        """Go the direct way if it may work, else through another VM.
-
-        While the log does not answer at all, a call that hangs would keep
-        the next one from hearing that it is back.
-        """
-        if self._log.is_broken:
-            self._limit = self._log.call_later(
-                BROKEN_PATIENCE_SECONDS, self._give_up
-            )
-        if self._log.fails_at_once(self._place):
-            error = keyedlog.LogDown("down")
-            self._log.call_later(0, functools.partial(self._fail, error))
-        elif self._log.try_direct(self._place):
-            self._open += 1
-            self._timer = self._log.call_later(self._patience, self._overdue)
-            self._start(
-                self._log._direct, self._direct_done, self._direct_failed
-            )
-        else:
-            self._ask(keyedlog.LogUnavailable("direct way lost"))
-
-    def _direct_done(self, result) -> None:
-        self._log.direct_done(self._place)
-        self._done(result)
-
-    def _direct_failed(self, error: keyedlog.KeyedLogError) -> None:
-        self._open -= 1
-        if isinstance(error, keyedlog.LogExpired):
-            self._log.direct_done(self._place)
-            self._fail(error)
-            return
-        if isinstance(error, keyedlog.LogBusy) and self._log.takes_calls:
-            # It takes some calls of this VM, and this one would be one too
-            # many from another VM as well.
-            self._fail(error)
-            return
-        self._log.direct_failed(self._place, str(error))
-        self._ask(error)
-
-    def _overdue(self) -> None:
-        if not self._finished:
-            self._log.direct_failed(self._place, "slow")
-            self._ask(keyedlog.LogUnavailable("slow"))
-
-    def _give_up(self) -> None:
-        if not self._finished:
-            self._fail(keyedlog.LogUnavailable("slow"))
-
-    def _ask(self, error: keyedlog.KeyedLogError) -> None:
-        """Try the next helper; without one, the call has failed."""
-        if self._finished:
-            return
-        if self._helpers is None:
-            self._helpers = self._log.helpers(self._place)
-        if not self._helpers:
-            if not self._open:
-                self._fail(error)
-            return
-        member = self._helpers.pop(0)
-        self._open += 1
-
-        def failed(error: keyedlog.KeyedLogError) -> None:
-            self._open -= 1
-            if isinstance(error, keyedlog.LogExpired):
-                self._fail(error)
-                return
-            self._log.avoid(member)
-            self._ask(error)
-
-        self._start(self._log.through(member), self._done, failed)
-
-    def _done(self, result) -> None:
-        self._log.note_outcome(self._place, is_down=False)
-        if not self._finished:
-            self._finish()
-            self._on_done(result)
-
-    def _fail(self, error: keyedlog.KeyedLogError) -> None:
-        # A busy log is not away: others may be spending by it.
-        if not isinstance(error, keyedlog.LogBusy):
-            is_down = not isinstance(error, keyedlog.LogExpired)
-            self._log.note_outcome(self._place, is_down)
-        if not self._finished:
-            self._finish()
-            self._on_error(error)
-
-    def _finish(self) -> None:
-        self._finished = True
-        for timer in (self._timer, self._limit):
-            if timer is not None:
-                timer.cancel()
--- /dev/null
+++ b/postspring/peering/failover_call.py
@@ -0,0 +1,222 @@
+"""One call to the log, by the first way that leads there."""
+
+import functools
+
+from postspring import keyedlog
+from postspring.peering import members as members_module
+
+__all__ = ["FailoverCall"]
+
+# Then a call is given up after this long, in seconds: above the hedge, and
+# below the store's own time-out, so that the next one is soon made.
+BROKEN_PATIENCE_SECONDS = 0.5
+# VMs that are asked to help with a call.
+MAX_HELPERS = 2
+# The same for the configuration, which has to come within a bound while any
+# VM reaches the log: with two thirds of the VMs turned away one of so many
+# helps in 24 of 25 calls (by chance, if none knows that it is).
+CONFIGURATION_HELPERS = 8
+# Of those, asked at the same time while none has helped lately.
+CONFIGURATION_HELPERS_AT_ONCE = 3
+# After so many such calls in a row that nobody could help with, the log is
+# away for all: one VM is asked then, for each message costs processor time.
+CALLS_IN_VAIN = 2
+# A VM that was asked for the configuration and has not answered for this
+# long may itself be turned away: the next one is asked too, in seconds.
+NEXT_HELPER_SECONDS = 0.1
+
+
+class FailoverCall:
+    """One call; the first way that succeeds ends it.
+
+    Parameters
+    ==========
+
+    log : FailoverLog
+        Knows the ways.
+    start : callable
+        Begins the call on a log, with who takes the result or the error.
+    patience : float
+        Seconds after which other ways are tried as well.
+    """
+
+    def __init__(self, log, place, start, on_done, on_error, patience):
+        self._log = log
+        self._place = place
+        self._start = start
+        self._on_done = on_done
+        self._on_error = on_error
+        self._patience = patience
+        self._is_configuration = (
+            place.subject is keyedlog.Subject.CONFIGURATION
+        )
+        self._open = 0
+        self._helpers: list[members_module.Member] | None = None
+        self._asked = 0
+        self._replaced: set[str] = set()
+        self._busy: keyedlog.LogBusy | None = None
+        self._finished = False
+        self._timer = None
+        self._limit = None
+
+    def start(self) -> None:
+        """Go the direct way if it may work, else through another VM.
+
+        While the log does not answer at all, a call that hangs would keep
+        the next one from hearing that it is back.
+        """
+        if self._log.is_broken:
+            self._limit = self._log.call_later(
+                BROKEN_PATIENCE_SECONDS, self._give_up
+            )
+        if self._log.fails_at_once(self._place):
+            error = keyedlog.LogDown("down")
+            self._log.call_later(0, functools.partial(self._fail, error))
+        elif self._log.try_direct(self._place):
+            self._open += 1
+            if self._is_configuration and not self._log.works(self._place):
+                self._patience = NEXT_HELPER_SECONDS
+            self._timer = self._log.call_later(self._patience, self._overdue)
+            self._start(
+                self._log.direct, self._direct_done, self._direct_failed
+            )
+        else:
+            self._ask(keyedlog.LogUnavailable("direct way lost"))
+
+    def _direct_done(self, result) -> None:
+        self._log.direct_done(self._place)
+        self._done(result)
+
+    def _direct_failed(self, error: keyedlog.KeyedLogError) -> None:
+        self._open -= 1
+        if isinstance(error, keyedlog.LogExpired):
+            self._log.direct_done(self._place)
+            self._fail(error)
+            return
+        if isinstance(error, keyedlog.LogBusy) and self._log.takes_calls:
+            self._too_many(error)
+            return
+        self._log.direct_failed(self._place, str(error))
+        self._ask(error)
+
+    def _too_many(self, error: keyedlog.LogBusy) -> None:
+        """The log takes other calls of this VM, but not this one.
+
+        From another VM it would be one too many as well, unless the log
+        turns just these away: the configuration was not heard for as long
+        as it did.  Its reads are few, so a few more don't keep a log busy.
+        """
+        self._busy = error
+        if not self._is_configuration:
+            self._fail(error)
+            return
+        self._log.direct_refused(self._place)
+        self._ask(error)
+
+    def _overdue(self) -> None:
+        if not self._finished:
+            self._log.direct_failed(self._place, "slow")
+            self._ask(keyedlog.LogUnavailable("slow"))
+
+    def _give_up(self) -> None:
+        if not self._finished:
+            self._fail(keyedlog.LogUnavailable("slow"))
+
+    # -- other VMs ------------------------------------------------------------
+
+    def _ask(self, error: keyedlog.KeyedLogError) -> None:
+        """Try the next helper; without one, the call has failed."""
+        if self._finished:
+            return
+        at_once = 1
+        if self._helpers is None:
+            most = self._most_helpers()
+            self._helpers = self._log.helpers(self._place)[:most]
+            if most > MAX_HELPERS and not self._log.has_helper:
+                at_once = CONFIGURATION_HELPERS_AT_ONCE
+        if not self._helpers and self._has_failed():
+            self._log.calls_in_vain += self._is_configuration
+            self._fail(self._busy or error)
+            return
+        asked, self._helpers = self._helpers[:at_once], self._helpers[at_once:]
+        for member in asked:
+            self._ask_member(member)
+
+    def _most_helpers(self) -> int:
+        if not self._is_configuration or self._busy is not None:
+            return MAX_HELPERS
+        if self._log.calls_in_vain >= CALLS_IN_VAIN:
+            return 1
+        return CONFIGURATION_HELPERS
+
+    def _has_failed(self) -> bool:
+        """Return whether there is nothing left to wait for.
+
+        For the configuration, VMs that were asked and are late may all be
+        turned away, and so may this one: the next call asks others.
+        """
+        if not self._open:
+            return True
+        all_late = self._asked > 0 and len(self._replaced) == self._asked
+        return self._is_configuration and all_late
+
+    def _ask_member(self, member: members_module.Member) -> None:
+        self._open += 1
+        self._asked += 1
+
+        def failed(error: keyedlog.KeyedLogError) -> None:
+            self._open -= 1
+            if isinstance(error, keyedlog.LogExpired):
+                self._fail(error)
+                return
+            self._log.avoid(member)
+            if member.name not in self._replaced:
+                self._replaced.add(member.name)
+                self._ask(error)
+            elif not self._open:
+                self._ask(error)
+
+        if self._is_configuration:
+            self._log.call_later(
+                NEXT_HELPER_SECONDS,
+                functools.partial(self._replace, member),
+            )
+
+        def done(result) -> None:
+            self._log.note_helper(member)
+            self._done(result)
+
+        self._start(self._log.through(member), done, failed)
+
+    def _replace(self, member: members_module.Member) -> None:
+        """Ask another VM as well: this one has not answered yet."""
+        if self._finished or member.name in self._replaced:
+            return
+        self._replaced.add(member.name)
+        self._log.avoid(member)
+        self._ask(keyedlog.LogUnavailable("slow"))
+
+    # -- the end --------------------------------------------------------------
+
+    def _done(self, result) -> None:
+        self._log.note_outcome(self._place, is_down=False)
+        if self._is_configuration:
+            self._log.calls_in_vain = 0
+        if not self._finished:
+            self._finish()
+            self._on_done(result)
+
+    def _fail(self, error: keyedlog.KeyedLogError) -> None:
+        # A busy log is not away: others may be spending by it.
+        if not isinstance(error, keyedlog.LogBusy):
+            is_down = not isinstance(error, keyedlog.LogExpired)
+            self._log.note_outcome(self._place, is_down)
+        if not self._finished:
+            self._finish()
+            self._on_error(error)
+
+    def _finish(self) -> None:
+        self._finished = True
+        for timer in (self._timer, self._limit):
+            if timer is not None:
+                timer.cancel()
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -34,6 +34,8 @@
         Told the name and the entry of a VM that may be new.
     is_complete : callable
         Returns whether this VM knows all that began here lately.
+    is_direct : callable
+        Returns whether this VM reaches the log itself.
     """
 
     def __init__(
@@ -44,7 +46,9 @@
         is_complete: Callable[[], bool],
         view_of: Callable[[str], keyedlog.LogPage | None],
         introduce: Callable[[str, bytes], None],
+        is_direct: Callable[[], bool] = lambda: True,
     ):
+        self._is_direct = is_direct
         self._introduce = introduce
         self._view_of = view_of
         self._journal = journal
@@ -73,6 +77,11 @@
             call.respond(400, [])
 
     def _pass(self, call: transport.IncomingCall, path: str) -> None:
+        # One that is turned away as well would hold the call for 1.2 s.
+        if not self._is_direct():
+            call.respond(503, [])
+            return
+
         def answered(status: int, body: bytes) -> None:
             call.respond(status, [], body)
 
--- a/postspring/peering/tests/test_configuration.py
+++ b/postspring/peering/tests/test_configuration.py
@@ -78,6 +78,13 @@
 
         self.assertLess(self.slowest(spoil), BOUND)
 
+    def test_two_thirds_of_the_vms(self):
+        def spoil(fleet):
+            for vm in fleet.vms[::3] + fleet.vms[1::3]:
+                vm.direct.faults.silent = True
+
+        self.assertLess(self.slowest(spoil, phases=PHASES[:3]), BOUND)
+
     def test_a_connection_that_falls_silent(self):
         def spoil(fleet):
             for vm in fleet.vms:
@@ -108,3 +115,23 @@
             back = fleet.clock.now
             fleet.clock.run_for(4.0)
             self.assertLess(fleet.slowest(b"1", back), 1.0)
+
+
+class OutageTest(QuietCase):
+    """The log is away for all VMs: what they do about it costs little.
+
+    A first mend asked eight VMs in every round, 2,000 messages a second.
+    """
+
+    def test_messages_between_vms(self):
+        fleet = memory_fleet.MemoryFleet(VMS)
+        fleet.configure(b"1")
+        fleet.start()
+        fleet.clock.run_for(3.0)
+        for vm in fleet.vms:
+            vm.direct.faults.down = True
+        fleet.clock.run_for(3.0)
+        passed = fleet.passed
+        fleet.clock.run_for(5.0)
+        # each VM asks one other in each try, 0.3 s after the last
+        self.assertLess(fleet.passed - passed, VMS * 5 / 0.3)
--- a/postspring/testing/fleet/memory_fleet.py
+++ b/postspring/testing/fleet/memory_fleet.py
@@ -46,7 +46,7 @@
         self.direct.faults.gives_up_after = TIMEOUT_SECONDS
         self.log = peering.FailoverLog(
             self.direct,
-            lambda member: PassedLog(fleet.vm_by_name[member.name], timers),
+            lambda member: fleet.through(member, timers),
             lambda: fleet.others(name),
             timers,
             self._way_changed,
@@ -94,6 +94,9 @@
             self.timers.call_later(HOP_SECONDS, function, result)
 
         def start() -> None:
+            if not self.vm.log.is_direct:
+                later(on_error, keyedlog.LogUnavailable("status_503"))
+                return
             getattr(self.vm.direct, name)(
                 *arguments,
                 lambda result: later(on_done, result),
@@ -125,6 +128,7 @@
         self.clock = clock_module.VirtualClock()
         self.data = memory_log.LogData(writes, reads)
         self.vm_by_name: dict[str, MemoryVm] = {}
+        self.passed = 0
         for number in range(vms):
             name = f"vm{number}"
             process = clock_module.VirtualProcess(name)
@@ -152,6 +156,11 @@
         self.random.shuffle(found)
         return found
 
+    def through(self, member: peering.Member, timers) -> PassedLog:
+        """Return the log as reached through a VM; count the message."""
+        self.passed += 1
+        return PassedLog(self.vm_by_name[member.name], timers)
+
     def configure(self, value: bytes) -> float:
         """Write a configuration; return when."""
         entry = keyedlog.LogEntry("c", value)
