Reads beyond the log's rate don't keep the configuration back: a test

64 VMs look up twice as much as the log takes; three versions are known everywhere within the bound (passes at once: a read that is one too many comes again after 0.3 s, and through another VM).

--- a/postspring/peering/tests/test_configuration.py
+++ b/postspring/peering/tests/test_configuration.py
@@ -117,6 +117,23 @@
             self.assertLess(fleet.slowest(b"1", back), 1.0)
 
 
+class OverloadTest(QuietCase):
+    """All VMs together read more than the log takes."""
+
+    def test_the_configuration_comes_all_the_same(self):
+        fleet = memory_fleet.MemoryFleet(VMS, reads=600.0)
+        fleet.configure(b"1")
+        fleet.start()
+        fleet.clock.run_for(1.0)
+        for vm in fleet.vms:
+            fleet.look_up(vm, 2 * fleet.data.reads / VMS)
+        for value in (b"2", b"3", b"4"):
+            fleet.clock.run_for(1.5)
+            written = fleet.configure(value)
+            fleet.clock.run_for(3.0)
+            self.assertLess(fleet.slowest(value, written), BOUND)
+
+
 class OutageTest(QuietCase):
     """The log is away for all VMs: what they do about it costs little.
 
--- a/postspring/testing/fleet/memory_fleet.py
+++ b/postspring/testing/fleet/memory_fleet.py
@@ -176,6 +176,14 @@
         seconds = self.random.expovariate(calls_a_second)
         self.clock.call_later(seconds, self.work, vm, calls_a_second)
 
+    def look_up(self, vm: MemoryVm, calls_a_second: float) -> None:
+        """Let a VM read partitions of programs, evenly and for good."""
+        number = self.random.randrange(PROGRAM_PARTITIONS)
+        place = keyedlog.LogPlace(keyedlog.Subject.PROGRAMS, number)
+        vm.log.read(place, 0, lambda page: None, lambda error: None)
+        seconds = self.random.expovariate(calls_a_second)
+        self.clock.call_later(seconds, self.look_up, vm, calls_a_second)
+
     def slowest(self, value: bytes, written: float) -> float:
         """Return after how long the last VM knew a configuration."""
         never = float("inf")
