What is tried again keeps to the VM's share of the log's rate

Turns for a next try are dealt out by a pace of the VM's own, a little further apart than its share of half of the log's rate says, and by chance, so that VMs don't stay in step. When the log is back all that waits is dealt out anew, once: every partition that gets through says that the log is back, and 64 VMs began anew each time. Up to eight go at once as before.

--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -59,6 +59,8 @@
         What an entry comes to depends on those before it, so an append is
         done only when they are folded.  Otherwise it is done when it stands
         in the log, and what others wrote is read when somebody asks.
+    spread : callable
+        Makes of a pause the one after which this partition's turn comes.
     """
 
     def __init__(
@@ -69,7 +71,9 @@
         fold_type: type,
         on_back: Callable[[], None] = lambda: None,
         is_ordered: bool = True,
+        spread: Callable[[float], float] = lambda seconds: seconds,
     ):
+        self._spread = spread
         self._is_ordered = is_ordered
         self._on_back = on_back
         self._log = log
@@ -86,6 +90,7 @@
         self._sent_at = math.inf
         self._pause = RETRY_SECONDS
         self._retry: Callable[[], None] | None = None
+        self._retry_timer: timers_module.TimerHandle | None = None
 
     @property
     def has_failed(self) -> bool:
@@ -200,21 +205,23 @@
             self._pause = max(self._pause, BUSY_RETRY_SECONDS)
         self._retry_later(self._go_on)
 
-    def retry_now(self) -> None:
-        """Do at once what waits for its next try: the log is back."""
+    def retry_in(self, seconds: float) -> None:
+        """Do what waits for its next try after some time, and not before."""
+        if self._retry_timer is not None:
+            self._retry_timer.cancel()
+        self._retry_timer = self._timers.call_later(seconds, self._retry_now)
+
+    def _retry_now(self) -> None:
         retry, self._retry = self._retry, None
         if retry is not None:
             retry()
 
     def _retry_later(self, function: Callable[[], None]) -> None:
+        # The pause alone let many partitions come again each second.
         self._retry = function
-        self._timers.call_later(self._pause, self._retry_if, function)
+        self.retry_in(self._spread(self._pause))
         self._pause = min(2 * self._pause, LONGEST_RETRY_SECONDS)
 
-    def _retry_if(self, function: Callable[[], None]) -> None:
-        if self._retry is function:
-            self.retry_now()
-
     def _note_success(self) -> None:
         was_failing, self._failing = self._failing, False
         self._pause = RETRY_SECONDS
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -1,7 +1,7 @@
 """Which partition holds what, and the ones that this VM works on."""
 
 from collections.abc import Callable
-import random
+import math
 
 import xxhash
 
@@ -9,6 +9,7 @@
 from postspring.histories import partition as partition_module
 from postspring.histories import program as program_module
 from postspring.histories import records
+from postspring.histories import retry_pace
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -63,7 +64,8 @@
         timers: timers_module.Timers,
         catch_up_rate: Callable[[], float] = lambda: CATCH_UP_RATE,
     ):
-        self._catch_up_rate = catch_up_rate
+        self._pace = retry_pace.RetryPace(timers, catch_up_rate)
+        self._caught_up_at = -math.inf
         self._log = log
         self._timers = timers
         self._by_place: dict[
@@ -88,6 +90,7 @@
                 _fold_type_by_subject[place.subject],
                 self.log_is_back,
                 is_ordered=place.subject is keyedlog.Subject.PROGRAMS,
+                spread=self._pace.pause,
             )
             self._by_place[place] = partition
         return partition
@@ -110,20 +113,26 @@
         return self._log.is_down or self.get(place).is_failing
 
     def log_is_back(self) -> None:
-        """Do what waits for its next try, spread over a little time."""
+        """Do what waits for its next try, spread by the rate.
+
+        Every partition that gets through says so: what is on its way then
+        stays as it was dealt out.
+        """
+        if self._timers.now() < self._caught_up_at:
+            return
         waiting = [
             partition
             for partition in self._by_place.values()
             if partition.is_waiting
         ]
-        if len(waiting) <= AT_ONCE:
-            for partition in waiting:
-                partition.retry_now()
+        self._pace.restart()
+        pauses = [self._pace.pause(0.0) for partition in waiting]
+        if not pauses:
             return
-        longest = len(waiting) / max(1.0, self._catch_up_rate())
-        for partition in waiting:
-            seconds = random.uniform(0.0, longest)
-            self._timers.call_later(seconds, partition.retry_now)
+        self._caught_up_at = self._timers.now() + pauses[-1]
+        for partition, seconds in zip(waiting, pauses):
+            few = len(waiting) <= AT_ONCE
+            partition.retry_in(0.0 if few else seconds)
 
     # -- own ------------------------------------------------------------------
 
