The share of a VM that knows no other: a test that fails

A VM that started before a log that refuses everything takes itself for the only one, so its share for catching up is half of the whole rate; the other two tests (the list read, and kept while the log is away) pass.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -346,8 +346,8 @@
 
     def _catch_up_rate(self) -> float:
         """This VM's share of half of what the store takes; appends/s."""
-        vms = max(1, len(self.members.by_name))
-        return CATCH_UP_SHARE * self.vm.store_writes / vms
+        share = CATCH_UP_SHARE / self.members.sharers
+        return share * self.vm.store_writes
 
     def _direct_way_changed(self) -> None:
         """A read that waits for a change may hang on the way that is lost."""
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -119,6 +119,11 @@
         others = [entry for entry in page.entries if entry.key != own.key]
         return page._replace(entries=[*others, own])
 
+    @property
+    def sharers(self) -> int:
+        """Among how many VMs the log's rate is shared, this one included."""
+        return max(1, len(self.by_name))
+
     @property
     def others(self) -> list[Member]:
         """All other VMs, in random order."""
--- /dev/null
+++ b/postspring/peering/tests/test_members.py
@@ -0,0 +1,48 @@
+"""The list of the entry VMs, in virtual time."""
+
+import unittest
+
+from postspring import peering
+from postspring.testing.fleet import memory_log
+from postspring.testing.virtual import clock as clock_module
+
+
+class SharersTest(unittest.TestCase):
+    """Among how many VMs the log's rate is shared.
+
+    Found by reading: a VM that started before a log that refused every call
+    knew no other VM, and so took half of the log's rate for its own share.
+    64 that start at once would catch up with 32 times the whole rate.
+    """
+
+    def setUp(self):
+        self.clock = clock_module.VirtualClock()
+        self.data = memory_log.LogData()
+
+    def members(self, name, down=False):
+        """Return a VM's list, started."""
+        process = clock_module.VirtualProcess(name)
+        timers = clock_module.VirtualTimers(self.clock, process)
+        log = memory_log.MemoryLog(self.data, timers)
+        log.faults.down = down
+        own = peering.Member(name, f"{name}/1", "z", ("h", 1), ("h", 2))
+        members = peering.Members(log, timers, own)
+        members.start()
+        return members
+
+    def test_those_of_the_list(self):
+        lists = [self.members(f"vm{number}") for number in range(5)]
+        self.clock.run_for(6.0)
+        self.assertEqual([5] * 5, [members.sharers for members in lists])
+
+    def test_many_while_the_list_was_never_read(self):
+        members = self.members("vm", down=True)
+        self.clock.run_for(6.0)
+        self.assertGreaterEqual(members.sharers, 64)
+
+    def test_the_list_is_known_while_the_log_is_away(self):
+        lists = [self.members(f"vm{number}") for number in range(5)]
+        self.clock.run_for(6.0)
+        lists[0]._log.faults.down = True
+        self.clock.run_for(6.0)
+        self.assertEqual(5, lists[0].sharers)
