One silent connection makes the older kept ones suspect

Cause: a request without any answer ended its own connection only, and the next one met the next silent one. Now a request that ends without a byte (by its time-out, or broken off after 0.4 s) closes what was idle to that address since before it was sent; requests to the store count as silent from 0.28 s (and a read's wait) on. A read of the configuration that is overdue on a way that worked is made once more, beside asking other VMs.

What is left: a connection that falls silent in the midst of an answer is noticed at the call's time-out, and data without an acknowledgement after 0.8 s by the kernel; the latter can't be shown on loopback.

--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -123,7 +123,8 @@
         began = self._timers.now()
 
         def begin(log, done, failed) -> None:
-            way_wait = wait if log is self.direct else 0.0
+            waits = log is self.direct and self.works(place)
+            way_wait = wait if waits else 0.0
             later = self._timers.now() - began
 
             def take(page: keyedlog.LogPage) -> None:
--- a/postspring/peering/failover_call.py
+++ b/postspring/peering/failover_call.py
@@ -114,9 +114,18 @@
         self._ask(error)
 
     def _overdue(self) -> None:
-        if not self._finished:
-            self._log.direct_failed(self._place, "slow")
-            self._ask(keyedlog.LogUnavailable("slow"))
+        if self._finished:
+            return
+        worked = self._log.works(self._place)
+        self._log.direct_failed(self._place, "slow")
+        if worked and self._is_configuration:
+            # The connection may be silent, and not the log: a VM that was
+            # alone heard of a configuration at the call's time-out.
+            self._open += 1
+            self._start(
+                self._log.direct, self._direct_done, self._direct_failed
+            )
+        self._ask(keyedlog.LogUnavailable("slow"))
 
     def _give_up(self) -> None:
         if not self._finished:
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -7,6 +7,7 @@
 import base64
 from collections.abc import Callable
 from collections.abc import Sequence
+import dataclasses
 import json
 import struct
 import urllib.parse
@@ -22,6 +23,9 @@
 APPEND_TIMEOUT_SECONDS = 1.2
 READ_TIMEOUT_SECONDS = 1.2
 CONNECT_TIMEOUT_SECONDS = 0.5
+# Above a slow answer, and before another way is tried (0.3 s), so that the
+# next try does not meet another connection that is silent.
+SILENT_SECONDS = 0.28
 # Bytes of records that one read asks for, in KiB.
 READ_KB = 1024
 # Told to another VM when its call had no answer.
@@ -138,6 +142,9 @@
             },
         )
         request = self._request("GET", path, READ_TIMEOUT_SECONDS + wait)
+        request = dataclasses.replace(
+            request, silent_after=SILENT_SECONDS + wait
+        )
 
         def answered(body: bytes) -> None:
             end, first = _OFFSETS.unpack_from(body)
@@ -219,6 +226,7 @@
             headers=(_CONTENT_TYPE,) if body else (),
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
             timeout=timeout,
+            silent_after=SILENT_SECONDS,
         )
 
     def _call(self, name, request, on_answer, on_error) -> None:
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -10,17 +10,16 @@
 
 from postspring import errors
 from postspring.transport import http_messages
+from postspring.transport import kept_connections
 from postspring.transport import sockets
 from postspring.transport import timers
 
 __all__ = ["Exchange", "HttpClient"]
 
 MAX_IDLE_PER_ADDRESS = 8
-IDLE_SECONDS = 30.0
-# A server that says "Keep-Alive: timeout=N" counts whole seconds; we close
-# this much earlier, so that no request crosses its close.
-KEEP_ALIVE_MARGIN_SECONDS = 0.5
-MAX_HEADER_BYTES = 16 * 1024
+# A request that was broken off without a byte of an answer counts as silence
+# if it lasted as long as a connection is given to open, in seconds.
+SILENT_SECONDS = 0.4
 
 
 class Exchange(sockets.ConnectionHandler):
@@ -42,8 +41,9 @@
         self._connection: h11.Connection | None = None
         self._reused = False
         self._got_bytes = False
+        self.sent_at = client.timers.now()
         self._deadline = client.timers.call_later(
-            request.timeout, self._fail, "timeout"
+            request.timeout, self._time_out
         )
 
     @property
@@ -55,8 +55,16 @@
         """Break the exchange off; the listener hears nothing more."""
         self._listener = None
         self._deadline.cancel()
+        waited = self._client.timers.now() - self.sent_at
+        if self.is_silent and waited >= SILENT_SECONDS:
+            self._client.distrust(self)
         self._drop_connection()
 
+    @property
+    def is_silent(self) -> bool:
+        """Whether nothing of an answer has come on its connection."""
+        return self._socket is not None and not self._got_bytes
+
     def pause(self) -> None:
         """Stop reading a paced answer."""
         if self._socket is not None:
@@ -82,6 +90,8 @@
         self._reused = reused
         data = self._serialize(connection)
         self.sent = True
+        self.sent_at = self._client.timers.now()
+        self._client.pending[self] = None
         # The hub knows this connection only after this function returns.
         self._client.timers.call_later(0, self._transmit, data)
         return self
@@ -109,9 +119,15 @@
     def received(self, data: bytes) -> None:
         """Parse what came, and tell the listener."""
         self._got_bytes = True
+        self._client.pending.pop(self, None)
         self._connection.receive_data(data)
         self._parse()
 
+    def _time_out(self) -> None:
+        if self.is_silent:
+            self._client.distrust(self)
+        self._fail("timeout")
+
     def was_reset(self, is_unreachable: bool) -> None:
         """Take note that the connection broke: no answer ends with it.
 
@@ -193,7 +209,7 @@
         """Read on behind a response that answered another request."""
         self._skipping = False
         surplus, at_end = self._connection.trailing_data
-        self._connection = _new_connection()
+        self._connection = kept_connections.new_connection()
         self._serialize(self._connection)
         if surplus:
             self._connection.receive_data(surplus)
@@ -234,60 +250,11 @@
     def _drop_connection(self) -> None:
         sock = self._socket
         self._socket = None
+        self._client.pending.pop(self, None)
         if sock is not None:
             self._client.hub.shut(sock)
 
 
-class _IdleConnection(sockets.ConnectionHandler):
-    """A kept connection: whatever it says, it is not used again."""
-
-    def __init__(
-        self, client: "HttpClient", address, sock, connection, expiry
-    ):
-        self.sock = sock
-        self.connection = connection
-        self.expiry = expiry
-        self.since = client.timers.now()
-        self._client = client
-        self._address = address
-
-    def received(self, data: bytes) -> None:
-        """Close: the other side may not speak now."""
-        self._client.forget(self._address, self.sock)
-        self._client.hub.shut(self.sock)
-
-    def closed(self) -> None:
-        """Forget the connection."""
-        self.expiry.cancel()
-        self._client.forget(self._address, self.sock)
-
-
-def _new_connection() -> h11.Connection:
-    return h11.Connection(
-        our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
-    )
-
-
-def _may_reuse(connection: h11.Connection) -> bool:
-    """Both sides are done, and nothing follows the answer."""
-    surplus, closed = connection.trailing_data
-    return (
-        connection.our_state is h11.DONE
-        and connection.their_state is h11.DONE
-        and not surplus
-        and not closed
-    )
-
-
-def _idle_seconds(headers: dict[str, str]) -> float:
-    """Return how long the connection may be kept idle, in seconds."""
-    for part in headers.get("keep-alive", "").split(","):
-        name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
-            return min(IDLE_SECONDS, int(value) - KEEP_ALIVE_MARGIN_SECONDS)
-    return IDLE_SECONDS
-
-
 class HttpClient:
     """Sends requests, reusing connections where that is safe.
 
@@ -304,7 +271,11 @@
         self.hub = hub
         self.timers = timers
         self.connections_opened = 0
-        self._idle_by_address: dict[tuple, list[_IdleConnection]] = {}
+        # Sent, and nothing of an answer has come.
+        self.pending: dict[Exchange, None] = {}
+        self._idle_by_address: dict[
+            tuple, list[kept_connections.KeptConnection]
+        ] = {}
 
     def send(
         self,
@@ -323,7 +294,11 @@
 
     def _take_idle(
         self, request: http_messages.HttpRequest
-    ) -> "_IdleConnection | None":
+    ) -> "kept_connections.KeptConnection | None":
+        for exchange in list(self.pending):
+            waited = self.timers.now() - exchange.sent_at
+            if waited >= exchange.request.silent_after:
+                self.distrust(exchange)
         idle = self._idle_by_address.get(request.address)
         if not idle or request.fresh:
             return None
@@ -340,13 +315,28 @@
             idle.expiry.cancel()
             self.hub.shut(idle.sock)
 
+    def distrust(self, silent: Exchange) -> None:
+        """Close what was idle already when an exchange without answer began.
+
+        Open connections may all fall silent at once, without a reset, while
+        new ones work: each kept one cost another call its time-out.
+        """
+        address = silent.request.address
+        for idle in list(self._idle_by_address.get(address, ())):
+            if idle.since <= silent.sent_at:
+                idle.expiry.cancel()
+                self.forget(address, idle.sock)
+                self.hub.shut(idle.sock)
+
     def connect(self, exchange: Exchange) -> None:
         """Run the exchange on a new connection."""
 
         self.connections_opened += 1
 
         def on_open(sock: socket.socket) -> Exchange:
-            return exchange.attach(sock, _new_connection(), reused=False)
+            return exchange.attach(
+                sock, kept_connections.new_connection(), reused=False
+            )
 
         request = exchange.request
         self.hub.open(
@@ -367,15 +357,19 @@
         if sock is None:
             return
         idle = self._idle_by_address.setdefault(address, [])
-        seconds = _idle_seconds(headers)
-        if len(idle) >= MAX_IDLE_PER_ADDRESS or not _may_reuse(connection):
+        seconds = kept_connections.idle_seconds(headers)
+        if len(idle) >= MAX_IDLE_PER_ADDRESS or not kept_connections.may_reuse(
+            connection
+        ):
             seconds = 0.0
         if seconds <= 0:
             self.hub.shut(sock)
             return
         connection.start_next_cycle()
         expiry = self.timers.call_later(seconds, self.hub.shut, sock)
-        kept = _IdleConnection(self, address, sock, connection, expiry)
+        kept = kept_connections.KeptConnection(
+            self, address, sock, connection, expiry
+        )
         idle.append(kept)
         self.hub.adopt(sock, kept)
 
--- a/postspring/transport/http_messages.py
+++ b/postspring/transport/http_messages.py
@@ -27,6 +27,9 @@
         Read the answer at intervals, for streams of many small chunks.
     max_idle : float
         Reuse only a connection that was idle for less than this.
+    silent_after : float
+        Without a byte of an answer for this long, connections to the same
+        address that were idle since before are not used for others.
     is_answer : callable, optional
         Told the headers of a response (names in lower case); returns
         whether it answers this request.  A response that does not is
@@ -43,6 +46,7 @@
     fresh: bool = False
     paced: bool = False
     max_idle: float = math.inf
+    silent_after: float = math.inf
     is_answer: Callable[[dict[str, str]], bool] | None = None
 
     @property
--- a/postspring/transport/tests/test_http_client.py
+++ b/postspring/transport/tests/test_http_client.py
@@ -177,6 +177,75 @@
         self.assertFalse(listener.settled)
 
 
+class SilenceTest(LoopCase):
+    """Which kept connections are not used after one was silent.
+
+    Seen with a stand-in: all open connections acknowledged what came and
+    never answered, and each kept one cost another call its time-out.
+    """
+
+    def keep(self, count):
+        """Leave some connections kept, whose servers fall silent then."""
+        threads = []
+        listeners = []
+        for _ in range(count):
+            threads.append(self.serve_once_and_hold())
+            listeners.append(self.send(fresh=True))
+        self.turn_until(lambda: all(item.done for item in listeners))
+        self.assertEqual(count, self.kept)
+
+    @property
+    def kept(self):
+        """Number of kept connections."""
+        return len(self.http._idle_by_address.get(self.address, ()))
+
+    def serve_once_and_hold(self):
+        """Answer one request, and nothing after it."""
+
+        def run():
+            connection, _peer = self.listening.accept()
+            self.addCleanup(connection.close)
+            connection.recv(65536)
+            connection.sendall(OK)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        return thread
+
+    def test_a_time_out_makes_the_older_ones_suspect(self):
+        self.keep(4)
+        self.assertIsNotNone(self.answer(timeout=0.2).error)
+        self.serve(OK)
+        self.assertEqual(b"hi", self.answer(timeout=2.0).body)
+
+    def test_while_it_is_overdue_others_go_on_new_ones(self):
+        self.keep(4)
+        waiting = self.send(timeout=2.0, silent_after=0.1)
+        self.turn(20)
+        self.assertFalse(waiting.settled)
+        self.serve(OK)
+        self.assertEqual(b"hi", self.answer(timeout=1.0).body)
+
+    def test_one_that_has_answered_since_is_kept(self):
+        self.keep(2)
+        silent = self.send(timeout=0.4)
+        self.turn(2)
+        self.serve(OK, OK)
+        self.answer(fresh=True)
+        self.turn_until(lambda: silent.settled)
+        self.assertEqual(1, self.kept)
+
+    def test_a_caller_that_leaves_soon_proves_nothing(self):
+        self.keep(3)
+        request = transport.HttpRequest(
+            address=self.address, method="GET", path="/"
+        )
+        exchange = self.http.send(request, Listener())
+        self.turn(2)
+        exchange.cancel()
+        self.assertEqual(2, self.kept)
+
+
 class TimersTest(LoopCase):
     """Calls that are due later."""
 
