--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -1,9 +1,11 @@
 """Forwarding: callers' requests to upstreams, and the answers back."""
 
+from postspring.forwarding.certainty import Certainty
+from postspring.forwarding.certainty import Doubt
+from postspring.forwarding.certainty import doubts_of
 from postspring.forwarding.delivery import Delivery
 from postspring.forwarding.dispatch import Dispatcher
 from postspring.forwarding.dispatch import Receiver
-from postspring.forwarding.doubts import Doubt
 from postspring.forwarding.event_splitter import EventSplitter
 from postspring.forwarding.forwarder import Forwarder
 from postspring.forwarding.ports import AnswerFacts
@@ -19,6 +21,7 @@
 __all__ = [
     "AnswerFacts",
     "CallFacts",
+    "Certainty",
     "Delivery",
     "Dispatcher",
     "Doubt",
@@ -32,4 +35,5 @@
     "Refusal",
     "UpstreamExtra",
     "WireFormat",
+    "doubts_of",
 ]
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 import dataclasses
 
-from postspring.forwarding import doubts as doubts_module
+from postspring.forwarding import certainty
 from postspring import histories
 from postspring import upstreams
 
@@ -144,7 +144,7 @@
     taker: upstreams.Upstream | None = None
     keeper: upstreams.Upstream | None = None
     is_answered: bool = False
-    doubts: tuple[doubts_module.Doubt, ...] = (doubts_module.Doubt.UNHEARD,)
+    doubts: tuple[certainty.Doubt, ...] = (certainty.Doubt.VM_UNHEARD,)
     reached_all: bool = False
     is_known: bool = False
     is_certain: bool = False
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -4,6 +4,7 @@
 import dataclasses
 import logging
 
+from postspring.forwarding import certainty
 from postspring.forwarding import delivery as delivery_module
 from postspring.forwarding import dispatch
 from postspring.forwarding import event_splitter
@@ -209,7 +210,7 @@
     def _not_found(self, finding: ports.Finding) -> None:
         """The log has no such turn; another VM might still keep it."""
         if finding.doubts or finding.is_known_turn:
-            self._uncertain([doubt.value for doubt in finding.doubts])
+            self._uncertain(*finding.doubts)
             return
         # A VM that recorded the turn and left meanwhile was not asked.
         self._journal.find_chain(
@@ -217,7 +218,7 @@
             self._facts.previous,
             OPEN_PATIENCE_SECONDS,
             self._found_at_last,
-            lambda error: self._uncertain(["log_unread"]),
+            lambda error: self._uncertain(certainty.Doubt.LOG_UNREAD),
         )
 
     def _found_at_last(self, chain: histories.Chain | None) -> None:
@@ -229,9 +230,9 @@
         self._chain = chain
         self._open()
 
-    def _uncertain(self, doubts: list[str]) -> None:
+    def _uncertain(self, *doubts: certainty.Doubt) -> None:
         if not self._closed:
-            self._outcome.add(doubts=doubts)
+            self._outcome.add(doubts=[doubt.value for doubt in doubts])
             self._close(refusals.Refusal.TURN_UNCERTAIN)
 
     def _begin_home(self, finding: ports.Finding) -> None:
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 import os
 import time
 
@@ -249,7 +250,8 @@
             self._is_complete,
             self._view_of,
             self.members.introduce,
-            lambda: not self.members.is_leaving,
+            takes_copies=lambda: not self.members.is_leaving,
+            is_direct=lambda: self.log.is_direct,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
@@ -269,6 +271,7 @@
             self._decision_inputs,
             self.neighbourhood,
             lambda: self.shutdown.takes_work,
+            self._routes_certainty,
         )
         if own.metrics_port:
             page = transport.HttpServer(
@@ -308,9 +311,17 @@
     def _decision_inputs(self) -> dict:
         return {
             "configuration": self.configuration.version,
-            "upstreams_age": round(self._upstream_follower.age, 2),
+            "upstreams_age": _told_age(self._upstream_follower.age),
         }
 
+    def _routes_certainty(self) -> forwarding.Certainty:
+        """Return whether the newest configuration is known here."""
+        age = self._configuration_follower.age
+        bound = self.vm.configuration
+        is_readable = self.configuration.is_newest
+        doubts = forwarding.doubts_of(age, bound, is_readable)
+        return forwarding.Certainty(age, doubts)
+
     def _configuration_changed(self, snapshot: routing.Snapshot) -> None:
         self._limits.header_bytes = snapshot.limits.header_bytes
         self._limits.body_bytes = snapshot.limits.body_bytes
@@ -348,8 +359,8 @@
 
     def _catch_up_rate(self) -> float:
         """This VM's share of half of what the store takes; appends/s."""
-        vms = max(1, len(self.members.by_name))
-        return CATCH_UP_SHARE * self.vm.store_writes / vms
+        share = CATCH_UP_SHARE / self.members.sharers
+        return share * self.vm.store_writes
 
     def _direct_way_changed(self) -> None:
         """A read that waits for a change may hang on the way that is lost."""
@@ -390,3 +401,8 @@
     def _count_unreadable(self, status: int) -> None:
         self.metrics.refused(f"unreadable_{status}", "no")
         LOG.info("request not readable", extra={"status": status})
+
+
+def _told_age(age: float) -> float | None:
+    """Return an age for the log; JSON has no number without end."""
+    return round(age, 2) if math.isfinite(age) else None
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import logging
+import math
 import random
 
 import cbor2
@@ -26,6 +27,9 @@
 # centres lose each other for minutes, and turns are kept for one.  A played
 # cut of 24 s lost two turns while expired VMs counted as gone.
 ABSENCE_SECONDS = 900.0
+# As many VMs are assumed while the list was never read; the largest fleet
+# that was measured has 64 entry VMs.
+UNKNOWN_VMS = 64
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -157,6 +161,13 @@
         others = [entry for entry in page.entries if entry.key != own.key]
         return page._replace(entries=[*others, own])
 
+    @property
+    def sharers(self) -> int:
+        """Among how many VMs the log's rate is shared, this one included."""
+        # Alone is what a VM seems that could never read the list.
+        known = math.isfinite(self._follower.age)
+        return max(1 if known else UNKNOWN_VMS, len(self.by_name))
+
     @property
     def others(self) -> list[Member]:
         """All other VMs, in random order."""
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -36,7 +36,7 @@
 # also while the log is away.
 KEEPERS = 4
 ENOUGH_COPIES = 2
-UNREACHED = {forwarding.Doubt.UNHEARD, forwarding.Doubt.ABSENT}
+UNREACHED = {forwarding.Doubt.VM_UNHEARD, forwarding.Doubt.VM_ABSENT}
 
 
 class Neighbourhood(forwarding.Neighbours, histories.Companions):
@@ -344,9 +344,10 @@
             item.is_complete for item in self._answers.values()
         )
         holds_by_doubt = {
-            forwarding.Doubt.UNHEARD: len(self._answers) < len(self._others),
-            forwarding.Doubt.ABSENT: bool(self._absent),
-            forwarding.Doubt.RESTARTED: restarted,
+            forwarding.Doubt.VM_UNHEARD: len(self._answers)
+            < len(self._others),
+            forwarding.Doubt.VM_ABSENT: bool(self._absent),
+            forwarding.Doubt.VM_RESTARTED: restarted,
             forwarding.Doubt.STARTED_LATELY: not is_complete,
         }
         return tuple(doubt for doubt, holds in holds_by_doubt.items() if holds)
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -36,6 +36,8 @@
         Returns whether this VM knows all that began here lately.
     takes_copies : callable
         Returns whether this VM stays long enough to keep something.
+    is_direct : callable
+        Returns whether this VM reaches the log itself.
     """
 
     def __init__(
@@ -46,9 +48,11 @@
         is_complete: Callable[[], bool],
         view_of: Callable[[str], keyedlog.LogPage | None],
         introduce: Callable[[str, bytes], None],
-        takes_copies: Callable[[], bool],
+        takes_copies: Callable[[], bool] = lambda: True,
+        is_direct: Callable[[], bool] = lambda: True,
     ):
         self._takes_copies = takes_copies
+        self._is_direct = is_direct
         self._introduce = introduce
         self._view_of = view_of
         self._journal = journal
@@ -77,6 +81,11 @@
             call.respond(400, [])
 
     def _pass(self, call: transport.IncomingCall, path: str) -> None:
+        # One that is turned away as well would hold the call for 1.2 s.
+        if not self._is_direct():
+            call.respond(503, [])
+            return
+
         def answered(status: int, body: bytes) -> None:
             call.respond(status, [], body)
 
