--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -17,6 +17,7 @@
 from postspring.peering import isolation
 from postspring.peering import members
 from postspring.testing.fleet import case
+from postspring.testing.fleet import fleet as fleet_module
 
 # Nothing listens here.
 NOWHERE = ("127.0.0.1", 1)
@@ -186,6 +187,42 @@
         self.assertEqual(503, self.go_on_here())
 
 
+class RetentionTest(AbsenceCase):
+    """Turns are kept for longer than 65 s, as the configuration says.
+
+    A VM counted as one that knows all that began here after 65 s, whatever
+    the retention.  Found by reading.
+    """
+
+    def restarted_for(self, seconds):
+        """Let the VM here have been restarted some time ago."""
+        self.here.vm = dataclasses.replace(self.here.vm, first_start=False)
+        self.here._started_at = self.here.timers.now() - seconds
+
+    def configure(self, retention):
+        """Put a configuration with this retention in force."""
+        configuration = fleet_module.default_configuration(version=2)
+        for route in configuration["routes"]:
+            if route.get("retention_s"):
+                route["retention_s"] = retention
+        self.fleet.configure(configuration)
+        self.fleet.turn_until(lambda: self.here.configuration.version == 2)
+
+    def test_a_long_retention(self):
+        self.configure(300.0)
+        self.restarted_for(250.0)
+        self.assertEqual(503, self.go_on_here())
+        self.restarted_for(310.0)
+        self.assertEqual(404, self.go_on_here())
+
+    def test_a_short_one(self):
+        self.configure(10.0)
+        self.restarted_for(60.0)
+        self.assertEqual(503, self.go_on_here())
+        self.restarted_for(70.0)
+        self.assertEqual(404, self.go_on_here())
+
+
 class LateLeaveTest(AbsenceCase):
     """An entry of leaving comes behind that of the VM's successor."""
 
