--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -43,8 +43,10 @@
 CATCH_UP_SHARE = 0.5
 MISSING_SWEEP_SECONDS = 0.5
 # A VM that has been up for this long knows all that began here within the
-# retention of turns, 60 s on the users' routes; in seconds.
+# retention of turns, 60 s on the users' routes; in seconds.  With a longer
+# retention it takes that, and the margin for turns that end meanwhile.
 COMPLETE_SECONDS = 65.0
+RETENTION_MARGIN_SECONDS = 5.0
 # How long a VM that stops waits for the log to take its leave, in seconds:
 # without it the VM counts as not heard for a while, no more.
 LEAVE_SECONDS = 1.0
@@ -346,8 +348,11 @@
 
     def _is_complete(self) -> bool:
         """Whether this VM knows all that began here lately."""
+        snapshot = self.configuration.snapshot
+        retention = 0.0 if snapshot is None else snapshot.longest_retention
+        needed = max(COMPLETE_SECONDS, retention + RETENTION_MARGIN_SECONDS)
         uptime = self.timers.now() - self._started_at
-        return self.vm.first_start or uptime > COMPLETE_SECONDS
+        return self.vm.first_start or uptime > needed
 
     def _store_through(self, member: peering.Member) -> platform.Store:
         return platform.Store(
--- a/postspring/routing/snapshot.py
+++ b/postspring/routing/snapshot.py
@@ -31,6 +31,11 @@
     service_by_name: dict[str, services.RoutedService]
     limits: CallerLimits = CallerLimits()
 
+    @functools.cached_property
+    def longest_retention(self) -> float:
+        """How long turns are kept on any route, in seconds."""
+        return max((route.retention for route in self.routes), default=0.0)
+
     @functools.cached_property
     def table(self) -> routes.RouteTable:
         """The routes, ready for look-up."""
