No circles between packages; one start-up for both daemons

Cause: front took the logs of daemon, and entry its settings, while daemon starts both; the two daemons repeated the component that starts a node and hands on signals.

Now logs and settings are packages that import neither, and daemon/process.py starts a node and hands SIGTERM and SIGINT on. bin/lint runs bin/check-import-circles (imports in functions and for types count, tests do not). Ruled out: front's settings in the same package, since the front daemon would then import pydantic; it does not, before and after.

Runs: the check named daemon -> entry -> daemon and daemon -> front -> daemon before the change and nothing after; bin/lint passes; the tests of the check, the process, the settings, the reload, the API, the commands, the plain calls of a front VM, the doctests and the scenario owner_killed_twice pass. python3 -m postspring.daemon.front_daemon with a settings file started, read it again at SIGHUP and ended with status 0 at SIGTERM.

Conclusion: no behaviour changed.

--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -13,13 +13,11 @@
 _namespaces.declare_namespace = lambda name: None
 sys.modules.setdefault("pkg_resources", _namespaces)
 
-from circuits import BaseComponent  # noqa: E402
-from circuits import handler  # noqa: E402
-
+from postspring.daemon import process  # noqa: E402
 from postspring import errors  # noqa: E402
-from postspring.front import logs  # noqa: E402
 from postspring.front import node as node_module  # noqa: E402
 from postspring.front import settings  # noqa: E402
+from postspring import logs  # noqa: E402
 from postspring import platform  # noqa: E402
 
 __all__ = ["main", "reload_on_hangup", "run_front"]
@@ -27,26 +25,6 @@
 LOG = logging.getLogger(__name__)
 
 
-class _Daemon(BaseComponent):
-    """Starts the node with the loop and stops it by signal.
-
-    circuits' manager would stop the loop at once.
-    """
-
-    def __init__(self, node: node_module.FrontNode):
-        super().__init__()
-        self._node = node
-
-    @handler("started", channel="*")
-    def _on_started(self, *arguments):
-        self._node.start()
-
-    @handler("signal", channel="*")
-    def _on_signal(self, number, stack):
-        if number in (signal.SIGTERM, signal.SIGINT):
-            self._node.shutdown.begin()
-
-
 def run_front(flags: dict[str, str]) -> None:
     """Run a front VM until it is told to stop."""
     own = settings.load_front_settings(flags, os.environ)
@@ -57,8 +35,8 @@
         vm=vm.vm,
         data_center=vm.data_center,
     )
-    node = node_module.FrontNode(vm, own, on_stopped=_stop)
-    _Daemon(node).register(node)
+    node = node_module.FrontNode(vm, own, on_stopped=process.end_process)
+    process.Process(node, node.shutdown.begin)
     reload_on_hangup(node, os.environ)
     node.run()
 
@@ -80,10 +58,6 @@
     )
 
 
-def _stop() -> None:
-    raise SystemExit(0)
-
-
 def main() -> None:
     """Run with ``--name=value`` flags; a fault is one line and status 1."""
     flags = {}
--- a/postspring/daemon/main.py
+++ b/postspring/daemon/main.py
@@ -11,8 +11,8 @@
 from postspring import client
 from postspring.client import publisher
 from postspring import configuration
-from postspring.daemon import settings as settings_module
 from postspring import errors
+from postspring import settings as settings_module
 
 __all__ = ["Commands", "main"]
 
--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -6,7 +6,6 @@
 from typing import Any
 
 from postspring import coordination
-from postspring.daemon import settings as settings_module
 from postspring.entry import attempts
 from postspring.entry import cache_keeper
 from postspring.entry import callers
@@ -23,6 +22,7 @@
 from postspring import ownership
 from postspring import peers
 from postspring import scheduling
+from postspring import settings as settings_module
 from postspring import sharedlog
 from postspring import transport
 from postspring import upstreams
--- a/postspring/entry/node.py
+++ b/postspring/entry/node.py
@@ -9,10 +9,10 @@
 from circuits import handler
 
 from postspring import coordination
-from postspring.daemon import settings as settings_module
 from postspring.entry import answers
 from postspring.entry import core as core_module
 from postspring import peers
+from postspring import settings as settings_module
 from postspring import transport
 from postspring import web
 
--- a/postspring/front/logs.py
+++ b/postspring/logs/bounded.py
@@ -9,7 +9,7 @@
 import os
 import time
 
-from postspring.daemon import logs
+from postspring.logs import json_lines
 
 __all__ = ["BoundedHandler", "set_up_front_logs"]
 
@@ -67,4 +67,4 @@
 ) -> None:
     """Log to standard output; ``constant`` fields go into every line."""
     sink = BoundedHandler(STANDARD_OUTPUT, lines_per_second)
-    logs.install(sink, level, constant)
+    json_lines.install(sink, level, constant)
--- /dev/null
+++ b/postspring/settings/__init__.py
@@ -0,0 +1,7 @@
+"""Settings of a daemon, checked before anything starts."""
+
+from postspring.settings.entry_settings import EntrySettings
+from postspring.settings.entry_settings import load_settings
+from postspring.settings.entry_settings import split_address
+
+__all__ = ["EntrySettings", "load_settings", "split_address"]
--- a/postspring/daemon/tests/test_settings.py
+++ b/postspring/settings/tests/test_settings.py
@@ -4,8 +4,8 @@
 import unittest
 from unittest import mock
 
-from postspring.daemon import settings
 from postspring import errors
+from postspring import settings
 
 FLAGS = {
     "vm": "rimac-1",
--- a/postspring/testing/__main__.py
+++ b/postspring/testing/__main__.py
@@ -2,7 +2,7 @@
 
 import fire
 
-from postspring.daemon import settings
+from postspring import settings
 from postspring.testing import base
 from postspring.testing import engine as engine_module
 from postspring.testing import link as link_module
--- a/postspring/testing/virtual/world.py
+++ b/postspring/testing/virtual/world.py
@@ -8,9 +8,9 @@
 
 
 from postspring import configuration
-from postspring.daemon import settings as settings_module
 from postspring.entry import core as core_module
 from postspring import ownership
+from postspring import settings as settings_module
 from postspring.testing.virtual import callers
 from postspring.testing.virtual import clock as clock_module
 from postspring.testing.virtual import network as network_module
