--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -14,17 +14,18 @@
 from postspring.histories.ports import NoCompanions
 from postspring.histories.program import Program
 from postspring.histories.program import Turn
-from postspring.histories.program import TurnState
 from postspring.histories.records import Claim
 from postspring.histories.records import decode_record
 from postspring.histories.records import encode_record
 from postspring.histories.records import EndedTurn
 from postspring.histories.records import OpenedTurn
 from postspring.histories.records import ProgramId
+from postspring.histories.records import record_key
 from postspring.histories.records import TurnId
 from postspring.histories.records import TurnLocation
 from postspring.histories.records import TurnRef
 from postspring.histories.records import WholeTurn
+from postspring.histories.shares import TurnState
 
 __all__ = [
     "Chain",
@@ -52,4 +53,5 @@
     "WholeTurn",
     "decode_record",
     "encode_record",
+    "record_key",
 ]
--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -12,6 +12,9 @@
 # A turn uses a quarter of its ceiling on average; with half of it left, few
 # have to be broken off.
 LEAST_SHARE = 0.5
+# Programs whose reserves are kept in mind.  What is forgotten stays charged
+# and is not used.
+MOST_RESERVES = 10_000
 
 
 class Origin(enum.Enum):
@@ -36,6 +39,8 @@
 
     limit : int or None
         Tokens after which the turn has to be broken off.
+    granted, returned : int
+        What the record that opened the turn reserved, and gave back.
     """
 
     program: records.ProgramId
@@ -44,6 +49,28 @@
     budget: int | None
     origin: Origin
     limit: int | None = None
+    granted: int = 0
+    returned: int = 0
+
+
+@dataclasses.dataclass(slots=True)
+class _Reserve:
+    """What this VM has reserved of one program's budget.
+
+    Parameters
+    ==========
+
+    usable : int
+        Tokens whose record was found to fit, less what was used.
+    asked : int
+        Tokens in records that are not folded yet.
+    unfit : int
+        Tokens whose record did not fit: to be given back, never used.
+    """
+
+    usable: int = 0
+    asked: int = 0
+    unfit: int = 0
 
 
 @dataclasses.dataclass(slots=True)
@@ -72,9 +99,10 @@
     Explanation
     ===========
 
-    What the VM has spent, or may spend in turns under way, is held against
-    its reserve until the records that settle it were folded; only then the
-    reserve itself has become smaller.
+    What the VM has reserved is known here alone, by its own records: others
+    charge all that they name, and only what fitted at its place in the log
+    may be used.  What the VM has spent, or may spend in turns under way, is
+    held against its reserve until the records that settle it were folded.
 
     Parameters
     ==========
@@ -89,6 +117,7 @@
             tuple[records.ProgramId, Origin], dict[records.TurnId, int]
         ] = {}
         self._home_by_program: dict[records.ProgramId, _Home] = {}
+        self._reserve_by_program: dict[records.ProgramId, _Reserve] = {}
 
     def take(
         self,
@@ -99,7 +128,9 @@
         is_log_away: bool,
     ) -> Ticket | None:
         """Return the right to run a turn, if this VM may give it."""
-        if budget is None or self._reserve_left(program) >= ceiling:
+        if budget is None:
+            return Ticket(program.id, turn, ceiling, budget, Origin.RESERVE)
+        if self._reserve_left(program) >= ceiling:
             self._put(program.id, Origin.RESERVE, turn, ceiling)
             return Ticket(program.id, turn, ceiling, budget, Origin.RESERVE)
         if not is_log_away:
@@ -122,8 +153,17 @@
         return is_log_away and self._home_limit(program, ceiling, None) > 0
 
     def _reserve_left(self, program: program_module.Program) -> int:
-        granted = program.reserve_by_author.get(self.author, 0)
-        return granted - self._used(program.id, Origin.RESERVE)
+        """Return what may be spent: fitting, unspent, and charged here.
+
+        What this VM doesn't charge, since it has read none of the records
+        for long, it doesn't name to others either, and they may spend it.
+        """
+        reserve = self._reserve_by_program.get(program.id)
+        if reserve is None:
+            return 0
+        charged = program.reserve_by_author.get(self.author, 0)
+        usable = min(reserve.usable, charged)
+        return usable - self._used(program.id, Origin.RESERVE)
 
     def _home_limit(
         self,
@@ -149,17 +189,53 @@
     def _used(self, program: records.ProgramId, origin: Origin) -> int:
         return sum(self._unsettled.get((program, origin), {}).values())
 
-    def give_back(
-        self, program: program_module.Program, turn: records.TurnId
-    ) -> int:
-        """Return the idle reserve; it can't be used until ``turn`` settles."""
+    def ask(self, program: records.ProgramId, tokens: int) -> None:
+        """Take note that a record is on its way that reserves tokens."""
+        if tokens:
+            self._reserve(program).asked += tokens
+
+    def asked(self, program: records.ProgramId) -> int:
+        """Return what records on their way reserve."""
+        reserve = self._reserve_by_program.get(program)
+        return 0 if reserve is None else reserve.asked
+
+    def granted(
+        self, program: records.ProgramId, tokens: int, holds: bool
+    ) -> None:
+        """Take note that a record stands in the log that reserves tokens."""
+        if not tokens:
+            return
+        reserve = self._reserve(program)
+        reserve.asked -= tokens
+        if holds:
+            reserve.usable += tokens
+        else:
+            reserve.unfit += tokens
+
+    def not_granted(self, program: records.ProgramId, tokens: int) -> None:
+        """Take note that a record came to nothing."""
+        if tokens:
+            self._reserve(program).asked -= tokens
+
+    def give_back(self, program: program_module.Program) -> int:
+        """Return the idle reserve, and what never fitted: both are gone."""
         idle = max(0, self._reserve_left(program))
         if idle:
-            self._put(program.id, Origin.RESERVE, turn, idle)
-        return idle
+            self._reserve(program.id).usable -= idle
+        return idle + self.give_back_unfit(program.id)
+
+    def give_back_unfit(self, program: records.ProgramId) -> int:
+        """Return what never fitted, to be named in one record."""
+        reserve = self._reserve_by_program.get(program)
+        if reserve is None:
+            return 0
+        unfit, reserve.unfit = reserve.unfit, 0
+        return unfit
 
     def spent(self, ticket: Ticket, tokens: int) -> None:
         """Take note that a turn has ended, and what it used."""
+        if ticket.budget is None and ticket.origin is Origin.RESERVE:
+            return
         self._put(ticket.program, ticket.origin, ticket.turn, tokens)
 
     def settle(self, ticket: Ticket, tokens: int) -> None:
@@ -168,12 +244,9 @@
         home = self._home_by_program.get(ticket.program)
         if ticket.origin is Origin.HOME and home is not None:
             home.tokens -= tokens
-
-    def returned(
-        self, program: records.ProgramId, turn: records.TurnId
-    ) -> None:
-        """Take note that the log holds what was given back."""
-        self._drop(program, Origin.RESERVE, turn)
+        is_bounded = ticket.budget is not None
+        if ticket.origin is Origin.RESERVE and is_bounded and tokens:
+            self._reserve(ticket.program).usable -= tokens
 
     def begin_home(
         self,
@@ -225,6 +298,13 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _reserve(self, program: records.ProgramId) -> _Reserve:
+        found = self._reserve_by_program.pop(program, None) or _Reserve()
+        self._reserve_by_program[program] = found
+        if len(self._reserve_by_program) > MOST_RESERVES:
+            del self._reserve_by_program[next(iter(self._reserve_by_program))]
+        return found
+
     def _put(self, program, origin, turn, tokens) -> None:
         self._unsettled.setdefault((program, origin), {})[turn] = tokens
 
--- a/postspring/histories/copies.py
+++ b/postspring/histories/copies.py
@@ -1,19 +1,14 @@
 """Copies of other VMs' turns, kept until they stand in the log."""
 
-import logging
+from collections.abc import Callable
 import random
-import typing
+from typing import Protocol
 
 from postspring.histories import errors
 from postspring.histories import records
 from postspring.transport import timers as timers_module
 
-if typing.TYPE_CHECKING:
-    from postspring.histories import journal as journal_module
-
-__all__ = ["CopyCheck"]
-
-LOG = logging.getLogger(__name__)
+__all__ = ["CopyCheck", "CopyKeeper"]
 
 # When a copy is looked for in the log, in seconds: its author appends it as
 # soon as the log answers, and only if that VM is gone, or the log stays away,
@@ -25,6 +20,27 @@
 PATIENCE_SECONDS = 120.0
 
 
+class CopyKeeper(Protocol):
+    """What a check needs of the journal that keeps the copy."""
+
+    def refresh_program(
+        self, program, patience, on_done, on_error, waits_long=False
+    ) -> None:
+        """Fold all records of a program's partition."""
+
+    def locate(self, turn, patience, on_done, on_error) -> None:
+        """Tell among which program's records a turn stands."""
+
+    def is_logged(self, ref: records.TurnRef) -> bool:
+        """Return whether a whole turn is known to stand in the log."""
+
+    def record_copy(self, record: records.WholeTurn) -> None:
+        """Append a copy that is not in the log."""
+
+    def drop_copy(self, ref: records.TurnRef) -> None:
+        """Forget a copy whose record stands in the log."""
+
+
 class CopyCheck:
     """Looks whether a copy stands in the log, and appends it if not.
 
@@ -36,17 +52,21 @@
 
     record : WholeTurn
         The copy.
+    on_lost : callable
+        Told if the log stayed away too long.
     """
 
     def __init__(
         self,
-        journal: "journal_module.Journal",
+        journal: CopyKeeper,
         timers: timers_module.Timers,
         record: records.WholeTurn,
+        on_lost: Callable[[errors.HistoryError], None],
     ):
         self._journal = journal
         self._timers = timers
         self._record = record
+        self._lost = on_lost
         self._ref = records.TurnRef(record.program, record.turn)
 
     def start(self) -> None:
@@ -78,14 +98,3 @@
             self._journal.record_copy(self._record)
         else:
             self._journal.drop_copy(self._ref)
-
-    def _lost(self, error: errors.HistoryError) -> None:
-        self._journal.drop_copy(self._ref)
-        LOG.error(
-            "copy lost",
-            extra={
-                "program": self._record.program,
-                "request": self._record.turn,
-                "reason": str(error),
-            },
-        )
--- a/postspring/histories/fold.py
+++ b/postspring/histories/fold.py
@@ -1,7 +1,6 @@
 """Folds: what the records of one partition add up to.
 
-No clock and no I/O: the same records in the same order give the same state
-on every VM.
+No clock and no I/O: the same records give the same state on every VM.
 """
 
 import logging
@@ -31,22 +30,27 @@
             records.ProgramId, program_module.Program
         ] = {}
 
-    def apply(self, value: bytes) -> None:
+    def apply(self, value: bytes, is_ordered: bool = True) -> None:
         """Fold one record; an empty one drops its key and changes nothing.
 
         A dropped turn has outlived its retention, and with it every turn
         that may name it.
+
+        Parameters
+        ----------
+        is_ordered : bool
+            All that stands before the record was folded before it.
         """
         record = _decode(value) if value else None
         if record is None:
             return
         program = self.program(record.program)
         if isinstance(record, records.OpenedTurn):
-            program.open(record)
+            program.open(record, is_ordered)
         elif isinstance(record, records.WholeTurn):
-            program.complete(record)
+            program.complete(record, is_ordered)
         elif isinstance(record, records.EndedTurn):
-            program.end(record)
+            program.end(record, is_ordered)
 
     def program(self, program: records.ProgramId) -> program_module.Program:
         """Return a program, which may have no turns yet."""
@@ -68,7 +72,7 @@
     def __init__(self):
         self.program_by_turn: dict[records.TurnId, records.ProgramId] = {}
 
-    def apply(self, value: bytes) -> None:
+    def apply(self, value: bytes, is_ordered: bool = True) -> None:
         """Fold one record."""
         record = _decode(value) if value else None
         if isinstance(record, records.TurnLocation):
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -1,7 +1,8 @@
 """The journal: every turn that is opened, completed or given up.
 
-Any VM may work on any program.  Which turn counts is decided by the order
-of the log, so no VM owns a program and none has to be found or replaced.
+Any VM may work on any program.  Which turns there are is decided by the
+records in the log, and whether a turn may run by what stands before its
+own, so no VM owns a program and none has to be found or replaced.
 While the log is away, turns go on from what was reserved in it before, and
 whole turns are kept by other VMs too until they are recorded.
 """
@@ -11,14 +12,17 @@
 
 from postspring.histories import accounts
 from postspring.histories import chains
+from postspring.histories import claims
 from postspring.histories import completion
 from postspring.histories import copies
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
+from postspring.histories import openings
 from postspring.histories import partitions
 from postspring.histories import ports
 from postspring.histories import program as program_module
 from postspring.histories import records
+from postspring.histories import shares
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -26,8 +30,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# Turns of the same size that a VM would like to have reserved.
-AHEAD_TURNS = 4
 # How long records that have to get into the log are offered to it; seconds,
 # above the retention of the users' routes.
 KEEP_SECONDS = 120.0
@@ -35,9 +37,6 @@
 # store's usual 4 ms.
 FAILING_PATIENCE_SECONDS = 0.05
 
-OnError = Callable[[errors.HistoryError], None]
-OnOpened = Callable[[program_module.TurnState, accounts.Ticket], None]
-
 
 class Journal:
     """Reads and extends histories through a shared log.
@@ -69,6 +68,10 @@
         self._timers = timers
         self._partitions = partitions.Partitions(log, timers, catch_up_rate)
         self.accounts = accounts.LocalAccounts(author)
+        self._claims = claims.Claims(self.accounts)
+        self._openings = openings.Openings(
+            self._claims, self._commit, self._settle_unrun
+        )
         self.companions = companions or ports.NoCompanions()
         self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
 
@@ -90,8 +93,8 @@
         ceiling: int,
         budget: int | None,
         patience: float,
-        on_done: OnOpened,
-        on_error: OnError,
+        on_done: openings.OnOpened,
+        on_error: openings.OnError,
     ) -> None:
         """Get the right to run a turn, from a reserve or from the log."""
         known = self._partitions.program(program)
@@ -100,47 +103,42 @@
         )
         if not is_away:
             self.accounts.close_home(program)
-        ticket = self.accounts.take(known, turn, ceiling, budget, is_away)
-        if ticket is not None:
-            on_done(program_module.TurnState.OPEN, ticket)
-            return
-        ticket = accounts.Ticket(
+        opened = accounts.Ticket(
             program, turn, ceiling, budget, accounts.Origin.LOG
         )
-        returned = self.accounts.give_back(known, turn)
-        record = records.OpenedTurn(
-            program, turn, self._claim(ticket, returned)
-        )
-
-        def folded(fold: fold_module.ProgramFold) -> None:
-            self.accounts.returned(program, turn)
-            state = fold.program(program).turn_by_id[turn].state
-            on_done(state, ticket)
-
-        def failed(error: errors.HistoryError) -> None:
-            # The record may still be appended; it must not stay charged.
-            self.end_turn(ticket, 0)
-            on_error(error)
-
-        if is_away:
-            patience = min(patience, FAILING_PATIENCE_SECONDS)
-        self._commit(record, patience, folded, failed)
+        ref = records.TurnRef(program, turn)
+        used = self._openings.use_of_id(known, ref)
+        if used is not None:
+            on_done(used, opened)
+            return
+        ticket = self.accounts.take(known, turn, ceiling, budget, is_away)
+        if ticket is not None:
+            self._openings.begin(ref)
+            on_done(shares.TurnState.OPEN, ticket)
+        elif known.is_spent(ceiling, budget):
+            # Settled turns only become more: no record can change it.
+            on_done(shares.TurnState.REFUSED, opened)
+        else:
+            if is_away:
+                patience = min(patience, FAILING_PATIENCE_SECONDS)
+            self._openings.open(known, opened, patience, on_done, on_error)
 
     def end_turn(self, ticket: accounts.Ticket, tokens: int) -> None:
         """Settle a turn that is no part of the history."""
+        self._openings.end(records.TurnRef(ticket.program, ticket.turn))
         if ticket.origin is not accounts.Origin.LOG and not tokens:
             self.accounts.settle(ticket, 0)
             return
         record = records.EndedTurn(
-            ticket.program, ticket.turn, self._claim(ticket), tokens
+            ticket.program, ticket.turn, self._claim(ticket, tokens), tokens
         )
         self.accounts.spent(ticket, tokens)
-
-        def folded(fold: fold_module.ProgramFold) -> None:
-            self.accounts.returned(ticket.program, ticket.turn)
-            self.accounts.settle(ticket, tokens)
-
-        self._commit(record, KEEP_SECONDS, folded, self._lost(ticket))
+        self._commit(
+            record,
+            KEEP_SECONDS,
+            lambda fold: self._claims.settled(fold, record, ticket),
+            self._lost(ticket),
+        )
 
     def complete_turn(
         self,
@@ -160,19 +158,22 @@
         record = records.WholeTurn(
             ticket.program,
             ticket.turn,
-            self._claim(ticket),
+            self._claim(ticket, tokens),
             parent,
             tokens,
             given,
             generated,
             upstream,
         )
+        self._openings.end(records.TurnRef(ticket.program, ticket.turn))
         self.accounts.spent(ticket, tokens)
         safe = completion.Completion(
             self._timers, self.companions, records.encode_record(record)
         )
         logged = self._record_whole(
-            record, lambda: self.accounts.settle(ticket, tokens), safe.logged
+            record,
+            lambda fold: self._claims.settled(fold, record, ticket),
+            safe.logged,
         )
         safe.start(on_done, at_once=not logged)
 
@@ -190,7 +191,8 @@
         ref = records.TurnRef(record.program, record.turn)
         if self.known_turn(ref) is None:
             self._held_by_ref[ref] = program_module.Turn.of(record)
-            copies.CopyCheck(self, self._timers, record).start()
+            lost = self._lost(record)
+            copies.CopyCheck(self, self._timers, record, lost).start()
 
     def drop_copy(self, ref: records.TurnRef) -> None:
         """Forget a copy whose record stands in the log."""
@@ -198,7 +200,7 @@
 
     def record_copy(self, record: records.WholeTurn) -> None:
         """Append a copy that is not in the log."""
-        self._record_whole(record, lambda: None, lambda: None)
+        self._record_whole(record, lambda fold: None, lambda: None)
 
     def charged(self, program: records.ProgramId) -> int:
         """Return what the records here charge a program with."""
@@ -213,7 +215,7 @@
         turn: records.TurnId,
         patience: float,
         on_done: Callable[[chains.Chain | None], None],
-        on_error: OnError,
+        on_error: openings.OnError,
     ) -> None:
         """Collect the chain that ends with a turn; None if there is none.
 
@@ -278,7 +280,7 @@
         program: records.ProgramId,
         patience: float,
         on_done: Callable[[], None],
-        on_error: OnError,
+        on_error: openings.OnError,
         waits_long: bool = False,
     ) -> None:
         """Fold all records of a program's partition.
@@ -300,7 +302,7 @@
         turn: records.TurnId,
         patience: float,
         on_done: Callable[[records.ProgramId | None], None],
-        on_error: OnError,
+        on_error: openings.OnError,
     ) -> None:
         """Tell among which program's records a turn stands."""
         partition = self._partitions.get(partitions.place_of_location(turn))
@@ -323,7 +325,7 @@
     def _record_whole(
         self,
         record: records.WholeTurn,
-        on_folded: Callable[[], None],
+        on_folded: Callable[[fold_module.ProgramFold], None],
         on_logged: Callable[[], None],
     ) -> bool:
         """Append a whole turn and its place; tell if that looks possible."""
@@ -333,7 +335,7 @@
 
         def folded(fold: fold_module.ProgramFold) -> None:
             self._held_by_ref.pop(ref, None)
-            on_folded()
+            on_folded(fold)
             both.one_done()
 
         lost = self._lost(record)
@@ -351,7 +353,7 @@
             or self._partitions.is_failing(own_place)
         )
 
-    def _lost(self, item) -> OnError:
+    def _lost(self, item) -> openings.OnError:
         """Return what reports a record that never got into the log."""
 
         def report(error: errors.HistoryError) -> None:
@@ -369,22 +371,18 @@
 
         return report
 
-    def _claim(
-        self, ticket: accounts.Ticket, returned: int = 0
-    ) -> records.Claim:
-        return records.Claim(
-            self.accounts.author,
-            ticket.ceiling,
-            ticket.budget,
-            AHEAD_TURNS * ticket.ceiling,
-            ticket.origin is accounts.Origin.RESERVE,
-            returned,
-        )
+    def _settle_unrun(self, record: records.EndedTurn) -> None:
+        lost = self._lost(record)
+        self._commit(record, KEEP_SECONDS, lambda fold: None, lost)
+
+    def _claim(self, ticket: accounts.Ticket, tokens: int) -> records.Claim:
+        known = self._partitions.program(ticket.program)
+        return self._claims.settling(known, ticket, tokens)
 
     def _commit(self, record, patience, on_done, on_error) -> None:
         partition = self._partitions.get(
             partitions.place_of_program(record.program)
         )
-        key = f"{record.program}/{record.turn}"
-        entry = keyedlog.LogEntry(key, records.encode_record(record))
+        data = records.encode_record(record)
+        entry = keyedlog.LogEntry(records.record_key(record, data), data)
         partition.commit(entry, patience, on_done, on_error)
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -261,9 +261,11 @@
 
     def _read_newest(self, end: int | None, then: Callable) -> None:
         def on_page(page: keyedlog.LogPage) -> None:
+            # What stood before a record may have been dropped: nothing that
+            # depends on the order may be concluded from what is left.
             self.fold = self._fold_type()
             for entry in page.entries:
-                self.fold.apply(entry.value)
+                self.fold.apply(entry.value, is_ordered=False)
             self.end = page.next
             self._read_to(end, then)
 
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -1,41 +1,32 @@
 """The program aggregate: a tree of turns and one account of tokens."""
 
 import dataclasses
-import enum
 
 from postspring.histories import records
+from postspring.histories import shares
 
-__all__ = ["Program", "Turn", "TurnState"]
+__all__ = ["Program", "Turn"]
 
+# Turns of the same size that a VM would like to have reserved.
+AHEAD_TURNS = 4
 # Turns that stay free for other VMs when one reserves ahead.
 KEPT_FREE_TURNS = 2
 # One part in so many of the rest may be reserved by a VM.  A line of turns
 # goes through many VMs, and what a dead one has reserved is never free again.
 RESERVED_PART = 8
 
-
-class TurnState(enum.Enum):
-    """What is known of a turn.
-
-    ``REFUSED`` turns did not fit the budget and never run; ``DEFERRED``
-    ones would fit but for what other VMs have reserved, and never run
-    either.  ``ENDED`` ones ran or were given up, and are no part of the
-    history.
-    """
-
-    OPEN = "open"
-    REFUSED = "refused"
-    DEFERRED = "deferred"
-    WHOLE = "whole"
-    ENDED = "ended"
+_RANK_BY_STATE = {
+    shares.TurnState.OPEN: 0,
+    shares.TurnState.ENDED: 1,
+    shares.TurnState.WHOLE: 2,
+}
 
 
 @dataclasses.dataclass(slots=True)
 class Turn:
-    """One turn; ``tokens`` is what it is charged with."""
+    """One turn."""
 
-    state: TurnState
-    tokens: int
+    state: shares.TurnState
     parent: records.TurnRef | None = None
     input: bytes = b""
     output: bytes = b""
@@ -45,31 +36,58 @@
     def of(cls, record: records.WholeTurn) -> "Turn":
         """Return the turn that a record of a whole turn tells of."""
         return cls(
-            TurnState.WHOLE,
-            record.tokens,
+            shares.TurnState.WHOLE,
             record.parent,
             record.input,
             record.output,
             record.upstream,
         )
 
+    @property
+    def rank(self) -> tuple:
+        """Which one of two stands: whole before ended before open.
+
+        The rest only has to be the same on all VMs.
+        """
+        return (
+            _RANK_BY_STATE[self.state],
+            self.output,
+            self.input,
+            self.upstream,
+            self.parent or (),
+        )
+
 
 class Program:
-    """A program's turns and account, in the order of the log.
+    """A program's turns and account: what a set of records adds up to.
 
     Explanation
     ===========
 
-    Whether a turn fits the budget is decided by what stands before it in
-    the log, so all VMs that read the log decide alike.  The first record
-    that opens a turn counts, and nothing reopens a turn that has ended: an
-    append may take effect twice, or long after its sender gave up.
+    An append may take effect twice, or long after its sender gave up, and a
+    VM that comes late reads only what a compaction has left.  So turns,
+    charge and reserves depend on which records there are, and not on their
+    order: all VMs that have read the log agree on them.
+
+    Whether a turn may run is judged by the VM that opened it, from all that
+    stands before its record.  The others charge its ceiling until its author
+    has settled it, also if it seems not to fit: they may have read less.
 
     A VM may reserve tokens ahead, so that its next turn needs no record
     before it starts.  A reserve is charged until its VM's records settle
     it; so what a VM spends from it while it can't reach the log is
     charged already, also if the VM dies.
 
+    Parameters
+    ==========
+
+    id : ProgramId
+    turn_by_id : dict
+    charged : int
+        Tokens of settled turns and ceilings of the others.
+    settled : int
+        Tokens of settled turns: never becomes less.
+
     Examples
     ========
 
@@ -80,6 +98,10 @@
     >>> program.open(records.OpenedTurn("p", "u", claim))
     <TurnState.REFUSED: 'refused'>
     >>> program.charged
+    16
+    >>> never_run = records.Claim("vm", ceiling=0, budget=10)
+    >>> program.end(records.EndedTurn("p", "u", never_run, 0))
+    >>> program.charged
     8
     """
 
@@ -87,96 +109,192 @@
         self.id = program
         self.turn_by_id: dict[records.TurnId, Turn] = {}
         self.charged = 0
-        self.reserve_by_author: dict[str, int] = {}
+        self.settled = 0
+        self._shares_by_turn: dict[records.TurnId, list[shares.Share]] = {}
+        self._net_by_author: dict[str, int] = {}
+
+    @property
+    def reserve_by_author(self) -> dict[str, int]:
+        """Tokens that each VM has reserved ahead."""
+        return {
+            author: net
+            for author, net in self._net_by_author.items()
+            if net > 0
+        }
 
     @property
     def reserved(self) -> int:
         """Tokens that all VMs have reserved ahead."""
-        return sum(self.reserve_by_author.values())
+        return sum(net for net in self._net_by_author.values() if net > 0)
+
+    def open(
+        self, record: records.OpenedTurn, is_ordered: bool = True
+    ) -> shares.TurnState | None:
+        """Fold a record that opens a turn; return if it may run.
+
+        Parameters
+        ----------
+        is_ordered : bool
+            All that stands before the record in the log was folded before
+            it.  Otherwise it is judged when its author asks.
+        """
+        self._join(record.turn, Turn(shares.TurnState.OPEN))
+        self._add(record, is_ordered)
+        return self.judge(record).state if is_ordered else None
 
-    def open(self, record: records.OpenedTurn) -> TurnState:
-        """Fold a record that opens a turn; return the turn's state."""
-        known = self.turn_by_id.get(record.turn)
-        if known is not None:
-            return known.state
-        claim = record.claim
-        self._reduce(claim.author, claim.returned)
-        state = self._verdict(claim)
-        if state is TurnState.OPEN:
-            self._put(record.turn, Turn(state, claim.ceiling))
-            self._top_up(claim)
-        else:
-            self._put(record.turn, Turn(state, 0))
-        return state
-
-    def complete(self, record: records.WholeTurn) -> None:
+    def complete(
+        self, record: records.WholeTurn, is_ordered: bool = True
+    ) -> None:
         """Fold the record of a turn that ran to its end."""
-        if self.whole_turn(record.turn) is not None:
-            return
-        self._settle(record, Turn.of(record))
+        self._join(record.turn, Turn.of(record))
+        self._add(record, is_ordered)
 
-    def end(self, record: records.EndedTurn) -> None:
+    def end(self, record: records.EndedTurn, is_ordered: bool = True) -> None:
         """Fold the record of a turn that ended without an answer."""
-        known = self.turn_by_id.get(record.turn)
-        if known is not None and known.state in (
-            TurnState.WHOLE,
-            TurnState.ENDED,
-        ):
-            return
-        self._settle(record, Turn(TurnState.ENDED, record.tokens))
+        self._join(record.turn, Turn(shares.TurnState.ENDED))
+        self._add(record, is_ordered)
 
     def whole_turn(self, turn: records.TurnId) -> Turn | None:
         """Return a turn of the history, or None if it is not one."""
         found = self.turn_by_id.get(turn)
-        if found is not None and found.state is TurnState.WHOLE:
+        if found is not None and found.state is shares.TurnState.WHOLE:
             return found
         return None
 
-    # -- own ------------------------------------------------------------------
+    def judge(self, record) -> shares.Judgement:
+        """Return what a folded record comes to; its first place counts.
 
-    def _verdict(self, claim: records.Claim) -> TurnState:
-        if claim.budget is None:
-            return TurnState.OPEN
-        if self.charged + claim.ceiling > claim.budget:
-            return TurnState.REFUSED
-        if self.charged + self.reserved + claim.ceiling > claim.budget:
-            return TurnState.DEFERRED
-        return TurnState.OPEN
+        One that was read out of order is judged against all that is known:
+        more than stood before it.
+        """
+        share = self._share(record)
+        entry = share.find(_entry(record))
+        if entry is None:
+            return shares.Judgement(shares.TurnState.DEFERRED, False)
+        if entry.judgement is None:
+            entry.judgement = self._judge(record, share, entry)
+        return entry.judgement
+
+    def state_after_run(self, turn: records.TurnId) -> shares.TurnState | None:
+        """Return the state of a turn that has ended and may have run."""
+        found = self._shares_by_turn.get(turn, ())
+        if any(share.has_run for share in found):
+            return self.turn_by_id[turn].state
+        return None
 
-    def _settle(self, record, turn: Turn) -> None:
-        claim = record.claim
-        if claim.from_reserve:
-            self._reduce(claim.author, record.tokens)
-        self._put(record.turn, turn)
-        self._top_up(claim)
-
-    def _reduce(self, author: str, tokens: int) -> None:
-        left = self.reserve_by_author.get(author, 0) - tokens
-        if left > 0:
-            self.reserve_by_author[author] = left
-        else:
-            self.reserve_by_author.pop(author, None)
-
-    def _top_up(self, claim: records.Claim) -> None:
-        """Reserve what the author asks for, if others keep enough.
-
-        At most an eighth of the rest, and two turns of this size stay
-        free; a reserve that no turn fits in is of no use.
+    def is_spent(self, ceiling: int, budget: int | None) -> bool:
+        """Return whether no turn of this size can ever fit again."""
+        return budget is not None and self.settled + ceiling > budget
+
+    def room_ahead(
+        self, ceiling: int, budget: int | None, own: int, used: int
+    ) -> int:
+        """Return what a VM may reserve for its next turns.
+
+        At most an eighth of the rest, and two turns of this size stay free;
+        a reserve that no turn fits in is of no use.
+
+        Parameters
+        ----------
+        own : int
+            The VM's reserve.
+        used : int
+            Tokens that are not charged here yet.
         """
-        if claim.budget is None:
+        if budget is None:
+            return 0
+        rest = budget - self.charged - self.reserved - used
+        spare = min(rest // RESERVED_PART, rest - KEPT_FREE_TURNS * ceiling)
+        added = min(AHEAD_TURNS * ceiling - own, spare)
+        return added if added > 0 and own + added >= ceiling else 0
+
+    # -- own ------------------------------------------------------------------
+
+    def _join(self, turn_id: records.TurnId, turn: Turn) -> None:
+        known = self.turn_by_id.get(turn_id)
+        if known is None or known.rank < turn.rank:
+            self.turn_by_id[turn_id] = turn
+
+    def _share(self, record) -> shares.Share:
+        found = self._shares_by_turn.setdefault(record.turn, [])
+        for share in found:
+            if share.author == record.claim.author:
+                return share
+        found.append(shares.Share(record.claim.author))
+        return found[-1]
+
+    def _add(self, record, is_ordered: bool) -> None:
+        share = self._share(record)
+        entry = _entry(record)
+        if share.find(entry) is not None:
             return
-        own = self.reserve_by_author.get(claim.author, 0)
-        rest = claim.budget - self.charged - self.reserved
-        spare = min(
-            rest // RESERVED_PART, rest - KEPT_FREE_TURNS * claim.ceiling
+        self.charged -= self._charge(record.turn)
+        self.settled -= share.settled
+        before = share.reserve
+        share.entries.append(entry)
+        self.charged += self._charge(record.turn)
+        self.settled += share.settled
+        net = self._net_by_author.get(share.author, 0)
+        self._net_by_author[share.author] = net + share.reserve - before
+        if is_ordered:
+            entry.judgement = self._judge(record, share, entry)
+
+    def _charge(self, turn: records.TurnId) -> int:
+        """Return what a turn is charged with.
+
+        Once it has run its openings count no more, whoever wrote them.
+        """
+        found = self._shares_by_turn[turn]
+        if any(share.has_run for share in found):
+            return sum(share.settled for share in found)
+        return sum(share.charged for share in found)
+
+    def _judge(self, record, share, entry) -> shares.Judgement:
+        """Judge a record by all that is folded, itself among it."""
+        claim = record.claim
+        total = self.charged + self.reserved
+        holds = claim.budget is None or total <= claim.budget
+        if entry.tokens is not None:
+            return shares.Judgement(None, holds)
+        state = self._use_of_id(record.turn, share)
+        if state is not None:
+            return shares.Judgement(state, False)
+        if holds:
+            return shares.Judgement(shares.TurnState.OPEN, True)
+        net = max(0, self._net_by_author[share.author])
+        if total - min(claim.granted, net) <= claim.budget:
+            return shares.Judgement(shares.TurnState.OPEN, False)
+        if self._certain_beside(share) + claim.ceiling > claim.budget:
+            return shares.Judgement(shares.TurnState.REFUSED, False)
+        return shares.Judgement(shares.TurnState.DEFERRED, False)
+
+    def _use_of_id(
+        self, turn: records.TurnId, own: shares.Share
+    ) -> shares.TurnState | None:
+        """Return what keeps a turn's id from being used, if anything does."""
+        ended = self.state_after_run(turn)
+        if ended is not None:
+            return ended
+        if own.is_settled:
+            return shares.TurnState.DEFERRED
+        for share in self._shares_by_turn[turn]:
+            if share is not own and not share.is_settled:
+                return shares.TurnState.TAKEN
+        return None
+
+    def _certain_beside(self, own: shares.Share) -> int:
+        """Return what turns are charged with that ran, or surely may."""
+        return self.settled + sum(
+            share.charged
+            for turn, found in self._shares_by_turn.items()
+            if self.state_after_run(turn) is None
+            for share in found
+            if share is not own and share.may_run
         )
-        added = min(claim.ahead - own, spare)
-        if added > 0 and own + added >= claim.ceiling:
-            self.reserve_by_author[claim.author] = own + added
-
-    def _put(self, turn_id: records.TurnId, turn: Turn) -> None:
-        previous = self.turn_by_id.get(turn_id)
-        if previous is not None:
-            self.charged -= previous.tokens
-        self.charged += turn.tokens
-        self.turn_by_id[turn_id] = turn
+
+
+def _entry(record) -> shares.Entry:
+    if isinstance(record, records.OpenedTurn):
+        return shares.Entry(record.claim)
+    is_whole = isinstance(record, records.WholeTurn)
+    return shares.Entry(record.claim, record.tokens, is_whole)
--- a/postspring/histories/records.py
+++ b/postspring/histories/records.py
@@ -1,8 +1,9 @@
 """Records of histories, as they stand in the log.
 
 A record is a CBOR array: its kind, then its fields in order.  The log keeps
-the newest record of each key, and a turn's records share one key, so what
-remains of a turn is its last state.
+the newest record of each key, and a record may stand in it twice or late.  A
+key ends with the digest of its record, so only what is the same record is
+dropped, and what remains tells the same as all that there was.
 """
 
 from collections.abc import Callable
@@ -12,6 +13,7 @@
 from typing import NewType
 
 import cbor2
+import xxhash
 
 from postspring.histories import errors
 
@@ -27,6 +29,7 @@
     "WholeTurn",
     "decode_record",
     "encode_record",
+    "record_key",
 ]
 
 ProgramId = NewType("ProgramId", str)
@@ -64,22 +67,28 @@
     author : str
         The VM's incarnation.
     ceiling : int
-        Most tokens that the turn may generate.
+        Most tokens that the turn may generate; 0 if it never ran.
     budget : int or None
         Tokens that all turns of the program may generate.
-    ahead : int
-        Tokens that the author would like to have reserved for its next
-        turns.
+    granted : int
+        Tokens that the author reserves for its next turns.
     from_reserve : bool
         The turn was started from the author's reserve.
     returned : int
         Tokens of the author's reserve that it gives back.
+
+    Explanation
+    ===========
+
+    What the record of a turn's end grants and returns stands in place of
+    what the author's opening of that turn did: so an opening that was given
+    up changes nothing, also if it takes effect afterwards.
     """
 
     author: str
     ceiling: int
     budget: int | None
-    ahead: int = 0
+    granted: int = 0
     from_reserve: bool = False
     returned: int = 0
 
@@ -151,6 +160,20 @@
     return cbor2.dumps([_kind_by_type[type(record)], *values])
 
 
+def record_key(record: Record, data: bytes) -> str:
+    """Return the key of a record of a turn; ``data`` is the record's bytes.
+
+    Examples
+    --------
+    >>> claim = Claim("vm", ceiling=8, budget=None)
+    >>> record = OpenedTurn(ProgramId("p"), TurnId("t"), claim)
+    >>> record_key(record, encode_record(record))
+    'p/t/2abf833a9720894b'
+    """
+    digest = xxhash.xxh64_hexdigest(data)
+    return f"{record.program}/{record.turn}/{digest}"
+
+
 def decode_record(data: bytes) -> Record:
     """Return the record in ``data``; raise MalformedRecord if none is.
 
@@ -195,14 +218,20 @@
         return None if value is None else _ref(value)
     if type(value) is not _TYPE_BY_FIELD[name]:
         raise ValueError(f"{name} is a {type(value).__name__}")
+    if type(value) is int and value < 0:
+        raise ValueError(f"{name} is less than nothing")
     return value
 
 
 def _claim(value: Any) -> Claim:
     claim = Claim(*value)
-    counts = (claim.ceiling, claim.ahead, claim.returned, claim.budget or 0)
-    if not all(type(count) is int for count in counts):
-        raise ValueError("a claim's counts are no integers")
+    counts = [claim.ceiling, claim.granted, claim.returned]
+    if claim.budget is not None:
+        counts.append(claim.budget)
+    if not all(type(count) is int and count >= 0 for count in counts):
+        raise ValueError("a claim's counts are no numbers of tokens")
+    if type(claim.from_reserve) is not bool:
+        raise ValueError("a claim's origin is no truth value")
     if not isinstance(claim.author, str):
         raise ValueError("a claim's author is no text")
     return claim
--- /dev/null
+++ b/postspring/histories/shares.py
@@ -0,0 +1,129 @@
+"""Shares: what one author's records of one turn add to an account."""
+
+import dataclasses
+import enum
+from typing import NamedTuple
+
+from postspring.histories import records
+
+__all__ = ["Entry", "Judgement", "Share", "TurnState"]
+
+
+class TurnState(enum.Enum):
+    """What is known of a turn.
+
+    ``REFUSED`` turns did not fit the budget and never run; ``DEFERRED``
+    ones would fit but for what may come back, such as other VMs' reserves,
+    and never run either.  ``TAKEN`` ones have the id of a turn that may be
+    running.  ``ENDED`` ones ran or were given up, and are no part of the
+    history.
+    """
+
+    OPEN = "open"
+    REFUSED = "refused"
+    DEFERRED = "deferred"
+    TAKEN = "taken"
+    WHOLE = "whole"
+    ENDED = "ended"
+
+
+class Judgement(NamedTuple):
+    """What a record comes to at its place in the log.
+
+    Parameters
+    ==========
+
+    state : TurnState or None
+        Of an opening: the turn may run if it is ``OPEN``.
+    holds : bool
+        What the record reserves fits the budget: its author may use it.
+    """
+
+    state: TurnState | None
+    holds: bool
+
+
+@dataclasses.dataclass(slots=True)
+class Entry:
+    """One record; ``tokens`` is None in one that opens the turn."""
+
+    claim: records.Claim
+    tokens: int | None = None
+    is_whole: bool = False
+    judgement: Judgement | None = None
+
+
+class Share:
+    """A set of records: neither order nor repetition matters.
+
+    Explanation
+    ===========
+
+    An end stands in place of the openings, whichever comes first.  Two ends
+    add up: a turn that was given up here may have run at a home afterwards.
+    """
+
+    __slots__ = ("author", "entries")
+
+    def __init__(self, author: str):
+        self.author = author
+        self.entries: list[Entry] = []
+
+    def find(self, entry: Entry) -> Entry | None:
+        """Return the entry of the same record."""
+        for known in self.entries:
+            if (
+                known.claim == entry.claim
+                and known.tokens == entry.tokens
+                and known.is_whole is entry.is_whole
+            ):
+                return known
+        return None
+
+    @property
+    def is_settled(self) -> bool:
+        """Whether the turn has ended."""
+        return any(entry.tokens is not None for entry in self.entries)
+
+    @property
+    def has_run(self) -> bool:
+        """Whether the turn has ended, and may have run before."""
+        return any(
+            entry.is_whole or entry.claim.ceiling > 0
+            for entry in self.entries
+            if entry.tokens is not None
+        )
+
+    @property
+    def may_run(self) -> bool:
+        """Whether the turn is open, and allowed to run by its place."""
+        return not self.is_settled and all(
+            entry.judgement is not None
+            and entry.judgement.state is TurnState.OPEN
+            for entry in self.entries
+        )
+
+    @property
+    def settled(self) -> int:
+        """Tokens of the turn if it has ended."""
+        return sum(entry.tokens or 0 for entry in self.entries)
+
+    @property
+    def charged(self) -> int:
+        """Tokens of the turn, its ceiling while it may be running."""
+        if self.is_settled:
+            return self.settled
+        return sum(entry.claim.ceiling for entry in self.entries)
+
+    @property
+    def reserve(self) -> int:
+        """What it adds to the author's reserve, or takes off."""
+        is_settled = self.is_settled
+        total = 0
+        for entry in self.entries:
+            if is_settled and entry.tokens is None:
+                continue
+            total += entry.claim.granted - entry.claim.returned
+            if entry.claim.from_reserve:
+                total -= entry.tokens or 0
+        return total
--- a/postspring/histories/tests/test_accounts.py
+++ b/postspring/histories/tests/test_accounts.py
@@ -14,7 +14,9 @@
     def setUp(self):
         self.accounts = histories.LocalAccounts("vm")
         self.program = histories.Program("p")
-        self.program.reserve_by_author["vm"] = 30
+        claim = histories.Claim("vm", 0, 100, granted=30)
+        self.program.end(histories.EndedTurn("p", "r", claim, 0))
+        self.accounts.granted("p", 30, holds=True)
 
     def take(self, turn, ceiling=10, budget=100, away=False):
         """Ask for the right to run a turn."""
@@ -37,13 +39,38 @@
     def test_a_settled_turn_is_counted_by_the_log(self):
         ticket = self.take("a", ceiling=30)
         self.accounts.spent(ticket, 5)
-        self.program.reserve_by_author["vm"] = 25
         self.accounts.settle(ticket, 5)
         self.assertIsNone(self.take("b", ceiling=26))
         self.assertIsNotNone(self.take("c", ceiling=25))
 
     def test_what_is_given_back_is_not_used(self):
-        self.assertEqual(30, self.accounts.give_back(self.program, "x"))
+        self.assertEqual(30, self.accounts.give_back(self.program))
+        self.assertIsNone(self.take("a"))
+
+    def test_what_turns_under_way_may_use_is_not_given_back(self):
+        self.take("a", ceiling=20)
+        self.assertEqual(10, self.accounts.give_back(self.program))
+
+    def test_what_did_not_fit_is_given_back_and_not_used(self):
+        self.accounts.granted("p", 15, holds=False)
+        self.assertIsNone(self.take("a", ceiling=31))
+        self.assertEqual(45, self.accounts.give_back(self.program))
+        self.assertEqual(0, self.accounts.give_back(self.program))
+
+    def test_what_only_others_name_is_not_used(self):
+        claim = histories.Claim("vm", 10, 100, granted=50)
+        self.program.open(histories.OpenedTurn("p", "x", claim))
+        self.assertIsNone(self.take("a", ceiling=31))
+
+    def test_what_is_not_charged_here_any_more_is_not_used(self):
+        # Others are told what this VM charges, and spend the rest at homes.
+        self.program = histories.Program("p")
+        self.assertIsNone(self.take("a"))
+
+    def test_a_bounded_number_of_programs_is_kept_in_mind(self):
+        most = histories.accounts.MOST_RESERVES
+        for number in range(most):
+            self.accounts.granted(f"q{number}", 30, holds=True)
         self.assertIsNone(self.take("a"))
 
     def test_no_budget_means_no_bound(self):
@@ -55,7 +82,7 @@
 
     def setUp(self):
         super().setUp()
-        self.program.reserve_by_author.clear()
+        self.program = histories.Program("p")
 
     def test_only_while_the_log_is_away(self):
         self.accounts.make_home("p", 100, is_certain=True)
@@ -97,15 +124,28 @@
 
 
 class ReservedInTheLogTest(unittest.TestCase):
-    """Reserves in the fold."""
+    """Reserves in the fold, by VMs that have read all before they append."""
 
     def setUp(self):
-        self.program = histories.Program("p")
-
-    def open(self, turn, author, budget=330, ceiling=10, ahead=40):
-        """Fold a record that opens a turn."""
-        claim = histories.Claim(author, ceiling, budget, ahead)
-        return self.program.open(histories.OpenedTurn("p", turn, claim))
+        self.fold = histories.ProgramFold()
+        self.program = self.fold.program("p")
+        self.claims_by_author = {
+            author: histories.claims.Claims(histories.LocalAccounts(author))
+            for author in ("one", "two", "three")
+        }
+
+    def open(self, turn, author, budget=330, ceiling=10):
+        """Fold a record that opens a turn, settle it if it may not run."""
+        ticket = histories.Ticket(
+            "p", turn, ceiling, budget, histories.Origin.LOG
+        )
+        claims = self.claims_by_author[author]
+        record = claims.opening(self.program, ticket)
+        self.program.open(record)
+        state, ticket = claims.opened(self.fold, record, ticket)
+        if state is not histories.TurnState.OPEN:
+            self.program.end(claims.given_up(record))
+        return state
 
     def complete(self, turn, author, tokens, from_reserve):
         """Fold the record of a whole turn."""
--- /dev/null
+++ b/postspring/histories/tests/test_claims.py
@@ -0,0 +1,112 @@
+"""What this VM's records say, and what it makes of where they stand."""
+
+import unittest
+
+from postspring import histories
+
+OPEN = histories.TurnState.OPEN
+BUDGET = 330
+
+
+class ClaimsTest(unittest.TestCase):
+    """One VM's records, and another VM that gets in between."""
+
+    def setUp(self):
+        self.accounts = histories.LocalAccounts("vm")
+        self.claims = histories.claims.Claims(self.accounts)
+        self.fold = histories.ProgramFold()
+        self.program = self.fold.program("p")
+        self.ticket = histories.Ticket(
+            "p", "a", 10, BUDGET, histories.Origin.LOG
+        )
+
+    def somebody_reserves(self, tokens):
+        """Fold another VM's record that reserves tokens."""
+        claim = histories.Claim("other", 0, BUDGET, granted=tokens)
+        self.program.end(histories.EndedTurn("p", "o", claim, 0))
+
+    def open(self):
+        """Fold the record that opens the turn; return state and ticket."""
+        record = self.claims.opening(self.program, self.ticket)
+        self.program.open(record)
+        return self.claims.opened(self.fold, record, self.ticket)
+
+    def can_take(self, tokens):
+        """Return whether this VM's reserve holds so many."""
+        return self.accounts.can_take(self.program, tokens, False)
+
+    def settle(self, ticket, between=0):
+        """Fold the record of a turn's end behind another VM's."""
+        claim = self.claims.settling(self.program, ticket, 4)
+        self.accounts.spent(ticket, 4)
+        if between:
+            self.somebody_reserves(between)
+        record = histories.EndedTurn("p", ticket.turn, claim, 4)
+        self.program.end(record)
+        self.claims.settled(self.fold, record, ticket)
+        return claim
+
+    def test_what_fits_may_be_used(self):
+        state, ticket = self.open()
+        self.assertEqual((OPEN, 40), (state, ticket.granted))
+        self.assertTrue(self.can_take(40))
+        self.assertFalse(self.can_take(41))
+
+    def test_a_record_on_its_way_may_not_be_used(self):
+        self.claims.opening(self.program, self.ticket)
+        self.assertFalse(self.can_take(1))
+
+    def test_two_records_on_their_way_ask_for_no_more_than_one(self):
+        self.claims.opening(self.program, self.ticket)
+        second = self.claims.opening(self.program, self.ticket)
+        self.assertEqual(0, second.claim.granted)
+
+    def test_a_reserve_of_the_opening_that_does_not_fit(self):
+        record = self.claims.opening(self.program, self.ticket)
+        self.somebody_reserves(300)
+        self.program.open(record)
+        state, ticket = self.claims.opened(self.fold, record, self.ticket)
+        self.assertEqual((OPEN, 0), (state, ticket.granted))
+        self.assertFalse(self.can_take(1))
+        self.settle(ticket)
+        self.assertNotIn("vm", self.program.reserve_by_author)
+
+    def test_a_reserve_of_the_end_that_does_not_fit_is_given_back(self):
+        self.somebody_reserves(250)
+        state, ticket = self.open()
+        self.assertEqual((OPEN, 0), (state, ticket.granted))
+        self.program = self.fold.program("p")
+        claim = histories.Claim("other", 0, BUDGET, returned=250)
+        self.program.end(histories.EndedTurn("p", "r", claim, 0))
+        claim = self.settle(ticket, between=300)
+        self.assertEqual(40, claim.granted)
+        self.assertFalse(self.can_take(1))
+        record = self.claims.opening(self.program, self.ticket)
+        self.assertEqual(40, record.claim.returned)
+
+    def test_an_opening_that_does_not_run_gives_back_all_the_same(self):
+        self.open()
+        ticket = histories.Ticket("p", "b", 300, BUDGET, histories.Origin.LOG)
+        record = self.claims.opening(self.program, ticket)
+        self.assertEqual(40, record.claim.returned)
+        self.program.end(self.claims.failed(record))
+        self.assertEqual(0, self.program.reserved)
+        self.program.open(record)
+        self.assertEqual(
+            (10, 0), (self.program.charged, self.program.reserved)
+        )
+        self.assertFalse(self.can_take(1))
+
+    def test_a_turn_from_the_reserve_makes_it_smaller(self):
+        self.open()
+        ticket = self.accounts.take(self.program, "b", 10, BUDGET, False)
+        claim = self.settle(ticket)
+        self.assertTrue(claim.from_reserve)
+        self.assertEqual(4, claim.granted)
+        self.assertTrue(self.can_take(40))
+        self.assertFalse(self.can_take(41))
+
+    def test_no_budget_needs_no_reserve(self):
+        ticket = self.accounts.take(self.program, "b", 10, None, False)
+        claim = self.claims.settling(self.program, ticket, 4)
+        self.assertEqual((False, 0), (claim.from_reserve, claim.granted))
--- a/postspring/histories/tests/test_compaction.py
+++ b/postspring/histories/tests/test_compaction.py
@@ -60,6 +60,8 @@
             name: test_journal.Vm(self.clock, self.data, name)
             for name in AUTHORS
         }
+        for vm in self.vm_by_name.values():
+            vm.log.faults.gives_up_after = 1.0
         self._under_way = []
 
     def run(self, turns):
@@ -173,3 +175,23 @@
         refresh(self.two)
         charged = [vm.journal.charged("p") for vm in (self.one, self.two)]
         self.assertEqual([4, 4], charged)
+
+
+class JudgedAfterCompactionTest(test_journal.JournalCase):
+    """A VM finds its own opening only in a compacted partition."""
+
+    def test_the_order_of_what_is_left_lets_nothing_run(self):
+        # The first opening stands before the second one, and once more
+        # behind it; what is left has the second one first.
+        self.assertIs(OPEN, self.one.open("a", ceiling=20))
+        first = self.data.records_by_place[PLACE][:1]
+
+        def compact():
+            self.data.append(PLACE, first)
+            self.data.expire(PLACE)
+
+        self.clock.call_later(0.002, compact)
+        state = self.two.open("b", ceiling=20)
+        newest = [entry for offset, entry in self.data.newest(PLACE)]
+        self.assertEqual(first, newest[1:2])
+        self.assertIs(histories.TurnState.DEFERRED, state)
--- a/postspring/histories/tests/test_program.py
+++ b/postspring/histories/tests/test_program.py
@@ -72,6 +72,84 @@
         self.assertIs(histories.TurnState.OPEN, state)
 
 
+class SetOfRecordsTest(unittest.TestCase):
+    """Order and repetition change nothing; an author settles its own."""
+
+    def setUp(self):
+        self.program = histories.Program("p")
+
+    def given_up(self, turn, author="vm", returned=0):
+        """Return a record that settles a turn that never ran."""
+        claim = histories.Claim(author, 0, 25, returned=returned)
+        return histories.EndedTurn("p", turn, claim, 0)
+
+    def test_an_opening_that_does_not_fit_is_charged_until_settled(self):
+        # Its author may have read more, and have let it run.
+        for turn in "abc":
+            self.program.open(opened(turn))
+        self.assertEqual(30, self.program.charged)
+        self.program.end(self.given_up("c"))
+        self.assertEqual(20, self.program.charged)
+
+    def test_an_opening_that_was_given_up_changes_nothing_later(self):
+        claim = histories.Claim("vm", 10, 25, granted=9, returned=3)
+        self.program.end(self.given_up("a", returned=3))
+        self.program.open(histories.OpenedTurn("p", "a", claim))
+        self.assertEqual(0, self.program.charged)
+        self.assertEqual(0, self.program.reserved)
+
+    def test_a_turn_that_never_ran_does_not_settle_another_vms(self):
+        self.program.open(opened("a"))
+        self.program.end(self.given_up("a", author="other"))
+        self.assertEqual(10, self.program.charged)
+
+    def test_a_turn_that_was_given_up_may_run_at_another_vm(self):
+        self.program.end(self.given_up("a", author="other"))
+        self.assertIs(histories.TurnState.OPEN, self.program.open(opened("a")))
+
+    def test_a_turn_that_another_vm_opened_does_not_run(self):
+        self.program.open(opened("a"))
+        claim = histories.Claim("other", 10, 25)
+        state = self.program.open(histories.OpenedTurn("p", "a", claim))
+        self.assertIs(histories.TurnState.TAKEN, state)
+
+    def test_a_turn_that_was_given_up_may_run_at_a_home_afterwards(self):
+        self.program.end(self.given_up("a"))
+        self.program.end(ended("a", 6))
+        self.assertEqual(6, self.program.charged)
+
+    def test_the_end_names_what_the_opening_reserved(self):
+        claim = histories.Claim("vm", 10, 400, granted=40)
+        self.program.open(histories.OpenedTurn("p", "a", claim))
+        self.assertEqual(40, self.program.reserved)
+        claim = claim._replace(granted=45)
+        self.program.end(histories.EndedTurn("p", "a", claim, 7))
+        self.assertEqual(45, self.program.reserved)
+
+    def test_only_what_surely_stays_refuses(self):
+        # "b" does not fit beside "a"; its author has not said so yet.
+        self.program.open(opened("a", ceiling=10))
+        self.program.open(opened("b", ceiling=20))
+        state = self.program.open(opened("c", ceiling=12))
+        self.assertIs(histories.TurnState.DEFERRED, state)
+        state = self.program.open(opened("d", ceiling=16))
+        self.assertIs(histories.TurnState.REFUSED, state)
+
+    def test_a_record_out_of_order_is_judged_by_all_that_is_known(self):
+        first, second = opened("a", 20), opened("b", 20)
+        self.program.open(first, is_ordered=False)
+        self.program.open(second, is_ordered=False)
+        deferred = histories.TurnState.DEFERRED
+        self.assertIs(deferred, self.program.judge(first).state)
+        self.assertIs(deferred, self.program.judge(second).state)
+
+    def test_a_reserve_that_does_not_fit_is_not_held(self):
+        claim = histories.Claim("vm", 10, 25, granted=20)
+        record = histories.OpenedTurn("p", "a", claim)
+        self.assertIs(histories.TurnState.OPEN, self.program.open(record))
+        self.assertFalse(self.program.judge(record).holds)
+
+
 class HistoryTest(unittest.TestCase):
     """Which turns are a part of the history."""
 
@@ -108,6 +186,40 @@
                 histories.encode_record(again), data, type(record)
             )
 
+    def test_only_the_same_record_has_the_same_key(self):
+        found = [
+            histories.record_key(record, histories.encode_record(record))
+            for record in (
+                opened("a"),
+                whole("a"),
+                ended("a", 0),
+                ended("a", 1),
+            )
+        ]
+        self.assertEqual(4, len(set(found)))
+        again = histories.encode_record(opened("a"))
+        self.assertEqual(found[0], histories.record_key(opened("a"), again))
+
+    def test_counts_below_nothing_are_refused(self):
+        for claim in (
+            CLAIM._replace(granted=-1),
+            CLAIM._replace(returned=-1),
+            CLAIM._replace(ceiling=-1),
+            CLAIM._replace(budget=-1),
+            CLAIM._replace(from_reserve=1),
+        ):
+            record = histories.EndedTurn("p", "a", claim, 0)
+            with self.assertRaises(histories.MalformedRecord):
+                histories.decode_record(histories.encode_record(record))
+        with self.assertRaises(histories.MalformedRecord):
+            histories.decode_record(histories.encode_record(ended("a", -1)))
+
+    def test_a_malformed_record_is_skipped_with_a_line(self):
+        fold = histories.ProgramFold()
+        with self.assertLogs("postspring.histories.fold", "WARNING"):
+            fold.apply(b"\x81\x63abc")
+        self.assertEqual({}, fold.program_by_id)
+
     def test_wrong_bytes_are_refused(self):
         for data in (b"", b"\xff", b"\x81\x63abc", b"\x80", b"\x01"):
             with self.assertRaises(histories.MalformedRecord):
--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -22,7 +22,8 @@
     silent : bool
         Calls are neither done nor answered.
     gives_up_after : float
-        Seconds after which the client gives a silent call up; 0 for never.
+        Seconds after which the client gives up a call without an answer;
+        0 for never.
     lose_answers : int
         So many appends are done and not answered.
     late_appends : int
@@ -115,6 +116,7 @@
         first = self.data.append(place, entries)
         if faults.lose_answers:
             faults.lose_answers -= 1
+            self._give_up(on_error)
             return
         self._timers.call_later(faults.latency, on_done, first)
 
@@ -145,10 +147,7 @@
 
     def _fails(self, place, on_error) -> bool:
         if self.faults.silent:
-            if self.faults.gives_up_after:
-                error = keyedlog.LogUnavailable("no_answer")
-                seconds = self.faults.gives_up_after
-                self._timers.call_later(seconds, on_error, error)
+            self._give_up(on_error)
             return True
         if self.faults.down or place in self.faults.down_places:
             self._fail(on_error)
@@ -159,6 +158,13 @@
             return True
         return False
 
+    def _give_up(self, on_error) -> None:
+        """Let the client give up a call without an answer, if it does."""
+        if self.faults.gives_up_after:
+            error = keyedlog.LogUnavailable("no_answer")
+            seconds = self.faults.gives_up_after
+            self._timers.call_later(seconds, on_error, error)
+
     def _fail(self, on_error, error=None) -> None:
         error = error or keyedlog.LogUnavailable("down")
         self._timers.call_later(self.faults.latency, on_error, error)
