--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -24,7 +24,8 @@
     silent : bool
         Calls are neither done nor answered.
     gives_up_after : float
-        Seconds after which the client gives a silent call up; 0 for never.
+        Seconds after which the client gives up a call without an answer;
+        0 for never.
     lose_answers : int
         So many appends are done and not answered.
     late_appends : int
@@ -152,6 +153,7 @@
         first = self.data.append(place, entries)
         if faults.lose_answers:
             faults.lose_answers -= 1
+            self._give_up(on_error)
             return
         self._timers.call_later(faults.latency, on_done, first)
 
@@ -176,15 +178,6 @@
         page = keyedlog.LogPage(entries, end, end)
         self._timers.call_later(self.faults.latency, on_page, page)
 
-    def _is_silent(self, on_error) -> bool:
-        if not self.faults.silent:
-            return False
-        if self.faults.gives_up_after:
-            error = keyedlog.LogUnavailable("no_answer")
-            seconds = self.faults.gives_up_after
-            self._timers.call_later(seconds, on_error, error)
-        return True
-
     def drop_under_way(self) -> None:
         """Never answer the calls under way; new ones are."""
         self._connection += 1
@@ -204,6 +197,18 @@
             return True
         return False
 
+    def _is_silent(self, on_error) -> bool:
+        if self.faults.silent:
+            self._give_up(on_error)
+        return self.faults.silent
+
+    def _give_up(self, on_error) -> None:
+        """Let the client give up a call without an answer, if it does."""
+        if self.faults.gives_up_after:
+            error = keyedlog.LogUnavailable("no_answer")
+            seconds = self.faults.gives_up_after
+            self._timers.call_later(seconds, on_error, error)
+
     def _fail(self, on_error, error=None) -> None:
         error = error or keyedlog.LogUnavailable("down")
         self._timers.call_later(self.faults.latency, on_error, error)
