--- a/postspring/front/tests/test_homes.py
+++ b/postspring/front/tests/test_homes.py
@@ -9,12 +9,16 @@
 in mind who had had it.
 """
 
+import dataclasses
+
+from postspring.front.tests import test_absence
 from postspring.testing.fleet import case
 
 # The stand-in's turns: three events of four tokens.
 TURN_TOKENS = 12
 CEILING = 16
 BUDGET = 40
+HOME_BUDGET = 100
 # Longer than a VM stays back for another one.
 LATER_SECONDS = 0.6
 
@@ -52,3 +56,80 @@
             self.fleet.turn_for(LATER_SECONDS)
         self.assertGreater(self.handed, 0)
         self.assertLessEqual(self.handed, BUDGET + CEILING)
+
+
+class ForgottenHomeTest(test_absence.AbsenceCase):
+    """A home whose VM is not on the list yet, or was restarted.
+
+    Found by reading: the whole budget was given once more.
+    """
+
+    heartbeat = 60.0
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.start_vm("vm1")
+        self.newest = self.fleet.start_vm("vm2")
+        self.old = self.fleet.nodes[1]
+        self.fleet.turn_until(
+            lambda: (
+                self.newest.members.is_announced
+                and len(test_absence.others(self.newest)) == 2
+            )
+        )
+
+    def lose_log(self):
+        """Let the store turn everybody away."""
+        self.fleet.store.refuse = 503
+        for node in self.fleet.nodes:
+            self.fleet.turn_until(lambda node=node: node.log.is_broken)
+
+    def spend(self, vm, name):
+        """Let turns run at a VM until it gives no more; return tokens."""
+        for number in range(40):
+            answer = self.fleet.take_turn(
+                f"{name}{number}", vm=vm, token_budget=str(HOME_BUDGET)
+            )
+            if answer.status != 200:
+                # Promises that were given on the way end meanwhile.
+                self.fleet.turn_for(1.0)
+                return TURN_TOKENS * number
+        return TURN_TOKENS * 40
+
+    def check(self, *tokens):
+        """The budget may be passed by the most of one turn."""
+        self.assertGreater(tokens[0], 0)
+        self.assertLessEqual(sum(tokens), HOME_BUDGET + CEILING, tokens)
+
+    def test_at_a_vm_that_is_not_on_the_list_yet(self):
+        self.assertEqual(["vm0"], test_absence.others(self.old))
+        self.lose_log()
+        self.check(self.spend(2, "a"), self.spend(1, "b"))
+
+    def meet_all(self):
+        """Let all read the list."""
+        for node in self.fleet.nodes:
+            node.members._follower.read_now()
+        self.fleet.turn_until(
+            lambda: all(
+                len(test_absence.others(node)) == 2
+                for node in self.fleet.nodes
+            )
+        )
+
+    def test_at_a_vm_that_is_asked(self):
+        self.meet_all()
+        self.lose_log()
+        self.check(self.spend(2, "a"), self.spend(1, "b"))
+
+    def test_at_a_vm_that_was_restarted(self):
+        self.meet_all()
+        self.lose_log()
+        first = self.spend(2, "a")
+        self.fleet.stop_vm(self.newest)
+        again = self.fleet.start_vm("vm2")
+        again.vm = dataclasses.replace(again.vm, first_start=False)
+        for node in self.fleet.nodes[:2]:
+            node.members.introduce("vm2", again.members.own_entry)
+        self.fleet.turn_for(1.5)
+        self.check(first, self.spend(1, "b"))
