A program's home is certain only if nobody may have forgotten it

Cause: a VM that was restarted, or that had just joined, did not count when another one asked what it may spend of a program while the log is away, and the one turn by which a budget may be passed was given once more by each VM that let the program go on after the one before was gone.

Now: a home gets the whole rest only without any doubt but an old list (who begins a home introduces itself to all), or for a program that nobody knows if its data centre was heard; a turn's ceiling only if nobody remembers that another VM has asked. VMs keep the askers in mind. A turn that another VM passed on, whose own opening is not settled yet, is refused as not run (503, was 502).

test_search asks for the doubt in place of a flag that is gone, as strictly.

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -14,6 +14,7 @@
 from postspring.forwarding.ports import HeaderGetter
 from postspring.forwarding.ports import Neighbours
 from postspring.forwarding.ports import NoNeighbours
+from postspring.forwarding.ports import Question
 from postspring.forwarding.ports import UpstreamExtra
 from postspring.forwarding.ports import WireFormat
 from postspring.forwarding.refusals import Refusal
@@ -31,6 +32,7 @@
     "HeaderGetter",
     "Neighbours",
     "NoNeighbours",
+    "Question",
     "Receiver",
     "Refusal",
     "UpstreamExtra",
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -7,6 +7,7 @@
 import abc
 from collections.abc import Callable
 import dataclasses
+import enum
 
 from postspring.forwarding import certainty
 from postspring import histories
@@ -19,6 +20,7 @@
     "HeaderGetter",
     "Neighbours",
     "NoNeighbours",
+    "Question",
     "UpstreamExtra",
     "WireFormat",
 ]
@@ -109,6 +111,24 @@
     urgency: int | None = None
 
 
+# Of these a program's home may make light: the list can't be read while the
+# log is away, and who begins a home tells all others.
+_LIGHT_DOUBTS = {certainty.Doubt.OLD_LIST}
+
+
+class Question(enum.Enum):
+    """What the other VMs are asked for.
+
+    ``TAKER``: one that can run the turn.  ``TURN``: whether there is such a
+    turn; the list of VMs is read first, for one may have joined since.
+    ``HOME``: whether the program may go on here while the log is away.
+    """
+
+    TAKER = "taker"
+    TURN = "turn"
+    HOME = "home"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Finding:
     """What other VMs know of a program.
@@ -124,8 +144,8 @@
         Some VM answered.
     doubts : tuple of Doubt
         Why a turn that nobody knows might be kept by a VM all the same.
-    reached_all : bool
-        Every VM answered.
+    has_gone_on : bool
+        Another VM has asked before whether the program may go on there.
     is_known : bool
         Some VM knows the program.
     is_certain : bool
@@ -145,7 +165,7 @@
     keeper: upstreams.Upstream | None = None
     is_answered: bool = False
     doubts: tuple[certainty.Doubt, ...] = (certainty.Doubt.VM_UNHEARD,)
-    reached_all: bool = False
+    has_gone_on: bool = False
     is_known: bool = False
     is_certain: bool = False
     is_deferred: bool = False
@@ -153,6 +173,11 @@
     charged: int = 0
     home_tokens: int = 0
 
+    @property
+    def knows_all(self) -> bool:
+        """Whether nobody can have spent what nobody tells of."""
+        return not set(self.doubts) - _LIGHT_DOUBTS
+
 
 class Neighbours(abc.ABC):
     """The other VMs, as far as callers' requests need them."""
@@ -167,16 +192,9 @@
         self,
         facts: CallFacts,
         on_done: Callable[[Finding], None],
-        by_newest_list: bool = False,
+        question: Question = Question.TAKER,
     ) -> None:
-        """Ask the other VMs about a turn's program and its chain.
-
-        Parameters
-        ----------
-        by_newest_list : bool
-            Read the list of VMs first: the answer may be that nobody knows
-            the turn, and a VM may have joined since it was read.
-        """
+        """Ask the other VMs about a turn's program and its chain."""
 
     def is_relayed(self, header: HeaderGetter) -> bool:
         """Return whether another VM has passed a request on."""
@@ -186,9 +204,9 @@
 class NoNeighbours(Neighbours):
     """A VM alone."""
 
-    def find(self, facts, on_done, by_newest_list=False) -> None:
+    def find(self, facts, on_done, question=Question.TAKER) -> None:
         """Report that there is nobody."""
-        on_done(Finding(doubts=(), reached_all=True))
+        on_done(Finding(doubts=()))
 
 
 class WireFormat(abc.ABC):
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -91,7 +91,7 @@
         if self._closed:
             return
         if chain is None:
-            self._ask_others(self._not_found, by_newest_list=True)
+            self._ask_others(self._not_found, ports.Question.TURN)
             return
         self._chain = chain
         self._open()
@@ -106,7 +106,9 @@
             facts.budget,
             OPEN_PATIENCE_SECONDS,
             self._turn_opened,
-            lambda error: self._ask_others(self._begin_home),
+            lambda error: self._ask_others(
+                self._begin_home, ports.Question.HOME
+            ),
         )
 
     def _turn_opened(
@@ -123,6 +125,9 @@
             self._close(refusals.Refusal.BUDGET_SPENT)
         elif state is histories.TurnState.DEFERRED:
             self._ask_others(self._reserved)
+        elif state is histories.TurnState.TAKEN and self._is_relayed:
+            # The VM that passed it on has given its own opening up.
+            self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
         else:
             # The caller used a request id twice.
             self._close(refusals.Refusal.UNKNOWN_OUTCOME)
@@ -150,13 +155,12 @@
     def _ask_others(
         self,
         otherwise: Callable[[ports.Finding], None],
-        by_newest_list: bool = False,
+        question: ports.Question = ports.Question.TAKER,
     ) -> None:
         """Pass the turn on to a VM that can run it, or go on otherwise."""
         if self._closed:
             return
         neighbours = self._shared.neighbours
-        is_relayed = neighbours.is_relayed(self._call.header)
 
         def found(finding: ports.Finding) -> None:
             if self._closed:
@@ -164,12 +168,12 @@
             place = finding.taker
             if place is None and not self._has_chain:
                 place = finding.keeper
-            if place is not None and not is_relayed:
+            if place is not None and not self._is_relayed:
                 self._pass_on(place)
             else:
                 otherwise(finding)
 
-        neighbours.find(self._facts, found, by_newest_list)
+        neighbours.find(self._facts, found, question)
 
     @property
     def _is_better_elsewhere(self) -> bool:
@@ -177,10 +181,14 @@
         neighbours = self._shared.neighbours
         return (
             neighbours.send_away
-            and not neighbours.is_relayed(self._call.header)
+            and not self._is_relayed
             and self._journal.is_recorded(self._program, self._facts.previous)
         )
 
+    @property
+    def _is_relayed(self) -> bool:
+        return self._shared.neighbours.is_relayed(self._call.header)
+
     @property
     def _has_chain(self) -> bool:
         previous = self._facts.previous
@@ -240,10 +248,19 @@
 
         Neither this VM nor those that help it reach its records, so no
         one does; what nobody has spent or reserved may be spent here.
+
+        If that is not certain the program gets the one turn by which a
+        budget may be passed, and only where nobody remembers that another
+        VM has asked: successive homes passed it by a turn each.
         """
         journal = self._journal
         known = journal.knows(self._program) or finding.is_known
+        is_certain = finding.knows_all or (
+            finding.is_certain and not (known or finding.has_gone_on)
+        )
         may_begin = finding.is_answered and not finding.is_deferred
+        if finding.has_gone_on and not is_certain:
+            may_begin = False
         if self._tried_home or not may_begin:
             self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
             return
@@ -254,7 +271,7 @@
             self._facts.budget,
             max(finding.charged, journal.charged(self._program)),
             finding.home_tokens,
-            finding.reached_all if known else finding.is_certain,
+            is_certain,
         )
         self._open()
 
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -49,12 +49,21 @@
         The turn that is to be continued.
     ceiling : int
         Most tokens that the turn may generate.
+    incarnation : str
+        Which one of the VM's processes asks.
+    entry : bytes
+        Its entry in the list of VMs: the one that is asked may not have it.
+    for_home : bool
+        The program may be let go on there.
     """
 
     vm: str
     program: str
     previous: str | None
     ceiling: int
+    incarnation: str = ""
+    entry: bytes = b""
+    for_home: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -80,6 +89,8 @@
         Tokens that the program may spend there while the log is away.
     goes_first : bool
         Another VM is about to let the program go on.
+    has_gone_on : bool
+        Another VM than the one that asks may have let it go on.
     """
 
     can_take: bool
@@ -90,6 +101,7 @@
     charged: int = 0
     home_tokens: int = 0
     goes_first: bool = False
+    has_gone_on: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -36,7 +36,6 @@
 # also while the log is away.
 KEEPERS = 4
 ENOUGH_COPIES = 2
-UNREACHED = {forwarding.Doubt.VM_UNHEARD, forwarding.Doubt.VM_ABSENT}
 
 
 class Neighbourhood(forwarding.Neighbours, histories.Companions):
@@ -108,34 +107,39 @@
         self,
         facts: forwarding.CallFacts,
         on_done: Callable[[forwarding.Finding], None],
-        by_newest_list: bool = False,
+        question: forwarding.Question = forwarding.Question.TAKER,
     ) -> None:
         """Ask the other VMs about a turn's program and its chain.
 
         Those of this data centre first: most programs stay in one, and a VM
         there that can run the turn saves asking all others.
         """
-        if not by_newest_list:
-            self._ask_all(facts, False, on_done)
+        if question is not forwarding.Question.TURN:
+            self._ask_all(facts, question, False, on_done)
             return
         self._members.refresh(
-            functools.partial(self._ask_all, facts, True, on_done),
-            functools.partial(self._ask_all, facts, False, on_done),
+            functools.partial(self._ask_all, facts, question, True, on_done),
+            functools.partial(self._ask_all, facts, question, False, on_done),
         )
 
     def _ask_all(
         self,
         facts: forwarding.CallFacts,
+        question: forwarding.Question,
         is_newest_list: bool,
         on_done: Callable[[forwarding.Finding], None],
     ) -> None:
+        own = self._members.own
         request = messages.FindRequest(
-            self._members.own.name,
+            own.name,
             facts.program,
             facts.previous,
             facts.ceiling,
+            own.incarnation,
+            self._members.own_entry,
+            question is forwarding.Question.HOME,
         )
-        here = self._members.own.data_center
+        here = own.data_center
         others = self._members.others
         asked = [member for member in others if not self._is_avoided(member)]
         near = [member for member in asked if member.data_center == here]
@@ -144,13 +148,15 @@
 
         def answered(search: "_Search") -> None:
             self._promises.end_asking(facts.program)
-            finding = search.finding(self._members.own, self._is_complete())
+            finding = search.finding(own, self._is_complete())
             if not is_newest_list:
                 doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
                 finding = dataclasses.replace(finding, doubts=doubts)
             if not self._members.is_announced:
                 # Others would not know to ask here: nothing begins here.
                 finding = dataclasses.replace(finding, is_answered=False)
+            if self._promises.has_gone_on(facts.program, own.incarnation):
+                finding = dataclasses.replace(finding, has_gone_on=True)
             if self._promises.binds(facts.program):
                 finding = dataclasses.replace(finding, is_deferred=True)
             on_done(finding)
@@ -328,7 +334,7 @@
             keeper=_as_upstream(self._keeper),
             is_answered=bool(answers),
             doubts=doubts,
-            reached_all=not UNREACHED & set(doubts),
+            has_gone_on=any(item.has_gone_on for item in answers),
             is_known=any(item.knows for item in answers),
             is_certain=complete and here_answered,
             is_deferred=any(item.goes_first for item in answers),
--- a/postspring/peering/promises.py
+++ b/postspring/peering/promises.py
@@ -1,7 +1,8 @@
 """Which VM may let a program go on while the log is away.
 
 A VM asks the others before it does; each of them promises that it will not
-do the same for a while, or says that another one goes first.
+do the same for a while, or says that another one goes first.  Each also keeps
+in mind who asked: that VM may be gone when the next one asks.
 """
 
 from collections.abc import Callable
@@ -10,6 +11,8 @@
 
 # Longer than a VM takes to ask the others and to begin, in seconds.
 PROMISE_SECONDS = 0.5
+# How many programs are kept in mind, the latest ones: some 1 MB.
+MOST_REMEMBERED = 10_000
 
 
 class Promises:
@@ -38,6 +41,20 @@
         self._now = now
         self._given: dict[str, tuple[str, float]] = {}
         self._asking: dict[str, int] = {}
+        self._askers_by_program: dict[str, set[str]] = {}
+
+    def remember(self, program: str, incarnation: str) -> None:
+        """Take note that a VM may let a program go on."""
+        askers = self._askers_by_program.pop(program, set())
+        self._askers_by_program[program] = askers | {incarnation}
+        if len(self._askers_by_program) > MOST_REMEMBERED:
+            oldest = next(iter(self._askers_by_program))
+            del self._askers_by_program[oldest]
+
+    def has_gone_on(self, program: str, incarnation: str) -> bool:
+        """Return whether another VM may have let a program go on."""
+        askers = self._askers_by_program.get(program, set())
+        return bool(askers - {incarnation})
 
     def give(self, program: str, vm: str) -> bool:
         """Promise a VM to stay back; return False if it has to itself."""
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -121,6 +121,13 @@
             ref = journal.ref_of(program, histories.TurnId(previous))
             knows_turn = journal.known_turn(ref) is not None
             has_chain = journal.known_chain(ref) is not None
+        if request.entry:
+            self._introduce(request.vm, request.entry)
+        has_gone_on = self._promises.has_gone_on(
+            request.program, request.incarnation
+        )
+        if request.for_home:
+            self._promises.remember(request.program, request.incarnation)
         goes_first = not self._promises.give(request.program, request.vm)
         found = messages.Found(
             can_take=journal.can_take(program, previous, request.ceiling),
@@ -131,5 +138,6 @@
             charged=journal.charged(program),
             home_tokens=journal.accounts.home_tokens(program),
             goes_first=goes_first,
+            has_gone_on=has_gone_on,
         )
         call.respond(200, [], messages.encode(found))
--- a/postspring/peering/tests/test_search.py
+++ b/postspring/peering/tests/test_search.py
@@ -2,6 +2,7 @@
 
 import unittest
 
+from postspring import forwarding
 from postspring import peering
 from postspring.peering import messages
 from postspring.peering import neighbourhood
@@ -40,7 +41,7 @@
         self.assertEqual(1, len(self.done))
         finding = self.search.finding(member("own", "z1"), True)
         self.assertEqual("a", finding.taker.id)
-        self.assertFalse(finding.reached_all)
+        self.assertIn(forwarding.Doubt.VM_UNHEARD, finding.doubts)
 
     def test_all_are_asked_if_no_near_one_takes_it(self):
         for vm in self.near:
@@ -51,7 +52,7 @@
         self.search.failed()
         finding = self.search.finding(member("own", "z1"), True)
         self.assertEqual(1, len(self.done))
-        self.assertFalse(finding.reached_all)
+        self.assertIn(forwarding.Doubt.VM_UNHEARD, finding.doubts)
 
     def test_nobody_is_there(self):
         done = []
