--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -259,6 +259,26 @@
         self.assertEqual([], others(self.here))
 
 
+class LateRenewalTest(AbsenceCase):
+    """The renewal of a VM that has left comes late.
+
+    It would expire then, and count as not heard for long.
+    """
+
+    def test_it_does_not_list_it_again(self):
+        self.start_there()
+        self.meet()
+        left = self.there[0].members
+        left.leave()
+        self.fleet.turn_until(lambda: left.has_left)
+        heard = []
+        left._announce(left.own_entry, heard.append)
+        self.fleet.turn_until(lambda: heard)
+        self.fleet.turn_for(1.5)
+        self.assertEqual([], self.here.members.absent)
+        self.assertNotIn("there-1", others(self.here))
+
+
 class OtherTurnsTest(AbsenceCase):
     """What must go on to work."""
 
