--- /dev/null
+++ b/postspring/coordination/admission.py
@@ -0,0 +1,113 @@
+"""What the configuration and a program's state let an owner take."""
+
+from postspring import configuration
+from postspring.coordination import desk
+from postspring.coordination import messages
+from postspring.coordination import pricing
+from postspring.coordination import refusals
+from postspring.coordination import runtime
+from postspring import programs
+
+__all__ = ["Admission"]
+
+Reason = refusals.RefusalReason
+
+
+class Admission:
+    """Judges calls; changes nothing but a call's worst case.
+
+    Parameters
+    ==========
+
+    shared : OwnerDesk
+        What the parts of an owner share.
+    """
+
+    def __init__(self, shared: desk.OwnerDesk):
+        self._desk = shared
+
+    def fault(
+        self, state: runtime.ProgramRuntime, message: messages.CallProgram
+    ) -> Reason | None:
+        """Return why a call can't be taken at all, or None."""
+        program = state.program
+        tip = state.tip
+        if not program.live:
+            return Reason.PROGRAM_ENDED
+        if message.service not in ("", program.service):
+            return Reason.NOT_PERMITTED
+        if message.step > tip.step + 1 + self._desk.limits.queue_window:
+            return Reason.STEP_GAP
+        follows = message.step == tip.step + 1
+        if follows and message.parent not in (None, tip.digest):
+            return Reason.PARENT_MISMATCH
+        if self._desk.held_bytes > self._desk.limits.held_bytes:
+            return Reason.HELD_TURNS_FULL
+        service = self._desk.configuration.services.get(program.service)
+        if service is None:
+            return Reason.UNKNOWN_SERVICE
+        if message.step > service.max_calls:
+            return Reason.TOO_MANY_CALLS
+        if not self._permitted(service, message):
+            return Reason.UNKNOWN_TARGET
+        if self._desk.pool.full(message.target):
+            return Reason.OVERLOADED
+        return None
+
+    def _permitted(
+        self,
+        service: configuration.Service,
+        message: messages.CallProgram,
+    ) -> bool:
+        targets_by_kind = {
+            programs.CallKind.MODEL: service.models,
+            programs.CallKind.TOOL: service.tools,
+            programs.CallKind.SERVICE: service.plain,
+        }
+        return message.target in targets_by_kind[message.kind]
+
+    def ran_before(
+        self, state: runtime.ProgramRuntime, message: messages.CallProgram
+    ) -> refusals.Ran:
+        """Return whether a call that is refused may have run earlier.
+
+        At the end of a program a call may have been under way: one that
+        may not be repeated has its intent open, of others nobody knows.
+        """
+        program = state.program
+        if program.live or message.step != state.tip.step + 1:
+            return refusals.Ran.NOT_RUN
+        intent = program.open_intent
+        started = intent is not None and intent.key == message.key
+        if started or self.repeatable(message):
+            return refusals.Ran.UNKNOWN
+        return refusals.Ran.NOT_RUN
+
+    def price(
+        self, state: runtime.ProgramRuntime, call: runtime.Call
+    ) -> Reason | None:
+        """Set the call's worst case; return why it can't be run, or None."""
+        message = call.message
+        if message.kind is programs.CallKind.TOOL:
+            call.bound = self._desk.configuration.tools[message.target].price
+        if message.kind is not programs.CallKind.MODEL:
+            return None
+        model = self._desk.configuration.models[message.target]
+        tokens = pricing.prompt_token_bound(state.turns, message.request)
+        max_tokens = self.max_tokens(message)
+        if tokens + max_tokens > model.context_tokens:
+            return Reason.CONTEXT_TOO_LONG
+        call.bound = pricing.worst_case(model, tokens, max_tokens)
+        return None
+
+    def max_tokens(self, message: messages.CallProgram) -> int:
+        """Return the bound on tokens that a model call generates."""
+        model = self._desk.configuration.models[message.target]
+        return min(message.max_tokens or model.max_tokens, model.max_tokens)
+
+    def repeatable(self, message: messages.CallProgram) -> bool:
+        """Return whether the call may be dispatched twice."""
+        if message.kind is programs.CallKind.TOOL:
+            tool = self._desk.configuration.tools[message.target]
+            return message.repeatable and tool.repeatable
+        return message.repeatable
--- a/postspring/coordination/attempt_flow.py
+++ b/postspring/coordination/attempt_flow.py
@@ -141,7 +141,7 @@
             model = self._desk.configuration.models[message.target]
             return {
                 "prompt": turns.build_prompt(state.turns, message.request),
-                "max_tokens": self._desk.calls.max_tokens(message),
+                "max_tokens": self._desk.admission.max_tokens(message),
                 "prompt_price": model.prompt_price,
                 "completion_price": model.completion_price,
                 "timeout_ms": int(service.call_timeout_seconds * 1000),
--- a/postspring/coordination/call_flow.py
+++ b/postspring/coordination/call_flow.py
@@ -1,11 +1,9 @@
 """Calls at their owner, from the request to the log."""
 
-from postspring import configuration
 from postspring.coordination import desk
 from postspring.coordination import effects
 from postspring.coordination import limits
 from postspring.coordination import messages
-from postspring.coordination import pricing
 from postspring.coordination import refusals
 from postspring.coordination import runtime
 from postspring.coordination import turns
@@ -44,7 +42,7 @@
             self._desk.turns.adopt(state, receipt, now)
         if self._answer_from_history(state, message, to, now):
             return
-        fault = self._call_fault(state, message)
+        fault = self._desk.admission.fault(state, message)
         if fault is Reason.TOO_MANY_CALLS and self._desk.log_up:
             self._desk.lifecycle.append_end(
                 state, programs.EndReason.TOO_MANY_CALLS, None
@@ -53,7 +51,7 @@
             return self._desk.refuse(
                 to,
                 fault,
-                self._ran_before(state, message),
+                self._desk.admission.ran_before(state, message),
                 limits.retry_for(fault),
             )
         if self._join(state, message, to):
@@ -91,63 +89,6 @@
             self._desk.refuse(to, Reason.STEP_CONFLICT)
         return True
 
-    def _ran_before(
-        self, state: runtime.ProgramRuntime, message: messages.CallProgram
-    ) -> refusals.Ran:
-        """Return whether a call that is refused may have run earlier.
-
-        At the end of a program a call may have been under way: one that
-        may not be repeated has its intent open, of others nobody knows.
-        """
-        program = state.program
-        if program.live or message.step != state.tip.step + 1:
-            return refusals.Ran.NOT_RUN
-        intent = program.open_intent
-        started = intent is not None and intent.key == message.key
-        if started or self.repeatable(message):
-            return refusals.Ran.UNKNOWN
-        return refusals.Ran.NOT_RUN
-
-    def _call_fault(
-        self, state: runtime.ProgramRuntime, message: messages.CallProgram
-    ) -> Reason | None:
-        """Return why a call can't be taken at all, or None."""
-        program = state.program
-        tip = state.tip
-        if not program.live:
-            return Reason.PROGRAM_ENDED
-        if message.service not in ("", program.service):
-            return Reason.NOT_PERMITTED
-        if message.step > tip.step + 1 + self._desk.limits.queue_window:
-            return Reason.STEP_GAP
-        follows = message.step == tip.step + 1
-        if follows and message.parent not in (None, tip.digest):
-            return Reason.PARENT_MISMATCH
-        if self._desk.held_bytes > self._desk.limits.held_bytes:
-            return Reason.HELD_TURNS_FULL
-        service = self._desk.configuration.services.get(program.service)
-        if service is None:
-            return Reason.UNKNOWN_SERVICE
-        if message.step > service.max_calls:
-            return Reason.TOO_MANY_CALLS
-        if not self._permitted(service, message):
-            return Reason.UNKNOWN_TARGET
-        if self._desk.pool.full(message.target):
-            return Reason.OVERLOADED
-        return None
-
-    def _permitted(
-        self,
-        service: configuration.Service,
-        message: messages.CallProgram,
-    ) -> bool:
-        targets_by_kind = {
-            programs.CallKind.MODEL: service.models,
-            programs.CallKind.TOOL: service.tools,
-            programs.CallKind.SERVICE: service.plain,
-        }
-        return message.target in targets_by_kind[message.kind]
-
     def _join(
         self,
         state: runtime.ProgramRuntime,
@@ -219,47 +160,18 @@
     ) -> None:
         """Secure what the call needs in the log, then let it wait its turn."""
         message = call.message
-        fault = self._price(state, call)
+        fault = self._desk.admission.price(state, call)
         if fault is not None:
             return self._desk.drop(state, call, fault)
         if not self._desk.pool.usable(message.target, now):
             return self._desk.drop(state, call, Reason.NO_UPSTREAM)
-        if not self.repeatable(message):
+        if not self._desk.admission.repeatable(message):
             return self._log_intent(state, call, now)
         short = call.bound - state.spendable
         if short <= 0:
             return self._desk.attempts.submit(state, call, now)
         self.log_reserve(state, call, short, now)
 
-    def _price(
-        self, state: runtime.ProgramRuntime, call: runtime.Call
-    ) -> Reason | None:
-        """Set the call's worst case; return why it can't be run, or None."""
-        message = call.message
-        if message.kind is programs.CallKind.TOOL:
-            call.bound = self._desk.configuration.tools[message.target].price
-        if message.kind is not programs.CallKind.MODEL:
-            return None
-        model = self._desk.configuration.models[message.target]
-        tokens = pricing.prompt_token_bound(state.turns, message.request)
-        max_tokens = self.max_tokens(message)
-        if tokens + max_tokens > model.context_tokens:
-            return Reason.CONTEXT_TOO_LONG
-        call.bound = pricing.worst_case(model, tokens, max_tokens)
-        return None
-
-    def max_tokens(self, message: messages.CallProgram) -> int:
-        """Return the bound on tokens that a model call generates."""
-        model = self._desk.configuration.models[message.target]
-        return min(message.max_tokens or model.max_tokens, model.max_tokens)
-
-    def repeatable(self, message: messages.CallProgram) -> bool:
-        """Return whether the call may be dispatched twice."""
-        if message.kind is programs.CallKind.TOOL:
-            tool = self._desk.configuration.tools[message.target]
-            return message.repeatable and tool.repeatable
-        return message.repeatable
-
     def _log_intent(
         self, state: runtime.ProgramRuntime, call: runtime.Call, now: float
     ) -> None:
--- a/postspring/coordination/desk.py
+++ b/postspring/coordination/desk.py
@@ -74,6 +74,7 @@
         self.sequence_by_slot: dict[int, tuple[int, int]] = {}
         # The parts find each other here; the owner sets them.
         self.lifecycle: Any = None
+        self.admission: Any = None
         self.calls: Any = None
         self.attempts: Any = None
         self.turns: Any = None
--- a/postspring/coordination/owner.py
+++ b/postspring/coordination/owner.py
@@ -9,6 +9,7 @@
 from typing import Any
 
 from postspring import configuration
+from postspring.coordination import admission
 from postspring.coordination import attempt_flow
 from postspring.coordination import call_flow
 from postspring.coordination import desk
@@ -68,6 +69,7 @@
         self._attempts = attempt_flow.AttemptFlow(self._desk)
         self._turns = turn_flow.TurnFlow(self._desk)
         self._desk.lifecycle = self._lifecycle
+        self._desk.admission = admission.Admission(self._desk)
         self._desk.calls = self._calls
         self._desk.attempts = self._attempts
         self._desk.turns = self._turns
--- a/postspring/measuring/cut.py
+++ b/postspring/measuring/cut.py
@@ -35,7 +35,7 @@
     for seed in range(1, seeds + 1):
         world = virtual.World({"rimac": 2, "surco": 2}, seed)
         document = world.document(["rimac", "surco"], calls_ahead)
-        world.publish("ahead", document)
+        world.platform.publish("ahead", document)
         world.run_for(3)
         callers = [
             world.create(f"p{number}", "surco-1") for number in range(programs)
--- a/postspring/ownership/__init__.py
+++ b/postspring/ownership/__init__.py
@@ -4,7 +4,6 @@
 from postspring.ownership.assignment import preferred_owner
 from postspring.ownership.assignment import SlotPlan
 from postspring.ownership.base import slot_base_records
-from postspring.ownership.fold import SlotState
 from postspring.ownership.fold import StreamFold
 from postspring.ownership.records import Abort
 from postspring.ownership.records import Claim
@@ -17,6 +16,7 @@
 from postspring.ownership.records import slot_records
 from postspring.ownership.records import SlotBase
 from postspring.ownership.records import Turn
+from postspring.ownership.slot import SlotState
 from postspring.ownership.verdicts import Verdict
 
 __all__ = [
--- a/postspring/ownership/fold.py
+++ b/postspring/ownership/fold.py
@@ -10,11 +10,13 @@
 from postspring import budgets
 from postspring.ownership import base
 from postspring.ownership import records
+from postspring.ownership import slot as slot_module
 from postspring.ownership import verdicts
 from postspring import programs
 
-__all__ = ["SlotState", "StreamFold"]
+__all__ = ["StreamFold"]
 
+SlotState = slot_module.SlotState
 Verdict = verdicts.Verdict
 _RULE_BY_TYPE: dict[type, Callable] = {}
 
@@ -33,7 +35,7 @@
     """Register a rule for a record that only the owner in force may write."""
 
     def add(function: Callable) -> Callable:
-        def fenced_rule(slot: "SlotState", record: Any) -> Verdict:
+        def fenced_rule(slot: SlotState, record: Any) -> Verdict:
             fenced = _fenced(slot, record)
             return function(slot, record) if fenced is None else fenced
 
@@ -48,7 +50,7 @@
 
     def add(function: Callable) -> Callable:
         @_sequenced_rule(record_type)
-        def live_rule(slot: "SlotState", record: Any) -> Verdict:
+        def live_rule(slot: SlotState, record: Any) -> Verdict:
             program, verdict = _live_program(slot, record.program)
             if program is None:
                 return verdict
@@ -59,54 +61,6 @@
     return add
 
 
-class SlotState:
-    """One slot: its owner and epoch, and the programs that live in it."""
-
-    __slots__ = (
-        "number",
-        "epoch",
-        "owner",
-        "incarnation",
-        "sequence",
-        "released",
-        "successor",
-        "program_by_id",
-        "program_by_create_key",
-        "established",
-        "base_offset",
-        "unjudged",
-    )
-
-    def __init__(self, number: int):
-        self.number = number
-        self.epoch = 0
-        self.owner: str | None = None
-        self.incarnation: str | None = None
-        self.sequence = 0
-        self.released = False
-        self.successor: str | None = None
-        self.program_by_id: dict[str, programs.Program] = {}
-        self.program_by_create_key: dict[str, str] = {}
-        self.established = True
-        self.base_offset = 0
-        self.unjudged: list[tuple[int, Any]] = []
-
-    def owned_by(self, incarnation: str) -> bool:
-        """Return whether that VM incarnation is the owner in force."""
-        return (
-            self.established
-            and not self.released
-            and self.incarnation == incarnation
-        )
-
-    def tree(self, program_id: str):
-        """Yield the program and all the sub-agents below it."""
-        program = self.program_by_id[program_id]
-        yield program
-        for child in program.children:
-            yield from self.tree(child)
-
-
 class StreamFold:
     """The state of all slots of a data centre, as its stream tells it.
 
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -21,6 +21,7 @@
 
 from postspring import client
 from postspring import errors
+from postspring.testing import documents
 
 __all__ = ["Deployment", "ProcessGroup", "free_port", "wait_until"]
 
@@ -341,26 +342,7 @@
                     "address": self.address_by_upstream[name],
                     "serves": [target],
                 }
-        return {
-            "models": {
-                "advisor": {
-                    "prompt_price": 100,
-                    "completion_price": 300,
-                    "max_tokens": 64,
-                }
-            },
-            "tools": {"parts": {"price": 50, "timeout_seconds": 5}},
-            "services": {
-                "agent-models": {
-                    "models": ["advisor"],
-                    "tools": ["parts"],
-                    "plain": ["catalogue"],
-                    "default_budget": 1_000_000,
-                },
-                "other": {"models": ["advisor"]},
-            },
-            "upstreams": upstreams,
-        }
+        return documents.deployment_document(upstreams)
 
     def _start_upstreams(self) -> None:
         stand_in_by_kind = {"tool": "tool", "service": "plain"}
--- a/postspring/testing/virtual/servers.py
+++ b/postspring/testing/virtual/servers.py
@@ -8,6 +8,7 @@
 
 import cbor2
 
+from postspring import configuration
 from postspring import errors
 from postspring import ownership
 from postspring.testing.virtual import clock as clock_module
@@ -73,6 +74,29 @@
         """Return all records of a stream, expired ones too."""
         return self.records_by_stream.setdefault(name, [])
 
+    def publish(self, change_id: str, document: dict) -> None:
+        """Have a configuration in the log, made against the latest."""
+        fold = configuration.ConfigurationFold()
+        for offset, data in enumerate(self.stream("configuration")):
+            fold.apply(
+                offset, configuration.configuration_records.decode(data)
+            )
+        version = fold.state.version
+        self.append_configuration(change_id, version, document)
+
+    def append_configuration(
+        self, change_id: str, expected: int, document: dict
+    ) -> None:
+        """Append a configuration made against a version."""
+        record = configuration.Publish(
+            change_id=change_id,
+            expected_version=expected,
+            version=expected + 1,
+            document=json.dumps(document).encode(),
+        )
+        data = configuration.configuration_records.encode(record)
+        self._take_effect("configuration", [data])
+
     def handle(self, request: Any, responder: network_module.Responder):
         """Serve a request."""
         if self.down:
--- a/postspring/testing/virtual/stage.py
+++ b/postspring/testing/virtual/stage.py
@@ -204,16 +204,16 @@
         )
         document = self.world.document(places)
         if version is None:
-            self.world.publish(change, document)
+            self.world.platform.publish(change, document)
         else:
-            self.world.append_configuration(change, version, document)
+            self.world.platform.append_configuration(change, version, document)
 
     def declare(self, data_center: str, lost: bool) -> None:
         """Publish that a data centre is lost, or is back."""
         vms = self.world.vm_by_name.values()
         document = self.world.document(sorted({vm.data_center for vm in vms}))
         document["lost_data_centers"] = [data_center] if lost else []
-        self.world.publish(f"declare-{data_center}-{lost}", document)
+        self.world.platform.publish(f"declare-{data_center}-{lost}", document)
 
     def changes_in_force(self) -> set[str]:
         """Return the changes in force on the live VMs."""
--- a/postspring/testing/virtual/world.py
+++ b/postspring/testing/virtual/world.py
@@ -6,13 +6,12 @@
 import random
 from typing import Any
 
-
-from postspring import configuration
 from postspring.entry import core as core_module
 from postspring import ownership
 from postspring import settings as settings_module
 from postspring.testing.virtual import callers
 from postspring.testing.virtual import clock as clock_module
+from postspring.testing.virtual import document as document_module
 from postspring.testing.virtual import network as network_module
 from postspring.testing.virtual import servers
 
@@ -94,7 +93,7 @@
                 self.network.place_by_name[name] = data_center
                 vm = _Vm(name, data_center, self._address())
                 self.vm_by_name[name] = vm
-        self.publish("initial", self.document(list(data_centers)))
+        self.platform.publish("initial", self.document(list(data_centers)))
         for name in self.vm_by_name:
             self.start_vm(name)
         self.run_until(self._all_owned, 60, "every slot has an owner")
@@ -335,29 +334,6 @@
 
     # -- log ----------------------------------------------------------------
 
-    def publish(self, change_id: str, document: dict) -> None:
-        """Have a configuration in the log, made against the latest."""
-        fold = configuration.ConfigurationFold()
-        for offset, data in enumerate(self.platform.stream("configuration")):
-            fold.apply(
-                offset, configuration.configuration_records.decode(data)
-            )
-        version = fold.state.version
-        self.append_configuration(change_id, version, document)
-
-    def append_configuration(
-        self, change_id: str, expected: int, document: dict
-    ) -> None:
-        """Append a configuration made against a version."""
-        record = configuration.Publish(
-            change_id=change_id,
-            expected_version=expected,
-            version=expected + 1,
-            document=json.dumps(document).encode(),
-        )
-        data = configuration.configuration_records.encode(record)
-        self.platform._take_effect("configuration", [data])
-
     def refold(self, data_center: str) -> ownership.StreamFold:
         """Return the fold of a data centre's whole stream."""
         fold = ownership.StreamFold(SLOTS)
@@ -378,41 +354,9 @@
 
     def document(self, data_centers: list[str], calls_ahead: int = 2) -> dict:
         """Return the configuration that the world begins with."""
-        upstreams = {
-            name: {
-                "kind": "engine",
-                "data_center": data_centers[0],
-                "address": engine.address_text,
-                "serves": ["advisor"],
-            }
-            for name, engine in self.engine_by_name.items()
-        }
-        upstreams["tool"] = {
-            "kind": "tool",
-            "data_center": data_centers[0],
-            "address": self.tool.address_text,
-            "serves": ["parts"],
-        }
-        return {
-            "models": {
-                "advisor": {
-                    "prompt_price": 1000,
-                    "completion_price": 1000,
-                    "max_tokens": 8,
-                }
-            },
-            "tools": {"parts": {"price": 50, "timeout_seconds": 8}},
-            "services": {
-                "agentes": {
-                    "models": ["advisor"],
-                    "tools": ["parts"],
-                    "default_budget": 1_000_000,
-                    "calls_ahead": calls_ahead,
-                    "call_timeout_seconds": 8,
-                }
-            },
-            "upstreams": upstreams,
-        }
+        return document_module.first_document(
+            data_centers[0], self.engine_by_name, self.tool, calls_ahead
+        )
 
     # -- own ----------------------------------------------------------------
 
