--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -279,6 +279,23 @@
         self.assertNotIn("there-1", others(self.here))
 
 
+class DeadlineTest(AbsenceCase):
+    """The answers that a 404 waits for don't come in time.
+
+    Found by a review: each step has its own patience, and nothing ended them
+    all before a turn had been sent to an upstream.
+    """
+
+    def test_a_turn_is_refused_at_its_deadline(self):
+        self.here.members.refresh = lambda on_done, on_error: None
+        answer = self.fleet.take_turn(
+            "b", previous_turn="a", deadline_ms="500"
+        )
+        self.assertEqual(503, answer.status)
+        reasons = {reason for reason, ran in self.here.metrics.refusal_counts}
+        self.assertEqual({"timed_out_unsent"}, reasons)
+
+
 class OtherTurnsTest(AbsenceCase):
     """What must go on to work."""
 
