A turn that no upstream was offered is refused at its deadline, as not run

Also: VMs that expired don't count as seen again when the log is back. Before: DeadlineTest hangs; after: test_absence, test_turns, test_plain_calls pass.

--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -73,6 +73,10 @@
     def start(self) -> None:
         """Find the chain that the turn continues."""
         self._call.on_gone = self._gone
+        timers = self._dispatcher.timers
+        self._unsent_timer = timers.call_later(
+            self._deadline - timers.now(), self._overdue
+        )
         if self._is_better_elsewhere:
             self._close(refusals.Refusal.CUT_OFF)
             return
@@ -87,6 +91,11 @@
             lambda error: self._ask_others(self._unavailable),
         )
 
+    def _overdue(self) -> None:
+        """Refuse what no upstream was offered; a delivery ends itself."""
+        if self.delivery is None and not self._closed:
+            self._close(refusals.Refusal.TIMED_OUT_UNSENT)
+
     def _chain_found(self, chain: histories.Chain | None) -> None:
         if self._closed:
             return
@@ -133,6 +142,7 @@
             self._close(refusals.Refusal.UNKNOWN_OUTCOME)
 
     def _deliver(self) -> None:
+        self._unsent_timer.cancel()
         body = b"".join((*self._chain.parts, self._call.body))
         self.delivery = delivery_module.Delivery(
             self._dispatcher,
@@ -148,6 +158,7 @@
 
     def _close(self, refusal: refusals.Refusal) -> None:
         self._closed = True
+        self._unsent_timer.cancel()
         self.refuse(refusal)
 
     # -- with the help of other VMs -------------------------------------------
@@ -196,6 +207,7 @@
 
     def _pass_on(self, taker: upstreams.Upstream) -> None:
         self._closed = True
+        self._unsent_timer.cancel()
         self._outcome.add(passed_to=taker.id)
         passed = plain.PlainCall(
             self._dispatcher,
@@ -350,6 +362,7 @@
         if self._closed:
             return
         self._closed = True
+        self._unsent_timer.cancel()
         self.report("caller_gone", tokens=self._tokens)
         if self.delivery is not None and not self.delivery.is_done:
             self.delivery.cancel()
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -242,6 +242,7 @@
         drops = self.own.name == min([self.own.name, *self.by_name])
         for name in gone:
             del self._expired_by_name[name]
+            del self._seen_at_by_name[name]
             if drops:
                 LOG.info("member dropped", extra={"member": name})
                 entry = keyedlog.LogEntry(name, b"")
@@ -252,7 +253,7 @@
     def _log_regained(self, seconds: float) -> None:
         """Nobody could renew an entry while the log was away."""
         now = self._timers.now()
-        for name in self._seen_at_by_name:
+        for name in self.by_name:
             self._seen_at_by_name[name] = now
 
     def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
