What somebody waits for goes first when the log is back, and a home ends then

Cause: a partition that failed counted as failing until its turn in the queue of retries, however long the log had answered; new work waited there as well. A failure now counts until the log has answered any call. From then on the partition is not read yet: a turn there goes through the log, at once, at the earliest 0.5 s after the failure; only what nobody waits for keeps its turn. A partition that fails again though the log answers others counts as failing for the pause to its next try: its programs' homes are the only way. Ruled out: trying all that waits at once (the rate bound of test_partitions fails); hurrying what a busy log refused (it would be kept busy).

--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -12,6 +12,7 @@
 from typing import Any
 
 from postspring.histories import errors
+from postspring.histories import reachability
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -22,16 +23,15 @@
 # An append without an answer is sent once more after these many seconds:
 # behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
 RESEND_SECONDS = (0.15, 0.5)
-# Pause after a failed call, in seconds; doubled with each one up to the
-# second figure.  Every call is paid for, failed ones too.
-RETRY_SECONDS = 0.1
-LONGEST_RETRY_SECONDS = 1.0
 # Pause when the log is busy, in seconds: many VMs share its rate, and calls
 # that come again at once would keep it busy.
 BUSY_RETRY_SECONDS = 0.5
 # An append without an answer for this long counts as failing; the slow
 # store takes 0.25 s.
 SLOW_SECONDS = 0.4
+# Who has more patience than this keeps nobody waiting, in seconds: callers
+# wait for some seconds, what has to be recorded can wait for minutes.
+LONGEST_AWAITED_SECONDS = 30.0
 
 
 @dataclasses.dataclass(slots=True, eq=False)
@@ -42,6 +42,7 @@
     on_done: Callable[[Any], None]
     on_error: Callable[[errors.HistoryError], None]
     expiry: timers_module.TimerHandle | None = None
+    is_awaited: bool = False
 
 
 class Partition:
@@ -53,6 +54,8 @@
     fold_type : type
         Makes the fold, anew when the records have to be read from the
         start.
+    answers : LogAnswers
+        What the calls of all partitions tell of the log.
     on_back : callable
         Called when a call succeeds after others have failed.
     is_ordered : bool
@@ -69,6 +72,7 @@
         timers: timers_module.Timers,
         place: keyedlog.LogPlace,
         fold_type: type,
+        answers: reachability.LogAnswers,
         on_back: Callable[[], None] = lambda: None,
         is_ordered: bool = True,
         spread: Callable[[float], float] = lambda seconds: seconds,
@@ -86,28 +90,35 @@
         self._commits: list[_Waiter] = []
         self._refreshes: list[_Waiter] = []
         self._busy = False
-        self._failing = False
+        self._reach = reachability.Reachability(timers, answers)
         self._sent_at = math.inf
-        self._pause = RETRY_SECONDS
         self._retry: Callable[[], None] | None = None
+        self._retry_at = math.inf
         self._retry_timer: timers_module.TimerHandle | None = None
 
     @property
     def has_failed(self) -> bool:
         """Whether the last call failed: then it is not sent twice."""
-        return self._failing
+        return self._reach.has_failed
 
     @property
     def is_failing(self) -> bool:
-        """Whether the last call failed, or has no answer for long."""
+        """Whether it can't be reached, or has not answered for long."""
         waited = self._timers.now() - self._sent_at
-        return self._failing or waited > SLOW_SECONDS
+        return self._reach.is_failing or waited > SLOW_SECONDS
 
     @property
     def is_waiting(self) -> bool:
         """Whether something waits for its next try."""
         return self._retry is not None
 
+    @property
+    def is_awaited(self) -> bool:
+        """Whether somebody waits for it now."""
+        return any(
+            waiter.is_awaited for waiter in self._commits + self._refreshes
+        )
+
     @property
     def idle(self) -> bool:
         """Whether nobody waits for this partition."""
@@ -126,7 +137,8 @@
         ----------
         patience : float
             Seconds after which to give up; the entry may be appended all
-            the same.
+            the same.  With the patience of somebody who waits now, it
+            doesn't wait for its turn in the queue of retries.
         """
         waiter = _Waiter(entry, on_done, on_error)
         self._wait(self._commits, waiter, patience)
@@ -150,7 +162,10 @@
         waiter.expiry = self._timers.call_later(
             patience, self._expire, waiters, waiter
         )
+        waiter.is_awaited = patience <= LONGEST_AWAITED_SECONDS
         self._work()
+        if waiter.is_awaited:
+            self.hurry()
 
     def _expire(self, waiters: list[_Waiter], waiter: _Waiter) -> None:
         if waiter in waiters:
@@ -173,10 +188,12 @@
             return
         if self._commits:
             self._busy = True
+            self._reach.note_try()
             self._sent_at = self.used_at
             _Append(self, self._commits[:]).start()
         elif self._refreshes:
             self._busy = True
+            self._reach.note_try()
             waiting = self._refreshes[:]
             self._read_to(
                 None, lambda: self._release(self._refreshes, waiting)
@@ -201,42 +218,55 @@
         """Take note that a batch was not accepted; try again."""
         self._note_failure("append failed", error)
         self._sent_at = math.inf
-        if isinstance(error, keyedlog.LogBusy):
-            self._pause = max(self._pause, BUSY_RETRY_SECONDS)
-        self._retry_later(self._go_on)
+        is_busy = isinstance(error, keyedlog.LogBusy)
+        self._retry_later(self._go_on, BUSY_RETRY_SECONDS if is_busy else 0.0)
 
     def retry_in(self, seconds: float) -> None:
         """Do what waits for its next try after some time, and not before."""
         if self._retry_timer is not None:
             self._retry_timer.cancel()
+        self._retry_at = self._timers.now() + seconds
         self._retry_timer = self._timers.call_later(seconds, self._retry_now)
 
+    def hurry(self) -> None:
+        """Don't wait for a turn in the queue if the log is back.
+
+        The queue is for what nobody waits for: a turn timed out in it while
+        the log answered others.
+        """
+        if self._retry is None or not self._reach.is_unread:
+            return
+        pause = self._reach.awaited_pause
+        if self._timers.now() + pause < self._retry_at:
+            self.retry_in(pause)
+
     def _retry_now(self) -> None:
         retry, self._retry = self._retry, None
         if retry is not None:
+            self._reach.note_try()
             retry()
 
-    def _retry_later(self, function: Callable[[], None]) -> None:
+    def _retry_later(
+        self, function: Callable[[], None], least: float = 0.0
+    ) -> None:
         # The pause alone let many partitions come again each second.
         self._retry = function
-        self.retry_in(self._spread(self._pause))
-        self._pause = min(2 * self._pause, LONGEST_RETRY_SECONDS)
+        self.retry_in(self._spread(self._reach.next_pause(least)))
 
     def _note_success(self) -> None:
-        was_failing, self._failing = self._failing, False
-        self._pause = RETRY_SECONDS
-        if was_failing:
+        if self._reach.note_success():
             self._on_back()
 
     def _note_failure(self, text: str, error: keyedlog.KeyedLogError) -> None:
         """Log the first failure in a row, unless no call was made."""
         if isinstance(error, keyedlog.LogBusy):
-            # Not away: other VMs may be spending by it just now.
+            self._reach.note_busy()
             return
-        if not self._failing and not isinstance(error, keyedlog.LogDown):
+        is_first = not self._reach.has_failed
+        if is_first and not isinstance(error, keyedlog.LogDown):
             extra = {"place": str(self._place), "reason": str(error)}
             LOG.info(text, extra=extra)
-        self._failing = True
+        self._reach.note_failure()
 
     def _go_on(self) -> None:
         self._busy = False
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -8,6 +8,7 @@
 from postspring.histories import fold as fold_module
 from postspring.histories import partition as partition_module
 from postspring.histories import program as program_module
+from postspring.histories import reachability
 from postspring.histories import records
 from postspring.histories import retry_pace
 from postspring import keyedlog
@@ -67,6 +68,7 @@
         self._pace = retry_pace.RetryPace(timers, catch_up_rate)
         self._caught_up_at = -math.inf
         self._log = log
+        self._answers = reachability.LogAnswers(log)
         self._timers = timers
         self._by_place: dict[
             keyedlog.LogPlace, partition_module.Partition
@@ -88,6 +90,7 @@
                 self._timers,
                 place,
                 _fold_type_by_subject[place.subject],
+                self._answers,
                 self.log_is_back,
                 is_ordered=place.subject is keyedlog.Subject.PROGRAMS,
                 spread=self._pace.pause,
@@ -116,8 +119,9 @@
         """Do what waits for its next try, spread by the rate.
 
         Every partition that gets through says so: what is on its way then
-        stays as it was dealt out.
+        stays as it was dealt out.  What somebody waits for goes first.
         """
+        self._answers.note()
         if self._timers.now() < self._caught_up_at:
             return
         waiting = [
@@ -133,6 +137,8 @@
         for partition, seconds in zip(waiting, pauses):
             few = len(waiting) <= AT_ONCE
             partition.retry_in(0.0 if few else seconds)
+            if partition.is_awaited:
+                partition.hurry()
 
     # -- own ------------------------------------------------------------------
 
