Failing tests: a VM that stops does not wait for the tokens of turns broken off

Found by reading: it waits for whole turns only. What a home's turn, or one without a budget, has handed out is charged nowhere else until it is settled.

--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -169,6 +169,40 @@
         self.fleet.turn_until(lambda: "there-1" not in others(self.here))
 
 
+class UnsettledTest(AbsenceCase):
+    """A VM ends with a turn that was broken off while the log was away.
+
+    Found by reading: it waited for whole turns only, and what the turn had
+    handed out was charged nowhere when the VM had gone.
+    """
+
+    def end(self, budget, origin):
+        """Settle a turn that is no part of the history."""
+        ticket = histories.Ticket("p1", "x", 16, budget, origin)
+        self.here.journal.end_turn(ticket, 4)
+
+    def assert_waits(self):
+        """The VM waits until the log has the turn's tokens."""
+        self.assertFalse(self.here._last_words())
+        self.fleet.turn_for(0.5)
+        self.assertFalse(self.here._last_words())
+        self.assertIsNone(self.here._left_at)
+        self.fleet.store.refuse = 0
+        self.fleet.turn_until(self.here._last_words)
+        self.assertEqual(4, self.here.journal.charged("p1"))
+
+    def test_tokens_of_a_home_are_recorded_first(self):
+        self.fleet.store.refuse = 503
+        self.end(100, histories.Origin.HOME)
+        self.assert_waits()
+
+    def test_tokens_of_a_turn_without_a_budget_are_recorded_first(self):
+        """Another turn of the program may have one."""
+        self.fleet.store.refuse = 503
+        self.end(None, histories.Origin.RESERVE)
+        self.assert_waits()
+
+
 class RestartedVmTest(AbsenceCase):
     """A VM that was restarted has forgotten what it kept.
 
