--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -335,7 +335,7 @@
 
         Whoever is not on it isn't asked before a turn is said not to exist.
         """
-        if self.journal.held:
+        if self.journal.unrecorded:
             return False
         if not self._is_complete():
             # It has forgotten what it kept before: it is to be missed.
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -21,6 +21,7 @@
 from postspring.histories import partitions
 from postspring.histories import ports
 from postspring.histories import program as program_module
+from postspring.histories import recording
 from postspring.histories import records
 from postspring.histories import shares
 from postspring import keyedlog
@@ -30,9 +31,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# How long records that have to get into the log are offered to it; seconds,
-# above the retention of the users' routes.
-KEEP_SECONDS = 120.0
 # Patience with a partition that failed just now, in seconds; above the
 # store's usual 4 ms.
 FAILING_PATIENCE_SECONDS = 0.05
@@ -74,12 +72,22 @@
         )
         self.companions = companions or ports.NoCompanions()
         self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
+        self._settling: set[records.TurnRef] = set()
 
     @property
     def held(self) -> int:
         """Number of whole turns that are not in the log yet."""
         return len(self._held_by_ref)
 
+    @property
+    def unrecorded(self) -> int:
+        """Number of whole turns and settlements that the log lacks.
+
+        What would be lost with this VM: of settlements, those whose tokens
+        no other record charges.
+        """
+        return len(self._held_by_ref) + len(self._settling)
+
     def log_is_back(self) -> None:
         """Do at once what waits for the log."""
         self._partitions.log_is_back()
@@ -133,12 +141,17 @@
             ticket.program, ticket.turn, self._claim(ticket, tokens), tokens
         )
         self.accounts.spent(ticket, tokens)
-        self._commit(
-            record,
-            KEEP_SECONDS,
-            lambda fold: self._claims.settled(fold, record, ticket),
-            self._lost(ticket),
-        )
+        ref = records.TurnRef(ticket.program, ticket.turn)
+        is_home = ticket.origin is accounts.Origin.HOME
+        if is_home or ticket.budget is None:
+            self._settling.add(ref)
+
+        def settled(fold: fold_module.ProgramFold) -> None:
+            self._settling.discard(ref)
+            self._claims.settled(fold, record, ticket)
+
+        lost = self._lost(ticket)
+        self._commit(record, recording.KEEP_SECONDS, settled, lost)
 
     def complete_turn(
         self,
@@ -345,35 +358,22 @@
         """Append a whole turn and its place; tell if that looks possible."""
         ref = records.TurnRef(record.program, record.turn)
         self._held_by_ref[ref] = program_module.Turn.of(record)
-        both = completion.Both(on_logged)
 
         def folded(fold: fold_module.ProgramFold) -> None:
             self._held_by_ref.pop(ref, None)
             on_folded(fold)
-            both.one_done()
 
-        lost = self._lost(record)
-        self._commit(record, KEEP_SECONDS, folded, lost)
-        location = records.TurnLocation(record.turn, record.program)
-        entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
-        place = partitions.place_of_location(record.turn)
-        partition = self._partitions.get(place)
-        partition.commit(
-            entry, KEEP_SECONDS, lambda fold: both.one_done(), lost
-        )
-        own_place = partitions.place_of_program(record.program)
-        return not (
-            self._partitions.is_failing(place)
-            or self._partitions.is_failing(own_place)
+        return recording.append_whole(
+            self._partitions, record, folded, on_logged, self._lost(record)
         )
 
     def _lost(self, item) -> openings.OnError:
         """Return what reports a record that never got into the log."""
 
         def report(error: errors.HistoryError) -> None:
-            self._held_by_ref.pop(
-                records.TurnRef(item.program, item.turn), None
-            )
+            ref = records.TurnRef(item.program, item.turn)
+            self._held_by_ref.pop(ref, None)
+            self._settling.discard(ref)
             LOG.error(
                 "record lost",
                 extra={
@@ -387,16 +387,13 @@
 
     def _settle_unrun(self, record: records.EndedTurn) -> None:
         lost = self._lost(record)
-        self._commit(record, KEEP_SECONDS, lambda fold: None, lost)
+        self._commit(record, recording.KEEP_SECONDS, lambda fold: None, lost)
 
     def _claim(self, ticket: accounts.Ticket, tokens: int) -> records.Claim:
         known = self._partitions.program(ticket.program)
         return self._claims.settling(known, ticket, tokens)
 
     def _commit(self, record, patience, on_done, on_error) -> None:
-        partition = self._partitions.get(
-            partitions.place_of_program(record.program)
+        recording.append_record(
+            self._partitions, record, patience, on_done, on_error
         )
-        data = records.encode_record(record)
-        entry = keyedlog.LogEntry(records.record_key(record, data), data)
-        partition.commit(entry, patience, on_done, on_error)
--- /dev/null
+++ b/postspring/histories/recording.py
@@ -0,0 +1,76 @@
+"""Appending the records of turns to their programs' partitions."""
+
+from collections.abc import Callable
+
+from postspring.histories import completion
+from postspring.histories import errors
+from postspring.histories import fold as fold_module
+from postspring.histories import partitions as partitions_module
+from postspring.histories import records
+from postspring import keyedlog
+
+__all__ = ["KEEP_SECONDS", "append_location", "append_record", "append_whole"]
+
+# How long records that have to get into the log are offered to it; seconds,
+# above the retention of the users' routes.
+KEEP_SECONDS = 120.0
+
+
+def append_record(
+    partitions: partitions_module.Partitions,
+    record: records.OpenedTurn | records.WholeTurn | records.EndedTurn,
+    patience: float,
+    on_done: Callable[[fold_module.ProgramFold], None],
+    on_error: Callable[[errors.HistoryError], None],
+) -> None:
+    """Append a record to its program's partition."""
+    place = partitions_module.place_of_program(record.program)
+    data = records.encode_record(record)
+    entry = keyedlog.LogEntry(records.record_key(record, data), data)
+    partitions.get(place).commit(entry, patience, on_done, on_error)
+
+
+def append_location(
+    partitions: partitions_module.Partitions,
+    record: records.WholeTurn,
+    on_done: Callable[[], None],
+    on_error: Callable[[errors.HistoryError], None],
+) -> None:
+    """Append where a whole turn stands."""
+    place = partitions_module.place_of_location(record.turn)
+    location = records.TurnLocation(record.turn, record.program)
+    entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
+    partitions.get(place).commit(
+        entry, KEEP_SECONDS, lambda fold: on_done(), on_error
+    )
+
+
+def append_whole(
+    partitions: partitions_module.Partitions,
+    record: records.WholeTurn,
+    on_folded: Callable[[fold_module.ProgramFold], None],
+    on_done: Callable[[], None],
+    on_error: Callable[[errors.HistoryError], None],
+) -> bool:
+    """Append a whole turn and where it stands; tell if that looks possible.
+
+    Parameters
+    ----------
+    on_folded : callable
+        Told when the turn stands among its program's records.
+    on_done : callable
+        Told when both stand in the log.
+    """
+    both = completion.Both(on_done)
+
+    def folded(fold: fold_module.ProgramFold) -> None:
+        on_folded(fold)
+        both.one_done()
+
+    append_record(partitions, record, KEEP_SECONDS, folded, on_error)
+    append_location(partitions, record, both.one_done, on_error)
+    places = (
+        partitions_module.place_of_program(record.program),
+        partitions_module.place_of_location(record.turn),
+    )
+    return not any(partitions.is_failing(place) for place in places)
