A whole turn is held until its place is recorded, too

Cause: it was dropped when its record stood among its program's. A keeper that finds only the place missing appends just that.

--- a/postspring/histories/copies.py
+++ b/postspring/histories/copies.py
@@ -37,12 +37,15 @@
     def record_copy(self, record: records.WholeTurn) -> None:
         """Append a copy that is not in the log."""
 
+    def record_location(self, record: records.WholeTurn) -> None:
+        """Append where a copy stands whose place is not in the log."""
+
     def drop_copy(self, ref: records.TurnRef) -> None:
-        """Forget a copy whose record stands in the log."""
+        """Forget a copy whose records stand in the log."""
 
 
 class CopyCheck:
-    """Looks whether a copy stands in the log, and appends it if not.
+    """Looks whether a copy stands in the log, and appends what is missing.
 
     One read costs the log less than an append, and all VMs that keep a copy
     would append it at the same time.
@@ -95,6 +98,6 @@
 
     def _located(self, program: records.ProgramId | None) -> None:
         if program is None:
-            self._journal.record_copy(self._record)
+            self._journal.record_location(self._record)
         else:
             self._journal.drop_copy(self._ref)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -8,6 +8,7 @@
 """
 
 from collections.abc import Callable
+import functools
 import logging
 
 from postspring.histories import accounts
@@ -65,6 +66,9 @@
     ):
         self._timers = timers
         self._partitions = partitions.Partitions(log, timers, catch_up_rate)
+        self._commit = functools.partial(
+            recording.append_record, self._partitions
+        )
         self.accounts = accounts.LocalAccounts(author)
         self._claims = claims.Claims(self.accounts)
         self._openings = openings.Openings(
@@ -76,7 +80,7 @@
 
     @property
     def held(self) -> int:
-        """Number of whole turns that are not in the log yet."""
+        """Number of whole turns whose records the log lacks."""
         return len(self._held_by_ref)
 
     @property
@@ -208,13 +212,20 @@
             copies.CopyCheck(self, self._timers, record, lost).start()
 
     def drop_copy(self, ref: records.TurnRef) -> None:
-        """Forget a copy whose record stands in the log."""
+        """Forget a copy whose records stand in the log."""
         self._held_by_ref.pop(ref, None)
 
     def record_copy(self, record: records.WholeTurn) -> None:
         """Append a copy that is not in the log."""
         self._record_whole(record, lambda fold: None, lambda: None)
 
+    def record_location(self, record: records.WholeTurn) -> None:
+        """Append where a copy stands whose place is not in the log."""
+        ref = records.TurnRef(record.program, record.turn)
+        logged = functools.partial(self.drop_copy, ref)
+        lost = self._lost(record)
+        recording.append_location(self._partitions, record, logged, lost)
+
     def charged(self, program: records.ProgramId) -> int:
         """Return what the records here charge a program with."""
         known = self._partitions.program(program)
@@ -359,12 +370,13 @@
         ref = records.TurnRef(record.program, record.turn)
         self._held_by_ref[ref] = program_module.Turn.of(record)
 
-        def folded(fold: fold_module.ProgramFold) -> None:
-            self._held_by_ref.pop(ref, None)
-            on_folded(fold)
+        def logged() -> None:
+            # Without its place no other program finds it in the log.
+            self.drop_copy(ref)
+            on_logged()
 
         return recording.append_whole(
-            self._partitions, record, folded, on_logged, self._lost(record)
+            self._partitions, record, on_folded, logged, self._lost(record)
         )
 
     def _lost(self, item) -> openings.OnError:
@@ -374,14 +386,8 @@
             ref = records.TurnRef(item.program, item.turn)
             self._held_by_ref.pop(ref, None)
             self._settling.discard(ref)
-            LOG.error(
-                "record lost",
-                extra={
-                    "program": item.program,
-                    "request": item.turn,
-                    "reason": str(error),
-                },
-            )
+            where = {"program": item.program, "request": item.turn}
+            LOG.error("record lost", extra=where | {"reason": str(error)})
 
         return report
 
@@ -392,8 +398,3 @@
     def _claim(self, ticket: accounts.Ticket, tokens: int) -> records.Claim:
         known = self._partitions.program(ticket.program)
         return self._claims.settling(known, ticket, tokens)
-
-    def _commit(self, record, patience, on_done, on_error) -> None:
-        recording.append_record(
-            self._partitions, record, patience, on_done, on_error
-        )
