--- a/postspring/histories/tests/test_location.py
+++ b/postspring/histories/tests/test_location.py
@@ -43,3 +43,27 @@
         self.clock.run_for(2.0)
         self.assertEqual(0, self.one.journal.held)
         self.assertEqual(b"<a>>", self.two.chain("a", program="p"))
+
+    def test_a_vm_that_has_read_the_record_keeps_a_copy_all_the_same(self):
+        """The author is killed before it has recorded the place."""
+        self.two.chain("a", program="q")
+        self.two.journal.keep_copy(histories.encode_record(whole()))
+        self.assertEqual(TURN, self.two.journal.ref_of("p", "a"))
+        self.clock.run_for(10.0)
+        three = self.vm("three")
+        self.assertEqual(b"<a>>", three.chain("a", program="p"))
+
+    def test_such_a_copy_costs_one_append(self):
+        """Its record stands in the log: only the place is missing."""
+        self.two.chain("a", program="q")
+        self.two.journal.keep_copy(histories.encode_record(whole()))
+        self.clock.run_for(10.0)
+        self.assertEqual(1, self.two.log.calls.count("append"))
+        self.assertEqual(0, self.two.journal.held)
+
+    def test_a_copy_that_is_recorded_is_not_kept(self):
+        self.refused.clear()
+        self.clock.run_for(2.0)
+        self.two.chain("a", program="p")
+        self.two.journal.keep_copy(histories.encode_record(whole()))
+        self.assertEqual(0, self.two.journal.held)
