A copy is kept unless the turn and its place are known to be recorded

Cause: keep_copy took a turn that is folded here for recorded. Its check appends the place alone if only that is missing: one append.

--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -85,11 +85,7 @@
 
     @property
     def unrecorded(self) -> int:
-        """Number of whole turns and settlements that the log lacks.
-
-        What would be lost with this VM: of settlements, those whose tokens
-        no other record charges.
-        """
+        """Number of turns and charges that could be lost with this VM."""
         return len(self._held_by_ref) + len(self._settling)
 
     def log_is_back(self) -> None:
@@ -146,6 +142,7 @@
         )
         self.accounts.spent(ticket, tokens)
         ref = records.TurnRef(ticket.program, ticket.turn)
+        # Any other is charged by its opening, or its reserve, if it is lost.
         is_home = ticket.origin is accounts.Origin.HOME
         if is_home or ticket.budget is None:
             self._settling.add(ref)
@@ -206,7 +203,8 @@
         if not isinstance(record, records.WholeTurn):
             raise errors.MalformedRecord("not a whole turn")
         ref = records.TurnRef(record.program, record.turn)
-        if self.known_turn(ref) is None:
+        is_held = ref in self._held_by_ref
+        if not is_held and not self._partitions.is_recorded(ref):
             self._held_by_ref[ref] = program_module.Turn.of(record)
             lost = self._lost(record)
             copies.CopyCheck(self, self._timers, record, lost).start()
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -111,6 +111,13 @@
         partition = self.find(place_of_program(ref.program))
         return None if partition is None else partition.fold.whole_turn(ref)
 
+    def is_recorded(self, ref: records.TurnRef) -> bool:
+        """Return whether a turn and its place are known to be recorded."""
+        partition = self.find(place_of_location(ref.turn))
+        if partition is None or self.whole_turn(ref) is None:
+            return False
+        return ref.turn in partition.fold.program_by_turn
+
     def is_failing(self, place: keyedlog.LogPlace) -> bool:
         """Return whether a partition can't be reached, as far as known."""
         return self._log.is_down or self.get(place).is_failing
