--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -8,6 +8,7 @@
 from postspring.histories import fold as fold_module
 from postspring.histories import partition as partition_module
 from postspring.histories import program as program_module
+from postspring.histories import reachability
 from postspring.histories import records
 from postspring.histories import retry_pace
 from postspring import keyedlog
@@ -67,6 +68,7 @@
         self._pace = retry_pace.RetryPace(timers, catch_up_rate)
         self._caught_up_at = -math.inf
         self._log = log
+        self._answers = reachability.LogAnswers(log)
         self._timers = timers
         self._by_place: dict[
             keyedlog.LogPlace, partition_module.Partition
@@ -88,6 +90,7 @@
                 self._timers,
                 place,
                 _fold_type_by_subject[place.subject],
+                self._answers,
                 self.log_is_back,
                 is_ordered=place.subject is keyedlog.Subject.PROGRAMS,
                 spread=self._pace.pause,
@@ -108,6 +111,13 @@
         partition = self.find(place_of_program(ref.program))
         return None if partition is None else partition.fold.whole_turn(ref)
 
+    def is_recorded(self, ref: records.TurnRef) -> bool:
+        """Return whether a turn and its place are known to be recorded."""
+        partition = self.find(place_of_location(ref.turn))
+        if partition is None or self.whole_turn(ref) is None:
+            return False
+        return ref.turn in partition.fold.program_by_turn
+
     def is_failing(self, place: keyedlog.LogPlace) -> bool:
         """Return whether a partition can't be reached, as far as known."""
         return self._log.is_down or self.get(place).is_failing
@@ -116,8 +126,9 @@
         """Do what waits for its next try, spread by the rate.
 
         Every partition that gets through says so: what is on its way then
-        stays as it was dealt out.
+        stays as it was dealt out.  What somebody waits for goes first.
         """
+        self._answers.note()
         if self._timers.now() < self._caught_up_at:
             return
         waiting = [
@@ -133,6 +144,8 @@
         for partition, seconds in zip(waiting, pauses):
             few = len(waiting) <= AT_ONCE
             partition.retry_in(0.0 if few else seconds)
+            if partition.is_awaited:
+                partition.hurry()
 
     # -- own ------------------------------------------------------------------
 
