--- /dev/null
+++ b/postspring/front/gauges.py
@@ -0,0 +1,51 @@
+"""What a VM shows of itself on the metrics page."""
+
+import time
+
+from postspring import histories
+from postspring import keyedlog
+from postspring import metrics as metrics_module
+from postspring import transport
+
+__all__ = ["observe_vm"]
+
+
+def observe_vm(
+    metrics: metrics_module.Metrics,
+    configuration: keyedlog.Follower,
+    upstreams: keyedlog.Follower,
+    http: transport.HttpClient,
+    journal: histories.Journal,
+) -> None:
+    """Register the gauges of a front VM.
+
+    Parameters
+    ----------
+    configuration, upstreams : Follower
+        Follow what their names say.
+    http : HttpClient
+        Carries the calls to upstreams.
+    """
+    metrics.observe(
+        "configuration_age_seconds",
+        "Seconds since when versions may be missing here",
+        lambda: configuration.age,
+    )
+    metrics.observe(
+        "upstreams_age_seconds",
+        "Seconds since when entries of upstreams may be missing here",
+        lambda: upstreams.age,
+    )
+    metrics.observe(
+        "upstream_connections_opened",
+        "Connections opened to upstreams",
+        lambda: http.connections_opened,
+    )
+    metrics.observe(
+        "held_turns",
+        "Whole turns whose records the log lacks",
+        lambda: journal.held,
+    )
+    metrics.observe(
+        "processor_seconds", "Processor time used", time.process_time
+    )
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -5,13 +5,13 @@
 import logging
 import math
 import os
-import time
 
 from circuits import BaseComponent
 from circuits.core import pollers
 
 from postspring import forwarding
 from postspring.front import configuration
+from postspring.front import gauges
 from postspring.front import settings as settings_module
 from postspring.front import shutdown
 from postspring.front import upstream_watch
@@ -281,31 +281,12 @@
             )
             bind = (self.vm.callers[0], own.metrics_port)
             page.listen(self, bind, "metrics")
-        self._observe()
-
-    def _observe(self) -> None:
-        self.metrics.observe(
-            "configuration_age_seconds",
-            "Seconds since the log last answered about the configuration",
-            lambda: self._configuration_follower.age,
-        )
-        self.metrics.observe(
-            "upstreams_age_seconds",
-            "Seconds since the log last answered about upstreams",
-            lambda: self._upstream_follower.age,
-        )
-        self.metrics.observe(
-            "upstream_connections_opened",
-            "Connections opened to upstreams",
-            lambda: self.http.connections_opened,
-        )
-        self.metrics.observe(
-            "held_turns",
-            "Whole turns that are not in the log yet",
-            lambda: self.journal.held,
-        )
-        self.metrics.observe(
-            "processor_seconds", "Processor time used", time.process_time
+        gauges.observe_vm(
+            self.metrics,
+            self._configuration_follower,
+            self._upstream_follower,
+            self.http,
+            self.journal,
         )
 
     # -- events ---------------------------------------------------------------
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/neighbourhood.py
@@ -1,7 +1,6 @@
 """Asks the other VMs: to keep records, and what they know of a program."""
 
 from collections.abc import Callable
-from collections.abc import Sequence
 import dataclasses
 import functools
 import logging
@@ -14,8 +13,8 @@
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
+from postspring.peering import search as search_module
 from postspring import transport
-from postspring import upstreams
 
 __all__ = ["Neighbourhood"]
 
@@ -146,7 +145,7 @@
         far = [member for member in asked if member.data_center != here]
         self._promises.begin_asking(facts.program)
 
-        def answered(search: "_Search") -> None:
+        def answered(search: search_module.Search) -> None:
             self._promises.end_asking(facts.program)
             finding = search.finding(own, self._is_complete())
             if not is_newest_list:
@@ -174,12 +173,12 @@
                 ),
             )
 
-        search = _Search(
+        search = search_module.Search(
             others, [near, far], ask, answered, self._members.absent
         )
         search.start()
 
-    def _unanswered(self, member, search: "_Search", error) -> None:
+    def _unanswered(self, member, search: search_module.Search, error) -> None:
         until = self._timers.now() + AVOID_SECONDS
         self._avoided_until[member.name] = until
         search.failed()
@@ -235,130 +234,6 @@
     on_page(page)
 
 
-class _Search:
-    """Collects the answers to one question.
-
-    Parameters
-    ==========
-
-    others : list of Member
-        All VMs that might know something.
-    stages : list of list of Member
-        Whom to ask first, and whom if none of those can take the turn.
-    ask : callable
-        Sends the question to a VM.
-    absent : list of Member
-        VMs that can't be asked and may be alive.
-    """
-
-    def __init__(
-        self,
-        others: list[members_module.Member],
-        stages: list[list[members_module.Member]],
-        ask: Callable[[members_module.Member], None],
-        on_done: Callable[["_Search"], None],
-        absent: Sequence[members_module.Member] = (),
-    ):
-        self._absent = absent
-        self._stages = stages
-        self._ask = ask
-        self._others = others
-        self._on_done = on_done
-        self._answers: dict[str, messages.Found] = {}
-        self._open = 0
-        self._taker: members_module.Member | None = None
-        self._keeper: members_module.Member | None = None
-        self._is_finished = False
-
-    def take(
-        self, member: members_module.Member, status: int, body: bytes
-    ) -> None:
-        """Take one VM's answer."""
-        try:
-            found = messages.decode(messages.Found, body)
-        except errors.PeerError as error:
-            LOG.warning("peer's answer", extra={"error": str(error)})
-            self.failed()
-            return
-        self.answered(member, found)
-
-    def answered(
-        self, member: members_module.Member, found: messages.Found
-    ) -> None:
-        """Take an answer; the first VM that can take the turn ends it."""
-        self._answers[member.name] = found
-        if found.can_take and self._taker is None:
-            self._taker = member
-        if found.has_chain and self._keeper is None:
-            self._keeper = member
-        self._count_down()
-
-    def failed(self) -> None:
-        """Take note that a VM did not answer."""
-        self._count_down()
-
-    def start(self) -> None:
-        """Ask the next VMs, or report if there are none left."""
-        while self._stages:
-            stage = self._stages.pop(0)
-            if stage:
-                self._open = len(stage)
-                for member in stage:
-                    self._ask(member)
-                return
-        self._is_finished = True
-        self._on_done(self)
-
-    def _count_down(self) -> None:
-        self._open -= 1
-        if self._is_finished or (self._open and self._taker is None):
-            return
-        if self._taker is not None:
-            self._stages = []
-        self.start()
-
-    def finding(
-        self, own: members_module.Member, is_complete: bool
-    ) -> forwarding.Finding:
-        """Return what the answers add up to."""
-        answers = self._answers.values()
-        here_answered = all(
-            member.name in self._answers
-            for member in (*self._others, *self._absent)
-            if member.data_center == own.data_center
-        )
-        complete = is_complete and all(item.is_complete for item in answers)
-        doubts = self._doubts(is_complete)
-        return forwarding.Finding(
-            taker=_as_upstream(self._taker),
-            keeper=_as_upstream(self._keeper),
-            is_answered=bool(answers),
-            doubts=doubts,
-            has_gone_on=any(item.has_gone_on for item in answers),
-            is_known=any(item.knows for item in answers),
-            is_certain=complete and here_answered,
-            is_deferred=any(item.goes_first for item in answers),
-            is_known_turn=any(item.knows_turn for item in answers),
-            charged=max((item.charged for item in answers), default=0),
-            home_tokens=sum(item.home_tokens for item in answers),
-        )
-
-    def _doubts(self, is_complete: bool) -> tuple[forwarding.Doubt, ...]:
-        """Return why a VM may keep what nobody told of."""
-        # A VM that was started lately has lost what it kept before.
-        restarted = not all(
-            item.is_complete for item in self._answers.values()
-        )
-        holds_by_doubt = {
-            forwarding.Doubt.VM_UNHEARD: len(self._answers)
-            < len(self._others),
-            forwarding.Doubt.VM_ABSENT: bool(self._absent),
-            forwarding.Doubt.VM_RESTARTED: restarted,
-            forwarding.Doubt.STARTED_LATELY: not is_complete,
-        }
-        return tuple(doubt for doubt, holds in holds_by_doubt.items() if holds)
-
-
 class _Copies:
     """Counts copies; reports once, when there are enough or no more come."""
 
@@ -389,17 +264,3 @@
         if self._kept >= ENOUGH_COPIES or not self._open:
             on_done, self._on_done = self._on_done, None
             on_done(self._kept)
-
-
-def _as_upstream(
-    member: members_module.Member | None,
-) -> upstreams.Upstream | None:
-    if member is None:
-        return None
-    return upstreams.Upstream(
-        id=upstreams.UpstreamId(member.name),
-        service="",
-        address=member.callers,
-        data_center=member.data_center,
-        concurrency=1,
-    )
--- a/postspring/peering/tests/test_search.py
+++ b/postspring/peering/tests/test_search.py
@@ -5,7 +5,7 @@
 from postspring import forwarding
 from postspring import peering
 from postspring.peering import messages
-from postspring.peering import neighbourhood
+from postspring.peering import search
 
 
 def member(name, place):
@@ -21,7 +21,7 @@
         self.far = [member("c", "z2"), member("d", "z2")]
         self.asked = []
         self.done = []
-        self.search = neighbourhood._Search(
+        self.search = search.Search(
             self.near + self.far,
             [self.near, self.far],
             self.asked.append,
@@ -56,6 +56,6 @@
 
     def test_nobody_is_there(self):
         done = []
-        search = neighbourhood._Search([], [[], []], None, done.append)
-        search.start()
-        self.assertEqual([search], done)
+        nobody = search.Search([], [[], []], None, done.append)
+        nobody.start()
+        self.assertEqual([nobody], done)
