Failing test: a whole turn waits in the queue of retries although the log is back

It ended 0.8 s after a cut had healed, 0.1 s after its run's end and so by copies, and all VMs were killed 0.19 s later.

--- a/postspring/histories/tests/test_awaited.py
+++ b/postspring/histories/tests/test_awaited.py
@@ -82,6 +82,18 @@
         self.assertIs(histories.TurnState.OPEN, self.open("v"))
         self.assertIs(histories.Origin.LOG, self.vm.tickets["v"].origin)
 
+    def test_a_whole_turn_whose_caller_waits_goes_first(self):
+        # Seen on a played day: it waited in the queue, its caller had the end
+        # of the answer by other VMs' copies, and then all VMs were killed.
+        self.bring_back()
+        ticket = histories.Ticket(LAST, "u", 10, 25, histories.Origin.RESERVE)
+        heard = []
+        self.vm.journal.complete_turn(
+            ticket, None, 4, b"<u>", b">", "engine", heard.append
+        )
+        self.clock.run_for(0.1)
+        self.assertEqual(["logged"], heard)
+
     def test_who_waited_when_it_came_back_goes_first(self):
         heard = []
         place = histories.partitions.place_of_program(LAST)
