A whole turn whose caller waits is recorded before what nobody waits for

For a second a turn's record and its place count as awaited: above what a caller waits for copies. So after an outage turns that end go to the log at once, and those that ended in it keep their turn in the queue.

--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -215,7 +215,7 @@
 
     def record_copy(self, record: records.WholeTurn) -> None:
         """Append a copy that is not in the log."""
-        self._record_whole(record, lambda fold: None, lambda: None)
+        self._record_whole(record, lambda fold: None, lambda: None, 0.0)
 
     def record_location(self, record: records.WholeTurn) -> None:
         """Append where a copy stands whose place is not in the log."""
@@ -363,6 +363,7 @@
         record: records.WholeTurn,
         on_folded: Callable[[fold_module.ProgramFold], None],
         on_logged: Callable[[], None],
+        awaited: float = recording.AWAITED_SECONDS,
     ) -> bool:
         """Append a whole turn and its place; tell if that looks possible."""
         ref = records.TurnRef(record.program, record.turn)
@@ -373,8 +374,9 @@
             self.drop_copy(ref)
             on_logged()
 
+        lost = self._lost(record)
         return recording.append_whole(
-            self._partitions, record, on_folded, logged, self._lost(record)
+            self._partitions, record, on_folded, logged, lost, awaited
         )
 
     def _lost(self, item) -> openings.OnError:
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -42,7 +42,7 @@
     on_done: Callable[[Any], None]
     on_error: Callable[[errors.HistoryError], None]
     expiry: timers_module.TimerHandle | None = None
-    is_awaited: bool = False
+    awaited_until: float = -math.inf
 
 
 class Partition:
@@ -115,8 +115,10 @@
     @property
     def is_awaited(self) -> bool:
         """Whether somebody waits for it now."""
+        now = self._timers.now()
         return any(
-            waiter.is_awaited for waiter in self._commits + self._refreshes
+            waiter.awaited_until > now
+            for waiter in self._commits + self._refreshes
         )
 
     @property
@@ -130,6 +132,7 @@
         patience: float,
         on_done: Callable[[Any], None],
         on_error: Callable[[errors.HistoryError], None],
+        awaited: float = 0.0,
     ) -> None:
         """Append an entry; ``on_done`` gets the fold that includes it.
 
@@ -139,9 +142,11 @@
             Seconds after which to give up; the entry may be appended all
             the same.  With the patience of somebody who waits now, it
             doesn't wait for its turn in the queue of retries.
+        awaited : float
+            Seconds for which somebody waits, if the patience is longer.
         """
         waiter = _Waiter(entry, on_done, on_error)
-        self._wait(self._commits, waiter, patience)
+        self._wait(self._commits, waiter, patience, awaited)
 
     def refresh(
         self,
@@ -156,15 +161,21 @@
     # -- own ------------------------------------------------------------------
 
     def _wait(
-        self, waiters: list[_Waiter], waiter: _Waiter, patience: float
+        self,
+        waiters: list[_Waiter],
+        waiter: _Waiter,
+        patience: float,
+        awaited: float = 0.0,
     ) -> None:
         waiters.append(waiter)
         waiter.expiry = self._timers.call_later(
             patience, self._expire, waiters, waiter
         )
-        waiter.is_awaited = patience <= LONGEST_AWAITED_SECONDS
+        if patience <= LONGEST_AWAITED_SECONDS:
+            awaited = patience
+        waiter.awaited_until = self._timers.now() + awaited
         self._work()
-        if waiter.is_awaited:
+        if awaited:
             self.hurry()
 
     def _expire(self, waiters: list[_Waiter], waiter: _Waiter) -> None:
--- a/postspring/histories/recording.py
+++ b/postspring/histories/recording.py
@@ -14,6 +14,10 @@
 # How long records that have to get into the log are offered to it; seconds,
 # above the retention of the users' routes.
 KEEP_SECONDS = 120.0
+# How long a caller waits for its turn's record, in seconds: until other VMs
+# keep copies (0.35 s), with room.  In the queue of retries the record of a
+# turn that had ended came after what was left of an outage.
+AWAITED_SECONDS = 1.0
 
 
 def append_record(
@@ -22,12 +26,14 @@
     patience: float,
     on_done: Callable[[fold_module.ProgramFold], None],
     on_error: Callable[[errors.HistoryError], None],
+    awaited: float = 0.0,
 ) -> None:
     """Append a record to its program's partition."""
     place = partitions_module.place_of_program(record.program)
     data = records.encode_record(record)
     entry = keyedlog.LogEntry(records.record_key(record, data), data)
-    partitions.get(place).commit(entry, patience, on_done, on_error)
+    partition = partitions.get(place)
+    partition.commit(entry, patience, on_done, on_error, awaited)
 
 
 def append_location(
@@ -35,13 +41,14 @@
     record: records.WholeTurn,
     on_done: Callable[[], None],
     on_error: Callable[[errors.HistoryError], None],
+    awaited: float = 0.0,
 ) -> None:
     """Append where a whole turn stands."""
     place = partitions_module.place_of_location(record.turn)
     location = records.TurnLocation(record.turn, record.program)
     entry = keyedlog.LogEntry(record.turn, records.encode_record(location))
     partitions.get(place).commit(
-        entry, KEEP_SECONDS, lambda fold: on_done(), on_error
+        entry, KEEP_SECONDS, lambda fold: on_done(), on_error, awaited
     )
 
 
@@ -51,6 +58,7 @@
     on_folded: Callable[[fold_module.ProgramFold], None],
     on_done: Callable[[], None],
     on_error: Callable[[errors.HistoryError], None],
+    awaited: float,
 ) -> bool:
     """Append a whole turn and where it stands; tell if that looks possible.
 
@@ -60,6 +68,8 @@
         Told when the turn stands among its program's records.
     on_done : callable
         Told when both stand in the log.
+    awaited : float
+        Seconds for which a caller waits for that.
     """
     both = completion.Both(on_done)
 
@@ -67,8 +77,8 @@
         on_folded(fold)
         both.one_done()
 
-    append_record(partitions, record, KEEP_SECONDS, folded, on_error)
-    append_location(partitions, record, both.one_done, on_error)
+    append_record(partitions, record, KEEP_SECONDS, folded, on_error, awaited)
+    append_location(partitions, record, both.one_done, on_error, awaited)
     places = (
         partitions_module.place_of_program(record.program),
         partitions_module.place_of_location(record.turn),
