--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -241,8 +241,7 @@
     ) -> None:
         """Collect the chain that ends with a turn; None if there is none.
 
-        ``program`` is where the turn is looked for first; a program may
-        continue another's turn.
+        ``program`` is where it is looked for first.
         """
         search = chains.ChainSearch(self, patience, on_done, on_error)
         search.start(self.ref_of(program, turn))
