Failing tests: turns that callers had whole wait long in the queue of retries

A cut of a data centre had healed 1.9 s before all VMs were killed. The queue has 11.7 tries a second for each of 64 VMs.

--- a/postspring/front/tests/test_isolation.py
+++ b/postspring/front/tests/test_isolation.py
@@ -68,6 +68,14 @@
         reasons = {reason for reason, ran in self.near.metrics.refusal_counts}
         self.assertNotIn("cut_off", reasons)
 
+    def test_it_catches_up_with_those_that_were_cut_off(self):
+        usual = self.near._catch_up_rate()
+        self.cut_off()
+        self.near.store._address = self.fleet.store.address
+        self.fleet.turn_until(lambda: not self.near.isolation.is_isolated)
+        self.assertEqual(2, self.near.members.sharers)
+        self.assertEqual(2 * usual, self.near._catch_up_rate())
+
     def test_it_is_ready_again(self):
         self.cut_off()
         self.near.store._address = self.fleet.store.address
--- a/postspring/histories/tests/test_awaited.py
+++ b/postspring/histories/tests/test_awaited.py
@@ -125,6 +125,28 @@
         return self.vm.journal._partitions.get(place).is_waiting
 
 
+class HeldTurnTest(QueueCase):
+    """A turn that ended while the log was away is kept by VMs only.
+
+    Seen on a played day: a cut healed, and 1.9 s later all VMs were killed.
+    Turns that callers had whole were still in the queue, behind what callers
+    did not know of, and at the rate of an outage for all VMs.
+    """
+
+    def test_it_is_recorded_first(self):
+        ticket = histories.Ticket(
+            "w", "whole", 10, 25, histories.Origin.RESERVE
+        )
+        self.vm.journal.complete_turn(
+            ticket, None, 4, b"<w>", b">", "engine", lambda how: None
+        )
+        self.clock.run_for(5.0)
+        self.assertEqual(1, self.vm.journal.held)
+        self.faults.down = False
+        self.clock.run_for(1.5)
+        self.assertEqual(0, self.vm.journal.held)
+
+
 class AwayTest(QueueCase):
     """The log is really away, or a part of it."""
 
