--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -38,8 +38,7 @@
 # Upstreams write every heartbeat; they are read once in this share of the
 # time in which a leaving one has to be left alone.
 UPSTREAMS_PACE_SHARE = 0.45
-# Share of the store's rate that is left for catching up after an outage;
-# the rest is for turns that go on meanwhile.
+# Share of the store's rate for catching up; the rest is for other turns.
 CATCH_UP_SHARE = 0.5
 MISSING_SWEEP_SECONDS = 0.5
 # A VM that has been up for this long knows all that began here within the
