--- a/postspring/peering/tests/test_members.py
+++ b/postspring/peering/tests/test_members.py
@@ -3,17 +3,13 @@
 import unittest
 
 from postspring import peering
+from postspring.peering import members as members_module
 from postspring.testing.fleet import memory_log
 from postspring.testing.virtual import clock as clock_module
 
 
-class SharersTest(unittest.TestCase):
-    """Among how many VMs the log's rate is shared.
-
-    Found by reading: a VM that started before a log that refused every call
-    knew no other VM, and so took half of the log's rate for its own share.
-    64 that start at once would catch up with 32 times the whole rate.
-    """
+class MembersCase(unittest.TestCase):
+    """VMs on one log."""
 
     def setUp(self):
         self.clock = clock_module.VirtualClock()
@@ -30,6 +26,15 @@
         members.start()
         return members
 
+
+class SharersTest(MembersCase):
+    """Among how many VMs the log's rate is shared.
+
+    Found by reading: a VM that started before a log that refused every call
+    knew no other VM, and so took half of the log's rate for its own share.
+    64 that start at once would catch up with 32 times the whole rate.
+    """
+
     def test_those_of_the_list(self):
         lists = [self.members(f"vm{number}") for number in range(5)]
         self.clock.run_for(6.0)
@@ -46,3 +51,44 @@
         lists[0]._log.faults.down = True
         self.clock.run_for(6.0)
         self.assertEqual(5, lists[0].sharers)
+
+
+class AbsentTest(MembersCase):
+    """A VM that falls silent, and is not heard of again."""
+
+    def setUp(self):
+        super().setUp()
+        self.one = self.members("one")
+        self.two = self.members("two")
+        self.clock.run_for(6.0)
+        self.two._log.faults.silent = True
+
+    def names(self, members):
+        """Return the names of some VMs."""
+        return [member.name for member in members]
+
+    def test_it_is_absent_when_its_entry_has_expired(self):
+        self.assertEqual([], self.one.absent)
+        self.clock.run_for(20.0)
+        self.assertEqual([], self.names(self.one.others))
+        self.assertEqual(["two"], self.names(self.one.absent))
+
+    def test_it_is_listed_again_when_it_comes_back(self):
+        self.clock.run_for(20.0)
+        self.two._log.faults.silent = False
+        self.clock.run_for(12.0)
+        self.assertEqual(["two"], self.names(self.one.others))
+        self.assertEqual([], self.one.absent)
+
+    def test_its_entry_is_dropped_after_very_long(self):
+        self.clock.run_for(members_module.ABSENCE_SECONDS + 30.0)
+        self.assertEqual([], self.one.absent)
+        late = self.members("late")
+        self.clock.run_for(6.0)
+        self.assertEqual(["one"], self.names(late.others))
+
+    def test_a_vm_that_starts_counts_it_anew(self):
+        self.clock.run_for(20.0)
+        late = self.members("late")
+        self.clock.run_for(20.0)
+        self.assertEqual(["two"], self.names(late.absent))
