--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -3,6 +3,7 @@
 from postspring.forwarding.certainty import Certainty
 from postspring.forwarding.certainty import Doubt
 from postspring.forwarding.certainty import doubts_of
+from postspring.forwarding.certainty import told_age
 from postspring.forwarding.delivery import Delivery
 from postspring.forwarding.dispatch import Dispatcher
 from postspring.forwarding.dispatch import Receiver
@@ -38,4 +39,5 @@
     "UpstreamExtra",
     "WireFormat",
     "doubts_of",
+    "told_age",
 ]
--- a/postspring/forwarding/certainty.py
+++ b/postspring/forwarding/certainty.py
@@ -8,7 +8,7 @@
 import enum
 import math
 
-__all__ = ["Certainty", "Doubt", "doubts_of"]
+__all__ = ["Certainty", "Doubt", "doubts_of", "told_age"]
 
 
 class Doubt(enum.Enum):
@@ -61,10 +61,16 @@
     age: float
     doubts: tuple[Doubt, ...] = ()
 
-    @property
-    def told_age(self) -> float | None:
-        """The age for logs; JSON has no number without end."""
-        return round(self.age, 2) if math.isfinite(self.age) else None
+
+def told_age(age: float) -> float | None:
+    """Return an age for logs; JSON has no number without end.
+
+    Examples
+    --------
+    >>> told_age(1.2345), told_age(float("inf"))
+    (1.23, None)
+    """
+    return round(age, 2) if math.isfinite(age) else None
 
 
 def doubts_of(
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -80,11 +80,15 @@
         elif not self._takes_work():
             refusal = refusals.Refusal.SHUTTING_DOWN
         if refusal is not None:
-            refused = relay.CallerRelay(self._dispatcher, call, facts, outcome)
-            refused.refuse(refusal)
+            self._refuse(call, facts, outcome, refusal)
             return
         self._start(call, facts, route, snapshot, outcome)
 
+    def _refuse(self, call, facts, outcome, refusal) -> None:
+        relay.CallerRelay(self._dispatcher, call, facts, outcome).refuse(
+            refusal
+        )
+
     def _refuse_unknown(
         self, outcome: outcome_module.Outcome
     ) -> refusals.Refusal:
@@ -97,7 +101,7 @@
         if not certainty.doubts:
             return refusals.Refusal.NO_ROUTE
         outcome.add(
-            configuration_age=certainty.told_age,
+            configuration_age=certainty_module.told_age(certainty.age),
             doubts=[doubt.value for doubt in certainty.doubts],
         )
         return refusals.Refusal.ROUTE_UNCERTAIN
@@ -112,10 +116,8 @@
                 alone = histories.ProgramId(f"-{facts.request}")
                 facts = dataclasses.replace(facts, program=alone)
             if not histories.fits_key(facts.program, facts.request):
-                refused = relay.CallerRelay(
-                    self._dispatcher, call, facts, outcome
-                )
-                refused.refuse(refusals.Refusal.ID_TOO_LONG)
+                refusal = refusals.Refusal.ID_TOO_LONG
+                self._refuse(call, facts, outcome, refusal)
                 return
             turn_call.TurnCall(
                 self._dispatcher,
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -3,7 +3,6 @@
 from collections.abc import Callable
 import dataclasses
 import logging
-import math
 import os
 
 from circuits import BaseComponent
@@ -293,7 +292,7 @@
     def _decision_inputs(self) -> dict:
         return {
             "configuration": self.configuration.version,
-            "upstreams_age": _told_age(self._upstream_follower.age),
+            "upstreams_age": forwarding.told_age(self._upstream_follower.age),
         }
 
     def _routes_certainty(self) -> forwarding.Certainty:
@@ -392,8 +391,3 @@
     def _count_unreadable(self, status: int) -> None:
         self.metrics.refused(f"unreadable_{status}", "no")
         LOG.info("request not readable", extra={"status": status})
-
-
-def _told_age(age: float) -> float | None:
-    """Return an age for the log; JSON has no number without end."""
-    return round(age, 2) if math.isfinite(age) else None
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -143,9 +143,9 @@
         if not pauses:
             return
         self._caught_up_at = self._timers.now() + pauses[-1]
+        are_few = len(waiting) <= AT_ONCE
         for partition, seconds in zip(waiting, pauses):
-            few = len(waiting) <= AT_ONCE
-            partition.retry_in(0.0 if few else seconds)
+            partition.retry_in(0.0 if are_few else seconds)
             if partition.is_awaited:
                 partition.hurry()
 
