Budgets and places for carried programs; streams that may be resumed go on

Cause: the forwarder made a turn only of a call whose route keeps history. Three notions were one: a program's budget, a line's place, a kept history. A turn is now every call of a stream route with retention; BudgetedCall charges it and keeps its line where the prompt is in memory, TurnCall adds the history. What an ended turn used, its line and its upstream stand in one record, which nothing waits for: the ceiling is charged before it runs.

A stream that may be resumed counts as repeatable. It is tried again before its first event, and goes on behind the last whole event at another upstream, with the weights it had (the upstream is asked to refuse others), under the first one's head; what doubles an event or begins again is not joined. A call that no engine has the memory for is refused at once.

Ruled out: a record per program rather than per turn (a VM that dies would leave what it spent uncharged); none while the budget is far (a program that loops starts sub-agents at many VMs at once).

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -11,6 +11,7 @@
 from postspring.forwarding.forwarder import Forwarder
 from postspring.forwarding.ports import AnswerFacts
 from postspring.forwarding.ports import CallFacts
+from postspring.forwarding.ports import EventFacts
 from postspring.forwarding.ports import Finding
 from postspring.forwarding.ports import HeaderGetter
 from postspring.forwarding.ports import Neighbours
@@ -27,6 +28,7 @@
     "Delivery",
     "Dispatcher",
     "Doubt",
+    "EventFacts",
     "EventSplitter",
     "Finding",
     "Forwarder",
--- a/postspring/forwarding/choice.py
+++ b/postspring/forwarding/choice.py
@@ -1,6 +1,5 @@
 """Which upstream a call is sent to, and with what."""
 
-from collections.abc import Callable
 from collections.abc import Collection
 import dataclasses
 import random
@@ -10,7 +9,7 @@
 from postspring import transport
 from postspring import upstreams
 
-__all__ = ["Order", "choose_upstream", "upstream_request"]
+__all__ = ["Order", "Parcel", "choose_upstream"]
 
 # Links take a few ms; an address that does not answer by then is dead.
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -59,33 +58,72 @@
     return dispatcher.placement.choose(order, candidates)
 
 
-def upstream_request(
-    dispatcher: dispatch.Dispatcher,
-    upstream: upstreams.Upstream,
-    call: transport.IncomingCall,
-    body: bytes,
-    remaining: float,
-    extra_fields: tuple[tuple[str, str], ...],
-    is_answer: Callable[[dict[str, str]], bool],
-) -> transport.HttpRequest:
-    """Return the request that carries a call to an upstream.
+@dataclasses.dataclass(frozen=True, slots=True)
+class Parcel:
+    """What a call is sent with, whichever upstream gets it.
 
     Parameters
-    ----------
-    remaining : float
-        Seconds until there has to be an answer.
-    is_answer : callable
-        Tells by its header fields whether a response answers this call.
+    ==========
+
+    preferred : str
+        Id of the upstream that has the call's history in memory.
+    only : Upstream, optional
+        The one place that the call may be sent to: another VM.
+    extra_fields : tuple
+        Header fields to add.
     """
-    extra = ports.UpstreamExtra(remaining, upstream.id)
-    fields = dispatcher.wire.upstream_fields(call.fields, extra)
-    return transport.HttpRequest(
-        address=upstream.address,
-        method=call.method,
-        path=call.target,
-        body=body,
-        headers=(*fields, *extra_fields),
-        connect_timeout=CONNECT_TIMEOUT_SECONDS,
-        timeout=max(0.0, remaining) + 2 * DEADLINE_SLACK_SECONDS,
-        is_answer=is_answer,
-    )
+
+    call: transport.IncomingCall
+    facts: ports.CallFacts
+    body: bytes
+    preferred: str = ""
+    only: upstreams.Upstream | None = None
+    extra_fields: tuple[tuple[str, str], ...] = ()
+
+    def choose(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        service: str,
+        tried: Collection[str],
+    ) -> upstreams.Upstream | None:
+        """Return the upstream to send it to, or None if there is none."""
+        if self.only is not None:
+            return None if self.only.id in tried else self.only
+        order = Order(
+            self.preferred,
+            self.facts.affinity_key,
+            dispatcher.data_center,
+            dispatcher.timers.now(),
+        )
+        return choose_upstream(dispatcher, service, tried, order)
+
+    def request(
+        self,
+        dispatcher: dispatch.Dispatcher,
+        upstream: upstreams.Upstream,
+        extra: ports.UpstreamExtra,
+    ) -> transport.HttpRequest:
+        """Return the request that carries the call to an upstream.
+
+        Parameters
+        ----------
+        extra : UpstreamExtra
+            What the system adds to the caller's fields.
+        """
+        wire = dispatcher.wire
+
+        def is_answer(headers: dict[str, str]) -> bool:
+            answered = wire.decode_answer(0, headers).request
+            return answered in ("", self.facts.request)
+
+        fields = wire.upstream_fields(self.call.fields, extra)
+        return transport.HttpRequest(
+            address=upstream.address,
+            method=self.call.method,
+            path=self.call.target,
+            body=self.body,
+            headers=(*fields, *self.extra_fields),
+            connect_timeout=CONNECT_TIMEOUT_SECONDS,
+            timeout=max(0.0, extra.remaining) + 2 * DEADLINE_SLACK_SECONDS,
+            is_answer=is_answer,
+        )
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from postspring.forwarding import budgeted_call
 from postspring.forwarding import certainty as certainty_module
 from postspring.forwarding import dispatch
 from postspring.forwarding import outcome as outcome_module
@@ -55,7 +56,7 @@
         self._routes_certainty = routes_certainty
         self._takes_work = takes_work
         self._dispatcher = dispatcher
-        self._turn_services = turn_call.TurnServices(
+        self._turn_services = budgeted_call.TurnServices(
             journal,
             neighbours or ports.NoNeighbours(),
         )
@@ -79,6 +80,8 @@
             refusal = self._refuse_unknown(outcome)
         elif not self._takes_work():
             refusal = refusals.Refusal.SHUTTING_DOWN
+        elif not snapshot.has_room(route, facts.prompt_tokens + facts.ceiling):
+            refusal = refusals.Refusal.TOO_LARGE
         if refusal is not None:
             self._refuse(call, facts, outcome, refusal)
             return
@@ -111,35 +114,34 @@
         if facts.deadline is not None:
             patience = min(patience, facts.deadline)
         deadline = call.received_at + patience
-        if route.keeps_history and facts.request:
-            if not facts.program:
-                alone = histories.ProgramId(f"-{facts.request}")
-                facts = dataclasses.replace(facts, program=alone)
-            if not histories.fits_key(facts.program, facts.request):
-                refusal = refusals.Refusal.ID_TOO_LONG
-                self._refuse(call, facts, outcome, refusal)
-                return
-            turn_call.TurnCall(
-                self._dispatcher,
-                self._turn_services,
-                call,
-                facts,
-                route,
-                _tokens_per_event(route, snapshot),
-                deadline,
-                outcome,
-            ).start()
+        if route.has_programs and facts.request:
+            self._start_turn(call, facts, route, snapshot, deadline, outcome)
             return
         plain.PlainCall(
             self._dispatcher, call, facts, route, deadline, outcome
         ).start()
 
-
-def _tokens_per_event(route: routing.Route, snapshot: routing.Snapshot) -> int:
-    """Return the most tokens that one event of a route may count as."""
-    counts = [1]
-    for share in route.shares:
-        service = snapshot.service_by_name.get(share.service)
-        if service is not None and service.engine is not None:
-            counts.append(service.engine.tokens_per_event)
-    return max(counts)
+    def _start_turn(
+        self, call, facts, route, snapshot, deadline, outcome
+    ) -> None:
+        if not facts.program:
+            alone = histories.ProgramId(f"-{facts.request}")
+            facts = dataclasses.replace(facts, program=alone)
+        if not histories.fits_key(facts.program, facts.request):
+            self._refuse(call, facts, outcome, refusals.Refusal.ID_TOO_LONG)
+            return
+        turn_type = turn_call.TurnCall
+        if not route.keeps_history:
+            # The caller carries what came before; there is nothing to find.
+            facts = dataclasses.replace(facts, previous=None)
+            turn_type = budgeted_call.BudgetedCall
+        turn_type(
+            self._dispatcher,
+            self._turn_services,
+            call,
+            facts,
+            route,
+            snapshot.tokens_per_event(route),
+            deadline,
+            outcome,
+        ).start()
--- a/postspring/forwarding/plain.py
+++ b/postspring/forwarding/plain.py
@@ -1,5 +1,6 @@
 """Plain calls: passed on as they are, with no record."""
 
+from postspring.forwarding import choice
 from postspring.forwarding import delivery as delivery_module
 from postspring.forwarding import dispatch
 from postspring.forwarding import outcome as outcome_module
@@ -13,13 +14,13 @@
 
 
 class PlainCall(relay.CallerRelay):
-    """A call of a tool or a plain service, or a stream without history.
+    """A call of a tool or a plain service, or a stream without a program.
 
     Parameters
     ==========
 
     options : dict
-        Further arguments of the :class:`Delivery`.
+        Further arguments of the :class:`Parcel`.
     """
 
     def __init__(
@@ -34,15 +35,9 @@
     ):
         super().__init__(dispatcher, call, facts, outcome)
         self._route = route
+        parcel = choice.Parcel(call, facts, call.body, **options)
         self.delivery = delivery_module.Delivery(
-            dispatcher,
-            call,
-            facts,
-            route,
-            call.body,
-            deadline,
-            self,
-            **options,
+            dispatcher, parcel, route, deadline, self
         )
 
     def start(self) -> None:
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -16,6 +16,7 @@
 __all__ = [
     "AnswerFacts",
     "CallFacts",
+    "EventFacts",
     "Finding",
     "HeaderGetter",
     "Neighbours",
@@ -83,12 +84,35 @@
         Another upstream has the address now.
     sealed : bool
         The answer bears the upstream's signature.
+    upstream : str
+        Id of the upstream that answered, where it says so.
+    weights : str
+        Version of the weights with which it answers, or empty.
     """
 
     request: str = ""
     not_run: bool = False
     wrong_upstream: bool = False
     sealed: bool = False
+    upstream: str = ""
+    weights: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class EventFacts:
+    """What one event of a stream says of itself.
+
+    Parameters
+    ==========
+
+    number : int or None
+        Its id; ids increase within a stream.
+    weights : str
+        Version of the weights, if it changes at this event.
+    """
+
+    number: int | None = None
+    weights: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -104,11 +128,18 @@
         Id of the only upstream that may run the call.
     urgency : int or None
         Rank among other calls there, 0 first.
+    last_event : int or None
+        Id of the last event that the caller has; the stream goes on behind
+        it.
+    weights : str
+        The only version of the weights that may go on.
     """
 
     remaining: float | None = None
     upstream: str = ""
     urgency: int | None = None
+    last_event: int | None = None
+    weights: str = ""
 
 
 # Of these a program's home may make light: the list can't be read while the
@@ -226,6 +257,10 @@
     ) -> AnswerFacts:
         """Return what an answer says; header names are in lower case."""
 
+    @abc.abstractmethod
+    def decode_event(self, event: bytes) -> EventFacts:
+        """Return what a whole event of a stream says."""
+
     @abc.abstractmethod
     def caller_fields(self, fields: Fields, sealed: bool) -> Fields:
         """Return the header fields of an upstream's answer to pass on."""
--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -23,6 +23,8 @@
     UPSTREAMS_UNREACHABLE = ("upstreams_unreachable", 503, 1.2)
     CUT_OFF = ("cut_off", 503, 1.2)
     SHUTTING_DOWN = ("shutting_down", 503, 0.05)
+    # It never fits: no time to come back is told.
+    TOO_LARGE = ("too_large", 503, None)
     NO_ROUTE = ("no_route", 404, None)
     ID_TOO_LONG = ("id_too_long", 400, None)
     ROUTE_UNCERTAIN = ("route_uncertain", 503, 0.5)
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -75,6 +75,8 @@
         upstream = delivery.upstream
         self._outcome.add(
             upstream=upstream.id if upstream else "",
-            attempts=delivery.attempts,
-            unsent=delivery.unsent,
+            attempts=delivery.attempts.count,
+            unsent=delivery.attempts.unsent,
         )
+        if delivery.resumed:
+            self._outcome.add(resumed=delivery.resumed)
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -1,85 +1,38 @@
-"""Turns: calls whose history and budget the system keeps."""
-
-from collections.abc import Callable
-import dataclasses
-import logging
+"""Turns whose history the system keeps."""
 
+from postspring.forwarding import budgeted_call
 from postspring.forwarding import certainty
-from postspring.forwarding import delivery as delivery_module
-from postspring.forwarding import dispatch
+from postspring.forwarding import choice
 from postspring.forwarding import event_splitter
-from postspring.forwarding import outcome as outcome_module
-from postspring.forwarding import plain
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
-from postspring.forwarding import relay
 from postspring import histories
-from postspring import routing
-from postspring import transport
 from postspring import upstreams
 
-__all__ = ["TurnCall", "TurnServices"]
-
-LOG = logging.getLogger(__name__)
+__all__ = ["TurnCall"]
 
-# How long a turn waits for the journal before other VMs are asked, in
-# seconds; above the slow store's 0.25 s for two calls.
-OPEN_PATIENCE_SECONDS = 0.6
+OPEN_PATIENCE_SECONDS = budgeted_call.OPEN_PATIENCE_SECONDS
 
 
-class TurnCall(relay.CallerRelay):
+class TurnCall(budgeted_call.BudgetedCall):
     """One turn: find its chain, reserve its ceiling, run, record.
 
     Explanation
     ===========
 
-    A turn has its ceiling reserved before any upstream sees it, and is
-    recorded as whole, or kept by other VMs, before the end of its answer
-    is passed on.  Whatever else happens to it, it is settled with what the
-    caller was handed.
-
-    While the log is away, a VM that knows the program runs its turns; the
-    others pass them on to it.
+    A turn is recorded as whole, or kept by other VMs, before the end of its
+    answer is passed on.
     """
 
-    def __init__(
-        self,
-        dispatcher: dispatch.Dispatcher,
-        shared: "TurnServices",
-        call: transport.IncomingCall,
-        facts: ports.CallFacts,
-        route: routing.Route,
-        tokens_per_event: int,
-        deadline: float,
-        outcome: outcome_module.Outcome,
-    ):
-        super().__init__(dispatcher, call, facts, outcome)
-        self._shared = shared
-        self._journal = shared.journal
-        self._route = route
-        self._tokens_per_event = tokens_per_event
-        self._deadline = deadline
+    def __init__(self, *arguments, **options):
+        super().__init__(*arguments, **options)
         self._chain = histories.Chain(None)
-        self._ticket: histories.Ticket | None = None
         self._output: list[bytes] = []
-        self._events = 0
-        self._closed = False
-        self._tried_home = False
-        self._turn = histories.TurnId(facts.request)
-        self._program = facts.program
 
     # -- before it runs -------------------------------------------------------
 
-    def start(self) -> None:
+    def _prepare(self) -> None:
         """Find the chain that the turn continues."""
-        self._call.on_gone = self._gone
-        timers = self._dispatcher.timers
-        self._unsent_timer = timers.call_later(
-            self._deadline - timers.now(), self._overdue
-        )
-        if self._is_better_elsewhere:
-            self._close(refusals.Refusal.CUT_OFF)
-            return
         if self._facts.previous is None:
             self._open()
             return
@@ -91,11 +44,6 @@
             lambda error: self._ask_others(self._unavailable),
         )
 
-    def _overdue(self) -> None:
-        """Refuse what no upstream was offered; a delivery ends itself."""
-        if self.delivery is None and not self._closed:
-            self._close(refusals.Refusal.TIMED_OUT_UNSENT)
-
     def _chain_found(self, chain: histories.Chain | None) -> None:
         if self._closed:
             return
@@ -105,128 +53,24 @@
         self._chain = chain
         self._open()
 
-    def _open(self) -> None:
-        facts = self._facts
-        self._outcome.add(ceiling=facts.ceiling, budget=facts.budget)
-        self._journal.open_turn(
-            self._program,
-            self._turn,
-            facts.ceiling,
-            facts.budget,
-            OPEN_PATIENCE_SECONDS,
-            self._turn_opened,
-            lambda error: self._ask_others(
-                self._begin_home, ports.Question.HOME
-            ),
-        )
-
-    def _turn_opened(
-        self, state: histories.TurnState, ticket: histories.Ticket
-    ) -> None:
-        if state is histories.TurnState.OPEN:
-            self._ticket = ticket
-            self._outcome.add(charged_to=ticket.origin.value)
-        if self._closed:
-            self._settle()
-        elif state is histories.TurnState.OPEN:
-            self._deliver()
-        elif state is histories.TurnState.REFUSED:
-            self._close(refusals.Refusal.BUDGET_SPENT)
-        elif state is histories.TurnState.DEFERRED:
-            self._ask_others(self._reserved)
-        elif state is histories.TurnState.TAKEN and self._is_relayed:
-            # The VM that passed it on has given its own opening up.
-            self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
-        else:
-            # The caller used a request id twice.
-            self._close(refusals.Refusal.UNKNOWN_OUTCOME)
-
-    def _deliver(self) -> None:
-        self._unsent_timer.cancel()
+    def _parcel(self) -> choice.Parcel:
         body = b"".join((*self._chain.parts, self._call.body))
-        self.delivery = delivery_module.Delivery(
-            self._dispatcher,
-            self._call,
-            self._facts,
-            self._route,
-            body,
-            self._deadline,
-            self,
-            self._chain.upstream,
+        return choice.Parcel(
+            self._call, self._facts, body, self._chain.upstream
         )
-        self.delivery.start()
-
-    def _close(self, refusal: refusals.Refusal) -> None:
-        self._closed = True
-        self._unsent_timer.cancel()
-        self.refuse(refusal)
 
     # -- with the help of other VMs -------------------------------------------
 
-    def _ask_others(
-        self,
-        otherwise: Callable[[ports.Finding], None],
-        question: ports.Question = ports.Question.TAKER,
-    ) -> None:
-        """Pass the turn on to a VM that can run it, or go on otherwise."""
-        if self._closed:
-            return
-        neighbours = self._shared.neighbours
-
-        def found(finding: ports.Finding) -> None:
-            if self._closed:
-                return
-            place = finding.taker
-            if place is None and not self._has_chain:
-                place = finding.keeper
-            if place is not None and not self._is_relayed:
-                self._pass_on(place)
-            else:
-                otherwise(finding)
-
-        neighbours.find(self._facts, found, question)
-
-    @property
-    def _is_better_elsewhere(self) -> bool:
-        """Whether this VM is cut off, and others know the program as well."""
-        neighbours = self._shared.neighbours
-        return (
-            neighbours.send_away
-            and not self._is_relayed
-            and self._journal.is_recorded(self._program, self._facts.previous)
-        )
-
-    @property
-    def _is_relayed(self) -> bool:
-        return self._shared.neighbours.is_relayed(self._call.header)
+    def _helper(self, finding: ports.Finding) -> upstreams.Upstream | None:
+        if finding.taker is None and not self._has_chain:
+            return finding.keeper
+        return finding.taker
 
     @property
     def _has_chain(self) -> bool:
         previous = self._facts.previous
         return previous is None or self._chain.head is not None
 
-    def _pass_on(self, taker: upstreams.Upstream) -> None:
-        self._closed = True
-        self._unsent_timer.cancel()
-        self._outcome.add(passed_to=taker.id)
-        passed = plain.PlainCall(
-            self._dispatcher,
-            self._call,
-            self._facts,
-            self._route,
-            self._deadline,
-            self._outcome,
-            only=taker,
-            extra_fields=(self._shared.neighbours.relayed_field,),
-        )
-        passed.start()
-
-    def _unavailable(self, finding: ports.Finding) -> None:
-        self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
-
-    def _reserved(self, finding: ports.Finding) -> None:
-        self._close(refusals.Refusal.BUDGET_RESERVED)
-
     def _not_found(self, finding: ports.Finding) -> None:
         """The log has no such turn; another VM might still keep it."""
         if finding.doubts or finding.is_known_turn:
@@ -255,68 +99,12 @@
             self._outcome.add(doubts=[doubt.value for doubt in doubts])
             self._close(refusals.Refusal.TURN_UNCERTAIN)
 
-    def _begin_home(self, finding: ports.Finding) -> None:
-        """The log is away: the program may go on here all the same.
-
-        Neither this VM nor those that help it reach its records, so no
-        one does; what nobody has spent or reserved may be spent here.
-
-        If that is not certain the program gets the one turn by which a
-        budget may be passed, and only where nobody remembers that another
-        VM has asked: successive homes passed it by a turn each.
-        """
-        journal = self._journal
-        known = journal.knows(self._program) or finding.is_known
-        is_certain = finding.knows_all or (
-            finding.is_certain and not (known or finding.has_gone_on)
-        )
-        may_begin = finding.is_answered and not finding.is_deferred
-        if finding.has_gone_on and not is_certain:
-            may_begin = False
-        if self._tried_home or not may_begin:
-            self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
-            return
-        self._tried_home = True
-        journal.accounts.begin_home(
-            self._program,
-            self._facts.ceiling,
-            self._facts.budget,
-            max(finding.charged, journal.charged(self._program)),
-            finding.home_tokens,
-            is_certain,
-        )
-        self._open()
-
     # -- from the delivery ----------------------------------------------------
 
-    def answered(self, status: int, fields: list, body: bytes) -> None:
-        """Pass on an answer that is no stream: the turn has failed."""
-        self._closed = True
-        super().answered(status, fields, body)
-        self._settle()
-
-    def stream_events(self, events: list[bytes]) -> None:
-        """Keep the events' data, and pass them on."""
-        limit = self._ticket.limit
-        if limit is not None:
-            room = limit // self._tokens_per_event - self._events
-            if len(events) > room:
-                self._break_off(events[:room])
-                return
-        self._pass_events(events)
-
-    def _break_off(self, events: list[bytes]) -> None:
-        """The turn has used what the program may spend."""
-        if events:
-            self._pass_events(events)
-        self.delivery.cancel()
-        self.stream_broken("budget")
-
     def _pass_events(self, events: list[bytes]) -> None:
-        self._events += len(events)
         for event in events:
             self._output.append(event_splitter.event_data(event) + b"\n")
-        super().stream_events(events)
+        super()._pass_events(events)
 
     def stream_ended(self) -> None:
         """Record the turn; only then the answer is complete."""
@@ -336,46 +124,3 @@
         self._closed = True
         self._call.finish()
         self.report("answered", tokens=self._tokens, kept=how)
-
-    def stream_broken(self, reason: str) -> None:
-        """Break the answer off, and settle the turn."""
-        self._closed = True
-        super().stream_broken(reason)
-        self._settle()
-
-    def refused(self, refusal: refusals.Refusal) -> None:
-        """Answer that the turn was given up, and settle it."""
-        self._close(refusal)
-        self._settle()
-
-    # -- own ------------------------------------------------------------------
-
-    @property
-    def _tokens(self) -> int:
-        return self._events * self._tokens_per_event
-
-    def _gone(self) -> None:
-        """The caller left: break the run off, and settle the turn.
-
-        An answer that only waits to be recorded is recorded.
-        """
-        if self._closed:
-            return
-        self._closed = True
-        self._unsent_timer.cancel()
-        self.report("caller_gone", tokens=self._tokens)
-        if self.delivery is not None and not self.delivery.is_done:
-            self.delivery.cancel()
-            self._settle()
-
-    def _settle(self) -> None:
-        if self._ticket is not None:
-            self._journal.end_turn(self._ticket, self._tokens)
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class TurnServices:
-    """What all turns of a VM share."""
-
-    journal: histories.Journal
-    neighbours: ports.Neighbours
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -131,21 +131,38 @@
                 patience = min(patience, FAILING_PATIENCE_SECONDS)
             self._openings.open(known, opened, patience, on_done, on_error)
 
-    def end_turn(self, ticket: accounts.Ticket, tokens: int) -> None:
-        """Settle a turn that is no part of the history."""
-        self._openings.end(records.TurnRef(ticket.program, ticket.turn))
+    def place_of(self, program: records.ProgramId, line: str) -> str:
+        """Return the upstream that has a line's prompt in memory, or empty."""
+        return self._partitions.program(program).place_of(line)
+
+    def end_turn(
+        self,
+        ticket: accounts.Ticket,
+        tokens: int,
+        line: str = "",
+        upstream: str = "",
+    ) -> None:
+        """Settle a turn that is no part of the history.
+
+        Parameters
+        ----------
+        line, upstream : str
+            Where the line's prompt is in memory now.
+        """
+        ref = records.TurnRef(ticket.program, ticket.turn)
+        self._openings.end(ref)
+        known = self._partitions.program(ticket.program)
+        known.note_place(line, upstream)
         if ticket.origin is not accounts.Origin.LOG and not tokens:
             self.accounts.settle(ticket, 0)
             return
+        claim = self._claim(ticket, tokens)
         record = records.EndedTurn(
-            ticket.program, ticket.turn, self._claim(ticket, tokens), tokens
+            ticket.program, ticket.turn, claim, tokens, line, upstream
         )
         self.accounts.spent(ticket, tokens)
-        ref = records.TurnRef(ticket.program, ticket.turn)
-        # Any other is charged by its opening, or its reserve, if it is lost.
-        is_home = ticket.origin is accounts.Origin.HOME
-        if is_home or ticket.budget is None:
-            self._settling.add(ref)
+        # Lost, one of a home is not charged at all, and others too much.
+        self._settling.add(ref)
 
         def settled(fold: fold_module.ProgramFold) -> None:
             self._settling.discard(ref)
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -88,6 +88,11 @@
     settled : int
         Tokens of settled turns: never becomes less.
 
+    Explanation
+    ===========
+
+    Where its lines ran last is a hint, and may differ between VMs.
+
     Examples
     ========
 
@@ -112,6 +117,7 @@
         self.settled = 0
         self._shares_by_turn: dict[records.TurnId, list[shares.Share]] = {}
         self._net_by_author: dict[str, int] = {}
+        self._upstream_by_line: dict[str, str] = {}
 
     @property
     def reserve_by_author(self) -> dict[str, int]:
@@ -153,6 +159,32 @@
         """Fold the record of a turn that ended without an answer."""
         self._join(record.turn, Turn(shares.TurnState.ENDED))
         self._add(record, is_ordered)
+        if is_ordered:
+            self.note_place(record.line, record.upstream)
+
+    def note_place(self, line: str, upstream: str) -> None:
+        """Take note that an upstream has a line's prompt in memory."""
+        if upstream:
+            self._upstream_by_line.pop(line, None)
+            self._upstream_by_line[line] = upstream
+
+    def place_of(self, line: str) -> str:
+        """Return the id of the upstream where a line ran last, or empty.
+
+        A new line begins with what its program has said: it is in memory
+        where the program ran last.
+
+        Examples
+        --------
+        >>> program = Program("p")
+        >>> program.note_place("main", "u1")
+        >>> program.place_of("main"), program.place_of("sub-agent")
+        ('u1', 'u1')
+        """
+        found = self._upstream_by_line.get(line)
+        if found is None and self._upstream_by_line:
+            found = next(reversed(self._upstream_by_line.values()))
+        return found or ""
 
     def whole_turn(self, turn: records.TurnId) -> Turn | None:
         """Return a turn of the history, or None if it is not one."""
--- a/postspring/histories/records.py
+++ b/postspring/histories/records.py
@@ -140,12 +140,24 @@
 @_record("ended")
 @dataclasses.dataclass(frozen=True, slots=True)
 class EndedTurn:
-    """A turn ended without becoming a part of the history."""
+    """A turn ended without becoming a part of the history.
+
+    Parameters
+    ==========
+
+    line : str
+        The line of turns that it belongs to, if the caller carries the
+        conversation.
+    upstream : str
+        Id of the upstream that has the turn's prompt in memory, or empty.
+    """
 
     program: ProgramId
     turn: TurnId
     claim: Claim
     tokens: int
+    line: str = ""
+    upstream: str = ""
 
 
 @_record("at")
@@ -204,7 +216,10 @@
     try:
         kind, *values = cbor2.loads(data)
         cls = _type_by_kind[kind]
-        fields = dict(zip(cls.__slots__, values, strict=True))
+        if len(values) > len(cls.__slots__):
+            raise ValueError("a record has more fields than it may")
+        # Records of an earlier version lack the last fields.
+        fields = dict(zip(cls.__slots__, values))
         for name, value in fields.items():
             fields[name] = _checked(name, value)
         return cls(**fields)
@@ -225,6 +240,7 @@
     "input": bytes,
     "output": bytes,
     "upstream": str,
+    "line": str,
 }
 
 
--- a/postspring/platform/documents.py
+++ b/postspring/platform/documents.py
@@ -62,6 +62,7 @@
         retention=float(raw.get("retention_s") or 0),
         sticky=bool(raw.get("sticky")),
         pause_objective=float(raw.get("gap_aim_ms") or 0) / 1000,
+        may_resume=bool(raw.get("resumable")),
     )
 
 
--- a/postspring/platform/headers.py
+++ b/postspring/platform/headers.py
@@ -40,6 +40,10 @@
     )
 )
 
+_LAST_EVENT = names.LAST_EVENT_ID.lower()
+_EVENT_ID = b"id"
+_EVENT_WEIGHTS = names.WEIGHT_VERSIONS.lower().encode()
+
 Fields = list[tuple[str, str]]
 
 
@@ -74,6 +78,11 @@
             kept.append((names.TARGET_INSTANCE, extra.upstream))
         if extra.urgency is not None:
             kept.append((names.URGENCY, str(extra.urgency)))
+        if extra.last_event is not None:
+            kept = [item for item in kept if item[0].lower() != _LAST_EVENT]
+            kept.append((names.LAST_EVENT_ID, str(extra.last_event)))
+        if extra.weights:
+            kept.append((names.EXPECTED_VERSION, extra.weights))
         return kept
 
     def decode_answer(self, status: int, headers: dict[str, str]):
@@ -83,8 +92,29 @@
             not_run=(names.NOT_EXECUTED.lower() in headers or status == 421),
             wrong_upstream=status == 421,
             sealed=names.SERVER_SEAL.lower() in headers,
+            upstream=headers.get(names.INSTANCE_ID.lower(), ""),
+            weights=headers.get(names.WEIGHT_VERSIONS.lower(), ""),
         )
 
+    def decode_event(self, event: bytes):
+        """Return what a whole event of a stream says.
+
+        Examples
+        --------
+        >>> PlatformWireFormat().decode_event(b"id: 7\\ndata: x\\n\\n")
+        EventFacts(number=7, weights='')
+        """
+        number = None
+        weights = ""
+        for line in event.splitlines():
+            name, _, value = line.partition(b":")
+            if name == _EVENT_ID:
+                text = value.strip()
+                number = int(text) if text.isdigit() else None
+            elif name == _EVENT_WEIGHTS:
+                weights = value.strip().decode("latin-1")
+        return forwarding.EventFacts(number, weights)
+
     def caller_fields(self, fields: Fields, sealed: bool) -> Fields:
         """Return the header fields of an upstream's answer to pass on."""
         dropped = frozenset(() if sealed else (names.SERVER_SEAL.lower(),))
--- a/postspring/routing/routes.py
+++ b/postspring/routing/routes.py
@@ -12,7 +12,7 @@
 
     ``IDEMPOTENT`` calls may run more than once.  ``ONCE`` calls run at most
     once for each attempt of the caller; so do ``STREAM`` calls, whose
-    answer is a series of events.
+    answer is a series of events, unless they may be resumed.
     """
 
     IDEMPOTENT = "idempotent"
@@ -48,10 +48,14 @@
     priority : int
         Rank, 0 first.
     keeps_history : bool
-        Calls are turns: a turn carries new input only and names the turn
-        that it continues.
+        A turn carries new input only and names the turn that it continues;
+        otherwise the caller carries the whole conversation.
     retention : float
-        How long a turn and its chain are kept.
+        How long a turn and its chain, or what a program has used, are kept.
+    pause_objective : float
+        Longest pause between two events of a stream that is on time.
+    may_resume : bool
+        A stream may run more than once, and go on at another upstream.
     """
 
     name: str
@@ -67,12 +71,22 @@
     retention: float = 0.0
     sticky: bool = False
     pause_objective: float = 0.0
+    may_resume: bool = False
 
     @property
     def may_repeat(self) -> bool:
         """Whether a call may run more than once."""
+        if self.kind is CallKind.STREAM:
+            return self.may_resume
         return self.kind is CallKind.IDEMPOTENT
 
+    @property
+    def has_programs(self) -> bool:
+        """Whether calls are turns: they have a program and a budget."""
+        if self.kind is not CallKind.STREAM:
+            return False
+        return self.keeps_history or self.retention > 0
+
     def choose_service(self, draw: float) -> str:
         """Return the service for a draw from 0 to 1.
 
--- a/postspring/routing/snapshot.py
+++ b/postspring/routing/snapshot.py
@@ -40,3 +40,27 @@
     def table(self) -> routes.RouteTable:
         """The routes, ready for look-up."""
         return routes.RouteTable(self.routes)
+
+    def tokens_per_event(self, route: routes.Route) -> int:
+        """Return the most tokens that one event of a route may count as."""
+        counts = [engine.tokens_per_event for engine in self._engines(route)]
+        return max(counts, default=1)
+
+    def has_room(self, route: routes.Route, tokens: int) -> bool:
+        """Return whether some engine of a route has memory for a call.
+
+        Explanation
+        -----------
+        An engine refuses a call that is larger than its memory as if it
+        were full, so it would be tried again and again in vain.
+        """
+        engines = self._engines(route)
+        if len(engines) < len(route.shares):
+            return True
+        return any(engine.cache_tokens >= tokens for engine in engines)
+
+    def _engines(self, route: routes.Route) -> list[services.EngineTraits]:
+        found = (
+            self.service_by_name.get(item.service) for item in route.shares
+        )
+        return [item.engine for item in found if item and item.engine]
