Loads are told among VMs, and placement goes by the load of all

Hypothesis: with 66 VMs each sees a sixty-sixth of the load, so the least loaded by a VM's own calls is chance, and some engines queue while others have room.

A VM tells the collector of its data centre five times a second what it has in flight and hears what all others have; collectors tell each other their sums. Who collects follows from the list of VMs. shared_affinity keeps a line where its prompt is until that engine has a batch more than the freest of some random ones (stale counts and the least of all: everybody takes the same one).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -20,7 +20,7 @@
 from postspring import peering
 from postspring import platform
 from postspring import routing
-from postspring.scheduling import placement
+from postspring import scheduling
 from postspring import transport
 from postspring import upstreams
 
@@ -131,6 +131,7 @@
         )
         self.members.start()
         self.isolation.start()
+        self.loads.start()
         self._configuration_follower.start()
         self._upstream_follower.start()
         self.timers.call_every(
@@ -243,6 +244,9 @@
             self.timers,
         )
         self.journal.companions = self.neighbourhood
+        self.loads = peering.LoadExchange(
+            self._peer_http, self.timers, self.members, self.directory
+        )
         self._peer_service = peering.PeerService(
             self.journal,
             self.store.pass_on,
@@ -252,6 +256,7 @@
             self.members.introduce,
             takes_copies=lambda: not self.members.is_leaving,
             is_direct=lambda: self.log.is_direct,
+            take_loads=self.loads.answer,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
@@ -259,7 +264,7 @@
             self.http,
             self.timers,
             self.directory,
-            placement.placement_by_name[own.placement](),
+            scheduling.placement_by_name[own.placement](),
             platform.PlatformWireFormat(),
             self.metrics,
             self.vm.data_center,
--- a/postspring/front/settings.py
+++ b/postspring/front/settings.py
@@ -27,7 +27,7 @@
         Port of the metrics page; 0 for none.
     """
 
-    placement: str = "paced_affinity"
+    placement: str = "shared_affinity"
     log_level: str = "info"
     log_lines_per_second: float = 200.0
     metrics_port: int = 0
--- a/postspring/peering/__init__.py
+++ b/postspring/peering/__init__.py
@@ -8,6 +8,7 @@
 
 from postspring.peering.failover import FailoverLog
 from postspring.peering.isolation import Isolation
+from postspring.peering.loads import LoadExchange
 from postspring.peering.members import Member
 from postspring.peering.members import Members
 from postspring.peering.messages import STORE_PREFIX
@@ -18,6 +19,7 @@
 __all__ = [
     "FailoverLog",
     "Isolation",
+    "LoadExchange",
     "Member",
     "Members",
     "Neighbourhood",
--- /dev/null
+++ b/postspring/peering/loads.py
@@ -0,0 +1,226 @@
+"""Loads: what all VMs together have in flight at upstreams.
+
+A VM tells one VM of its data centre, the collector, what it has in flight,
+and is answered with what all others have.  Collectors tell each other the
+sums of their data centres.  So a VM sends a few messages a second, whatever
+the number of VMs, and a collector as many for each VM of its data centre.
+Who collects follows from the list of VMs; nothing is agreed on, and while
+nobody answers, a VM goes by its own calls.
+"""
+
+from collections.abc import Callable
+import functools
+import math
+
+import xxhash
+
+from postspring import errors
+from postspring.peering import members as members_module
+from postspring.peering import messages
+from postspring import transport
+from postspring.transport import timers as timers_module
+from postspring import upstreams
+
+__all__ = ["LoadCollector", "LoadExchange", "collector_of"]
+
+# Pause between two reports, in seconds.  In the model of 66 VMs in a burst
+# 98% of programs were on time with 0.2 s, 89% with 0.3 s, 87% without.
+EXCHANGE_SECONDS = 0.2
+# A report says nothing after this long, in seconds: two may get lost.
+REPORT_SECONDS = 0.7
+# A collector that does not answer within this time is left alone for a
+# while; seconds.
+ANSWER_SECONDS = 0.15
+AVOID_SECONDS = 3.0
+# How long a VM without calls goes on reporting, in seconds: others have to
+# hear that it has none, and it has to know the load when calls come again.
+IDLE_SECONDS = 2.0
+
+Calls = dict[str, int]
+
+
+def collector_of(
+    members: list[members_module.Member], data_center: str
+) -> members_module.Member | None:
+    """Return the VM that collects a data centre's loads, the same for all.
+
+    Examples
+    --------
+    >>> make = members_module.Member
+    >>> a = make("vm-a", "i1", "d1", ("10.0.0.1", 1), ("10.0.0.1", 2))
+    >>> b = make("vm-b", "i2", "d1", ("10.0.0.2", 1), ("10.0.0.2", 2))
+    >>> collector_of([a, b], "d1").name == collector_of([b, a], "d1").name
+    True
+    >>> collector_of([a, b], "d2") is None
+    True
+    """
+    return max(
+        (item for item in members if item.data_center == data_center),
+        key=lambda item: xxhash.xxh64_intdigest(item.name.encode()),
+        default=None,
+    )
+
+
+class LoadCollector:
+    """Adds reports up, and forgets those that are old.
+
+    Parameters
+    ==========
+
+    now : callable
+        Monotonic time in seconds.
+
+    Examples
+    ========
+
+    >>> collector = LoadCollector(lambda: 0.0)
+    >>> collector.take("vm-a", False, {"u": 2})
+    >>> collector.take("vm-b", False, {"u": 3, "v": 1})
+    >>> collector.take("d2", True, {"u": 4})
+    >>> collector.others("vm-b"), collector.own_sum()
+    ({'u': 6}, {'u': 5, 'v': 1})
+    """
+
+    def __init__(self, now: Callable[[], float]):
+        self._now = now
+        self._report_by_source: dict[
+            tuple[str, bool], tuple[float, Calls]
+        ] = {}
+
+    def take(self, source: str, is_data_center: bool, calls: Calls) -> None:
+        """Take a report in place of the one before."""
+        key = (source, is_data_center)
+        self._report_by_source[key] = (self._now(), calls)
+
+    def others(self, vm: str) -> Calls:
+        """Return what all but one VM have in flight."""
+        return self._sum(lambda source, is_sum: is_sum or source != vm)
+
+    def own_sum(self) -> Calls:
+        """Return what the VMs of this data centre have in flight."""
+        return self._sum(lambda source, is_sum: not is_sum)
+
+    def _sum(self, counts: Callable[[str, bool], bool]) -> Calls:
+        oldest = self._now() - REPORT_SECONDS
+        total: Calls = {}
+        for key, (at, calls) in list(self._report_by_source.items()):
+            if at < oldest:
+                del self._report_by_source[key]
+            elif counts(*key):
+                for upstream, number in calls.items():
+                    total[upstream] = total.get(upstream, 0) + number
+        return total
+
+
+class LoadExchange:
+    """Reports this VM's calls, and hears of the others'.
+
+    Parameters
+    ==========
+
+    members : Members
+        The VMs.
+    directory : Directory
+        The upstreams, with this VM's calls there.
+    """
+
+    def __init__(
+        self,
+        http: transport.HttpClient,
+        timers: timers_module.Timers,
+        members: members_module.Members,
+        directory: upstreams.Directory,
+    ):
+        self._http = http
+        self._timers = timers
+        self._members = members
+        self._directory = directory
+        self._collector = LoadCollector(timers.now)
+        self._busy_at = -math.inf
+        self._collects_until = -math.inf
+        self._avoided_until: dict[str, float] = {}
+
+    def start(self) -> None:
+        """Begin to report."""
+        self._timers.call_every(EXCHANGE_SECONDS, self._report)
+
+    def answer(self, report: messages.LoadsReport) -> messages.Loads:
+        """Take another VM's report; return what all others have."""
+        self._collects_until = self._timers.now() + IDLE_SECONDS
+        self._collector.take(
+            report.source, report.is_data_center, dict(report.calls)
+        )
+        if report.is_data_center:
+            return messages.Loads([])
+        calls = self._collector.others(report.source)
+        return messages.Loads(list(calls.items()))
+
+    # -- own ------------------------------------------------------------------
+
+    def _report(self) -> None:
+        now = self._timers.now()
+        own = self._members.own
+        calls = self._own_calls()
+        if calls:
+            self._busy_at = now
+        if now - self._busy_at > IDLE_SECONDS and now > self._collects_until:
+            return
+        reachable = [
+            member
+            for member in (*self._members.others, own)
+            if self._avoided_until.get(member.name, 0.0) <= now
+        ]
+        collector = collector_of(reachable, own.data_center)
+        if collector is None or collector.name == own.name:
+            self._collect(calls, reachable)
+        elif now - self._busy_at <= IDLE_SECONDS:
+            report = messages.LoadsReport(own.name, False, list(calls.items()))
+            self._send(collector, report, self._answered)
+
+    def _own_calls(self) -> Calls:
+        return {
+            upstream.id: upstream.in_flight
+            for upstream in self._directory.by_id.values()
+            if upstream.in_flight
+        }
+
+    def _collect(self, calls: Calls, reachable) -> None:
+        """This VM is the collector: tell those of other data centres."""
+        own = self._members.own
+        self._collector.take(own.name, False, calls)
+        self._note(self._collector.others(own.name))
+        total = list(self._collector.own_sum().items())
+        report = messages.LoadsReport(own.data_center, True, total)
+        places = {member.data_center for member in reachable}
+        for place in places - {own.data_center}:
+            other = collector_of(reachable, place)
+            self._send(other, report, lambda status, body: None)
+
+    def _send(self, member, report: messages.LoadsReport, on_answer) -> None:
+        request = messages.request_to(
+            member.peers,
+            messages.LOADS_PATH,
+            messages.encode(report),
+            ANSWER_SECONDS,
+        )
+        failed = functools.partial(self._unanswered, member)
+        self._http.send(request, transport.AnswerCollector(on_answer, failed))
+
+    def _answered(self, status: int, body: bytes) -> None:
+        if status != 200:
+            return
+        try:
+            loads = messages.decode(messages.Loads, body)
+        except errors.PeerError:
+            # It may run another version; its answer is no use.
+            return
+        self._note(dict(loads.calls))
+
+    def _note(self, calls: Calls) -> None:
+        now = self._timers.now()
+        for upstream in self._directory.by_id.values():
+            upstream.note_others(calls.get(upstream.id, 0), now)
+
+    def _unanswered(self, member, error) -> None:
+        until = self._timers.now() + AVOID_SECONDS
+        self._avoided_until[member.name] = until
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -14,6 +14,8 @@
     "FindRequest",
     "Found",
     "KeepRequest",
+    "Loads",
+    "LoadsReport",
     "View",
     "ViewRequest",
     "decode",
@@ -25,6 +27,7 @@
 FIND_PATH = "/peer/find"
 VIEW_PATH = "/peer/view"
 PING_PATH = "/peer/ping"
+LOADS_PATH = "/peer/loads"
 # Calls to the platform's store that are to be passed on stand behind this.
 STORE_PREFIX = "/peer/store"
 
@@ -137,6 +140,33 @@
     next: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadsReport:
+    """What a VM, or a whole data centre, has in flight at upstreams.
+
+    Parameters
+    ==========
+
+    source : str
+        The VM's name, or the data centre's.
+    is_data_center : bool
+        The calls are those of all VMs of a data centre.
+    calls : list of (str, int)
+        Upstream's id and calls there; others have none.
+    """
+
+    source: str
+    is_data_center: bool
+    calls: list[tuple[str, int]]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Loads:
+    """The answer to :class:`LoadsReport`: what all others have in flight."""
+
+    calls: list[tuple[str, int]]
+
+
 def request_to(
     address: tuple[str, int], path: str, body: bytes, seconds: float
 ) -> transport.HttpRequest:
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -16,6 +16,7 @@
 
 # Passes a call on to the log: method, path, body, and who takes the answer.
 PassOn = Callable[[str, str, bytes, Callable[[int, bytes], None]], None]
+TakeLoads = Callable[[messages.LoadsReport], messages.Loads]
 
 
 class PeerService:
@@ -38,6 +39,8 @@
         Returns whether this VM stays long enough to keep something.
     is_direct : callable
         Returns whether this VM reaches the log itself.
+    take_loads : callable
+        Takes what another VM has in flight, returns what all others have.
     """
 
     def __init__(
@@ -50,7 +53,9 @@
         introduce: Callable[[str, bytes], None],
         takes_copies: Callable[[], bool] = lambda: True,
         is_direct: Callable[[], bool] = lambda: True,
+        take_loads: TakeLoads | None = None,
     ):
+        self._take_loads = take_loads
         self._takes_copies = takes_copies
         self._is_direct = is_direct
         self._introduce = introduce
@@ -74,6 +79,8 @@
                 call.respond(200, [])
             elif call.target == messages.FIND_PATH:
                 self._find(call)
+            elif call.target == messages.LOADS_PATH and self._take_loads:
+                self._loads(call)
             else:
                 call.respond(404, [])
         except (errors.PeerError, histories.HistoryError) as error:
@@ -111,6 +118,10 @@
         view = messages.View(entries, page.next)
         call.respond(200, [], messages.encode(view))
 
+    def _loads(self, call: transport.IncomingCall) -> None:
+        report = messages.decode(messages.LoadsReport, call.body)
+        call.respond(200, [], messages.encode(self._take_loads(report)))
+
     def _find(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.FindRequest, call.body)
         journal = self._journal
--- a/postspring/scheduling/__init__.py
+++ b/postspring/scheduling/__init__.py
@@ -8,12 +8,14 @@
 from postspring.scheduling.pool import Ticket
 from postspring.scheduling.pool import UpstreamPool
 from postspring.scheduling.retry_budget import RetryBudget
+from postspring.scheduling.shared_load import SharedAffinity
 
 __all__ = [
     "Assignment",
     "Order",
     "Placement",
     "RetryBudget",
+    "SharedAffinity",
     "Ticket",
     "UpstreamPool",
     "order_by_name",
--- /dev/null
+++ b/postspring/scheduling/shared_load.py
@@ -0,0 +1,118 @@
+"""Placement by the load that all VMs together put on upstreams.
+
+The pattern that it answers: many VMs before engines that are nearly full.
+Each VM sees a small part of an upstream's calls, so the least loaded by its
+own calls is chance, and some engines queue while others have room.  What
+the others have in flight is told some times a second.
+"""
+
+import statistics
+
+from postspring.scheduling import placement
+
+__all__ = ["SharedAffinity"]
+
+# Of so many candidates, in random order, the one with fewer calls is taken.
+# The figures are some hundred ms old: when each VM took the least loaded of
+# all, they all took the same one (in the model's burst, 70% of programs on
+# time in place of 99%).
+CHOICES = 3
+# By how many times its concurrency an upstream may have more calls than
+# another one, and keep a line whose prompt it has in memory.  A batch more
+# makes a turn wait for about one turn, and a prompt that is read elsewhere
+# holds up a whole batch there; with half of it lines moved in bursts until
+# engines did little but read (on time in the model 70% in place of 80%).
+STAY_BATCHES = 1.0
+# The same for an upstream of this data centre: bytes between data centres
+# cost, and work that stays inside goes on when it is cut off.
+NEAR_BATCHES = 0.25
+# What an upstream that is twice as slow as usual counts for, in times its
+# concurrency: more than a line is kept for, as the rest would be late.
+SLOW_BATCHES = 1.25
+# The usual pace is not known from fewer upstreams.
+LEAST_PACES = 3
+
+
+@placement.placement_by_name.register("shared_affinity")
+class SharedAffinity(placement.Placement):
+    """Where the line of turns ran last, else the freest of some.
+
+    Examples
+    ========
+
+    >>> from postspring import upstreams
+    >>> def make(name, others):
+    ...     upstream = upstreams.Upstream(
+    ...         id=name,
+    ...         service="",
+    ...         address=("", 0),
+    ...         data_center="here",
+    ...         concurrency=8,
+    ...     )
+    ...     upstream.note_others(others, now=0.0)
+    ...     return upstream
+    >>> class Call:
+    ...     last_upstream = "b"
+    ...     data_center = "here"
+    ...     now = 0.0
+    >>> full, free = make("b", 15), make("a", 2)
+    >>> SharedAffinity().choose(Call, [full, free]).id
+    'b'
+    >>> full.note_others(17, now=0.0)
+    >>> SharedAffinity().choose(Call, [full, free]).id
+    'a'
+    """
+
+    def choose(self, ticket, candidates):
+        """Return the line's last upstream, or the one with the fewest calls.
+
+        While no VM tells what it has, this one's own calls are known
+        exactly, and all candidates are compared.
+        """
+        now = ticket.now
+        pace = _usual_pace(candidates, now)
+
+        def cost(upstream) -> float:
+            calls = upstream.calls_of_all(now)
+            return calls + _slowness(upstream, pace, now)
+
+        def far_cost(upstream) -> float:
+            is_near = upstream.data_center == ticket.data_center
+            margin = 0.0 if is_near else NEAR_BATCHES * upstream.concurrency
+            return cost(upstream) + margin
+
+        is_told = any(item.knows_others(now) for item in candidates)
+        compared = candidates
+        if is_told:
+            compared = _sample(candidates, ticket.data_center)
+        best = min(compared, key=far_cost)
+        for upstream in candidates:
+            if upstream.id == ticket.last_upstream:
+                room = max(upstream.concurrency, cost(best))
+                margin = STAY_BATCHES * upstream.concurrency
+                if cost(upstream) <= room + margin:
+                    return upstream
+        return best
+
+
+def _sample(candidates, data_center: str) -> list:
+    """Return some candidates of this data centre, and some of all."""
+    near = [item for item in candidates if item.data_center == data_center]
+    return [*near[:CHOICES], *candidates[:CHOICES]]
+
+
+def _usual_pace(candidates, now: float) -> float | None:
+    """Return the usual pause between two events, if it is known."""
+    known = [item.pace for item in candidates if item.pace_trust(now)]
+    if len(known) < LEAST_PACES:
+        return None
+    return max(statistics.median(known), 1e-3)
+
+
+def _slowness(upstream, usual: float | None, now: float) -> float:
+    """Return what an upstream's slowness counts for, in calls."""
+    if usual is None:
+        return 0.0
+    excess = max(0.0, upstream.pace / usual - 1.0)
+    trust = upstream.pace_trust(now)
+    return SLOW_BATCHES * upstream.concurrency * excess * trust
--- /dev/null
+++ b/postspring/testing/load/__init__.py
@@ -0,0 +1,23 @@
+"""Load: engines, programs and many VMs' decisions, without a network."""
+
+from postspring.testing.load.engine import BatchingEngine
+from postspring.testing.load.engine import EngineShape
+from postspring.testing.load.engine import Job
+from postspring.testing.load.programs import draw_program
+from postspring.testing.load.programs import ProgramKind
+from postspring.testing.load.programs import ProgramShape
+from postspring.testing.load.world import LoadReport
+from postspring.testing.load.world import LoadWorld
+from postspring.testing.load.world import WorldShape
+
+__all__ = [
+    "BatchingEngine",
+    "EngineShape",
+    "Job",
+    "LoadReport",
+    "LoadWorld",
+    "ProgramKind",
+    "ProgramShape",
+    "WorldShape",
+    "draw_program",
+]
--- a/postspring/upstreams/load.py
+++ b/postspring/upstreams/load.py
@@ -10,6 +10,9 @@
 LONGEST_SUSPENSION_SECONDS = 30.0
 # Weight of a new observation of the pace.
 PACE_WEIGHT = 0.3
+# What the other VMs have in flight is told four times a second; a figure that
+# is older than this says nothing, in seconds.
+OTHERS_SECONDS = 1.0
 # After this long nothing is left of what a pace says, in seconds: bursts and
 # slow spells of upstreams take about as long.
 PACE_SECONDS = 4.0
@@ -34,6 +37,10 @@
         Average seconds between two events of its streams, as seen lately.
     paced_at : float
         When a stream last told; seconds.
+    others : int
+        Calls that other VMs had in flight there when they last told.
+    others_at : float
+        When that was; seconds.
     """
 
     concurrency: int
@@ -43,6 +50,8 @@
     suspended_until: float = 0.0
     pace: float = 0.0
     paced_at: float = -math.inf
+    others: int = 0
+    others_at: float = -math.inf
 
     @property
     def load(self) -> float:
@@ -81,6 +90,28 @@
         """Return how much the pace still says, from 0 to 1."""
         return max(0.0, 1.0 - (now - self.paced_at) / PACE_SECONDS)
 
+    def note_others(self, calls: int, now: float) -> None:
+        """Take note of what other VMs have in flight there."""
+        self.others = calls
+        self.others_at = now
+
+    def knows_others(self, now: float) -> bool:
+        """Return whether the other VMs' calls are known."""
+        return now - self.others_at < OTHERS_SECONDS
+
+    def calls_of_all(self, now: float) -> int:
+        """Return the calls in flight there, as far as known.
+
+        Examples
+        --------
+        >>> upstream = UpstreamLoad(concurrency=8, in_flight=1)
+        >>> upstream.note_others(5, now=0.0)
+        >>> upstream.calls_of_all(now=0.5), upstream.calls_of_all(now=1.5)
+        (6, 1)
+        """
+        others = self.others if self.knows_others(now) else 0
+        return self.in_flight + others
+
     def note_success(self) -> None:
         """Count a call that was answered."""
         self.failures = 0
