What a turn used at a home survives the VM that ran it

Cause, found by reading: a turn that keeps no history left its charge in one VM's memory while the log was away; if that VM died, the program could spend the same tokens once more. Whole turns had copies, such ends had none.

The same record counts once, so it does not matter who appends it. A VM with copies counts as knowing the program and waits with its shutdown.

--- a/postspring/histories/copies.py
+++ b/postspring/histories/copies.py
@@ -1,4 +1,4 @@
-"""Copies of other VMs' turns, kept until they stand in the log."""
+"""Copies of other VMs' records, kept until they stand in the log."""
 
 from collections.abc import Callable
 import random
@@ -8,7 +8,7 @@
 from postspring.histories import records
 from postspring.transport import timers as timers_module
 
-__all__ = ["CopyCheck", "CopyKeeper"]
+__all__ = ["CopyCheck", "CopyKeeper", "EndCopies"]
 
 # When a copy is looked for in the log, in seconds: its author appends it as
 # soon as the log answers, and only if that VM is gone, or the log stays away,
@@ -101,3 +101,71 @@
             self._journal.record_location(self._record)
         else:
             self._journal.drop_copy(self._ref)
+
+
+class EndCopies:
+    """What turns used that left no history, as other VMs tell.
+
+    Explanation
+    ===========
+
+    A turn that ran at a program's home while the log is away is charged by
+    nothing in the log.  If its VM dies before the log is back, the program
+    would have what it used once more; so some other VMs keep its record.
+
+    Parameters
+    ==========
+
+    refresh : callable
+        Folds all records of a program's partition.
+    is_folded : callable
+        Returns whether a record stands in the log, as far as was read.
+    append : callable
+        Appends a record; takes what to call when that is done.
+    """
+
+    def __init__(
+        self,
+        timers: timers_module.Timers,
+        refresh: Callable,
+        is_folded: Callable[[records.EndedTurn], bool],
+        append: Callable[[records.EndedTurn, Callable[[], None]], None],
+    ):
+        self._timers = timers
+        self._refresh = refresh
+        self._is_folded = is_folded
+        self._append = append
+        self._kept: set[records.EndedTurn] = set()
+
+    def __len__(self) -> int:
+        return len(self._kept)
+
+    def knows(self, program: records.ProgramId) -> bool:
+        """Return whether a turn of a program is among them."""
+        return any(record.program == program for record in self._kept)
+
+    def keep(self, record: records.EndedTurn) -> None:
+        """Keep a record, and look for it in the log after a while."""
+        if record in self._kept or self._is_folded(record):
+            return
+        self._kept.add(record)
+        seconds = random.uniform(*CHECK_SECONDS)
+        self._timers.call_later(seconds, self._look, record)
+
+    def _look(self, record: records.EndedTurn) -> None:
+        def folded() -> None:
+            if self._is_folded(record):
+                self._drop(record)
+            else:
+                self._append(record, lambda: self._drop(record))
+
+        self._refresh(
+            record.program,
+            PATIENCE_SECONDS,
+            folded,
+            lambda error: self._drop(record),
+            waits_long=True,
+        )
+
+    def _drop(self, record: records.EndedTurn) -> None:
+        self._kept.discard(record)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -12,7 +12,6 @@
 import logging
 
 from postspring.histories import accounts
-from postspring.histories import chains
 from postspring.histories import claims
 from postspring.histories import completion
 from postspring.histories import copies
@@ -22,6 +21,7 @@
 from postspring.histories import partitions
 from postspring.histories import ports
 from postspring.histories import program as program_module
+from postspring.histories import reading
 from postspring.histories import recording
 from postspring.histories import records
 from postspring.histories import shares
@@ -32,12 +32,8 @@
 
 LOG = logging.getLogger(__name__)
 
-# Patience with a partition that failed just now, in seconds; above the
-# store's usual 4 ms.
-FAILING_PATIENCE_SECONDS = 0.05
 
-
-class Journal:
+class Journal(reading.JournalReader):
     """Reads and extends histories through a shared log.
 
     Parameters
@@ -75,6 +71,14 @@
             self._claims, self._commit, self._settle_unrun
         )
         self.companions = companions or ports.NoCompanions()
+        self._end_copies = copies.EndCopies(
+            timers,
+            self.refresh_program,
+            lambda record: self._partitions.program(record.program).has_end(
+                record
+            ),
+            self._record_end_copy,
+        )
         self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
         self._settling: set[records.TurnRef] = set()
 
@@ -86,7 +90,8 @@
     @property
     def unrecorded(self) -> int:
         """Number of turns and charges that could be lost with this VM."""
-        return len(self._held_by_ref) + len(self._settling)
+        held = len(self._held_by_ref)
+        return held + len(self._settling) + len(self._end_copies)
 
     def log_is_back(self) -> None:
         """Do at once what waits for the log."""
@@ -128,13 +133,9 @@
             on_done(shares.TurnState.REFUSED, opened)
         else:
             if is_away:
-                patience = min(patience, FAILING_PATIENCE_SECONDS)
+                patience = min(patience, reading.FAILING_PATIENCE_SECONDS)
             self._openings.open(known, opened, patience, on_done, on_error)
 
-    def place_of(self, program: records.ProgramId, line: str) -> str:
-        """Return the upstream that has a line's prompt in memory, or empty."""
-        return self._partitions.program(program).place_of(line)
-
     def end_turn(
         self,
         ticket: accounts.Ticket,
@@ -170,6 +171,10 @@
 
         lost = self._lost(ticket)
         self._commit(record, recording.KEEP_SECONDS, settled, lost)
+        if ticket.origin is accounts.Origin.HOME:
+            # Nothing in the log charges it, and this VM may die first.
+            data = records.encode_record(record)
+            self.companions.keep(data, lambda copies: None)
 
     def complete_turn(
         self,
@@ -214,11 +219,14 @@
         Raises
         ------
         MalformedRecord
-            If it is no record of a whole turn.
+            If it is no record of a turn's end.
         """
         record = records.decode_record(data)
+        if isinstance(record, records.EndedTurn):
+            self._end_copies.keep(record)
+            return
         if not isinstance(record, records.WholeTurn):
-            raise errors.MalformedRecord("not a whole turn")
+            raise errors.MalformedRecord("not the end of a turn")
         ref = records.TurnRef(record.program, record.turn)
         is_held = ref in self._held_by_ref
         if not is_held and not self._partitions.is_recorded(ref):
@@ -241,139 +249,8 @@
         lost = self._lost(record)
         recording.append_location(self._partitions, record, logged, lost)
 
-    def charged(self, program: records.ProgramId) -> int:
-        """Return what the records here charge a program with."""
-        known = self._partitions.program(program)
-        return known.charged + known.reserved
-
-    # -- reading --------------------------------------------------------------
-
-    def find_chain(
-        self,
-        program: records.ProgramId,
-        turn: records.TurnId,
-        patience: float,
-        on_done: Callable[[chains.Chain | None], None],
-        on_error: openings.OnError,
-    ) -> None:
-        """Collect the chain that ends with a turn; None if there is none.
-
-        ``program`` is where it is looked for first.
-        """
-        search = chains.ChainSearch(self, patience, on_done, on_error)
-        search.start(self.ref_of(program, turn))
-
-    def known_chain(self, ref: records.TurnRef) -> chains.Chain | None:
-        """Return a chain if this VM has all of it in memory."""
-        return chains.collect(self.known_turn, ref)[0]
-
-    def ref_of(
-        self, program: records.ProgramId, turn: records.TurnId
-    ) -> records.TurnRef:
-        """Return where a turn is looked for; ``program`` may continue it.
-
-        Where a turn of another program stands is told by the log, unless
-        the turn is not in the log yet.
-        """
-        ref = records.TurnRef(program, turn)
-        if self.known_turn(ref) is None:
-            for held in self._held_by_ref:
-                if held.turn == turn:
-                    return held
-        return ref
-
-    def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
-        """Return a whole turn if this VM has it in memory."""
-        return self._partitions.whole_turn(ref) or self._held_by_ref.get(ref)
-
-    def is_logged(self, ref: records.TurnRef) -> bool:
-        """Return whether a whole turn is known to stand in the log."""
-        return self._partitions.whole_turn(ref) is not None
-
-    def knows(self, program: records.ProgramId) -> bool:
-        """Return whether this VM has any turn of a program in memory."""
-        return (
-            bool(self._partitions.program(program).turn_by_id)
-            or self.accounts.is_home(program)
-            or self._holds(program)
-        )
-
-    def is_recorded(
-        self, program: records.ProgramId, previous: records.TurnId | None
-    ) -> bool:
-        """Return whether all that is known here of a program is in the log.
-
-        Not so if this VM does not know the turn that is to be continued.
-        """
-        if self.accounts.is_home(program) or self._holds(program):
-            return False
-        if previous is None:
-            return True
-        return self.known_turn(records.TurnRef(program, previous)) is not None
-
-    def can_take(
-        self,
-        program: records.ProgramId,
-        previous: records.TurnId | None,
-        ceiling: int,
-    ) -> bool:
-        """Return whether this VM could run a turn without the log."""
-        if previous is not None:
-            if self.known_chain(self.ref_of(program, previous)) is None:
-                return False
-        is_away = self._partitions.is_failing(
-            partitions.place_of_program(program)
-        )
-        known = self._partitions.program(program)
-        return self.accounts.can_take(known, ceiling, is_away)
-
-    def refresh_program(
-        self,
-        program: records.ProgramId,
-        patience: float,
-        on_done: Callable[[], None],
-        on_error: openings.OnError,
-        waits_long: bool = False,
-    ) -> None:
-        """Fold all records of a program's partition.
-
-        Parameters
-        ----------
-        waits_long : bool
-            Nobody waits: have all the patience while the log is away, too.
-        """
-        place = partitions.place_of_program(program)
-        if self._partitions.is_failing(place) and not waits_long:
-            patience = min(patience, FAILING_PATIENCE_SECONDS)
-        self._partitions.get(place).refresh(
-            patience, lambda fold: on_done(), on_error
-        )
-
-    def locate(
-        self,
-        turn: records.TurnId,
-        patience: float,
-        on_done: Callable[[records.ProgramId | None], None],
-        on_error: openings.OnError,
-    ) -> None:
-        """Tell among which program's records a turn stands."""
-        partition = self._partitions.get(partitions.place_of_location(turn))
-        known = partition.fold.program_by_turn.get(turn)
-        if known is not None:
-            on_done(known)
-            return
-        partition.refresh(
-            patience,
-            lambda fold: on_done(fold.program_by_turn.get(turn)),
-            on_error,
-        )
-
     # -- own ------------------------------------------------------------------
 
-    def _holds(self, program: records.ProgramId) -> bool:
-        """Return whether a turn of a program is not in the log yet."""
-        return any(ref.program == program for ref in self._held_by_ref)
-
     def _record_whole(
         self,
         record: records.WholeTurn,
@@ -407,6 +284,16 @@
 
         return report
 
+    def _record_end_copy(
+        self, record: records.EndedTurn, on_done: Callable[[], None]
+    ) -> None:
+        self._commit(
+            record,
+            recording.KEEP_SECONDS,
+            lambda fold: on_done(),
+            lambda error: on_done(),
+        )
+
     def _settle_unrun(self, record: records.EndedTurn) -> None:
         lost = self._lost(record)
         self._commit(record, recording.KEEP_SECONDS, lambda fold: None, lost)
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -207,6 +207,15 @@
             entry.judgement = self._judge(record, share, entry)
         return entry.judgement
 
+    def has_end(self, record: records.EndedTurn) -> bool:
+        """Return whether the record of a turn's end was folded."""
+        entry = _entry(record)
+        return any(
+            share.author == record.claim.author
+            and share.find(entry) is not None
+            for share in self._shares_by_turn.get(record.turn, ())
+        )
+
     def state_after_run(self, turn: records.TurnId) -> shares.TurnState | None:
         """Return the state of a turn that has ended and may have run."""
         found = self._shares_by_turn.get(turn, ())
--- /dev/null
+++ b/postspring/histories/reading.py
@@ -0,0 +1,163 @@
+"""Reading histories: what of them is known here, and what the log has."""
+
+from collections.abc import Callable
+
+from postspring.histories import accounts
+from postspring.histories import chains
+from postspring.histories import copies
+from postspring.histories import openings
+from postspring.histories import partitions
+from postspring.histories import program as program_module
+from postspring.histories import records
+
+__all__ = ["JournalReader"]
+
+# Patience with a partition that failed just now, in seconds; above the
+# store's usual 4 ms.
+FAILING_PATIENCE_SECONDS = 0.05
+
+
+class JournalReader:
+    """The questions that a journal answers; it has what they are about."""
+
+    accounts: accounts.LocalAccounts
+    _partitions: partitions.Partitions
+    _held_by_ref: dict[records.TurnRef, program_module.Turn]
+    _end_copies: copies.EndCopies
+
+    def charged(self, program: records.ProgramId) -> int:
+        """Return what the records here charge a program with."""
+        known = self._partitions.program(program)
+        return known.charged + known.reserved
+
+    def find_chain(
+        self,
+        program: records.ProgramId,
+        turn: records.TurnId,
+        patience: float,
+        on_done: Callable[[chains.Chain | None], None],
+        on_error: openings.OnError,
+    ) -> None:
+        """Collect the chain that ends with a turn; None if there is none.
+
+        ``program`` is where it is looked for first.
+        """
+        search = chains.ChainSearch(self, patience, on_done, on_error)
+        search.start(self.ref_of(program, turn))
+
+    def known_chain(self, ref: records.TurnRef) -> chains.Chain | None:
+        """Return a chain if this VM has all of it in memory."""
+        return chains.collect(self.known_turn, ref)[0]
+
+    def ref_of(
+        self, program: records.ProgramId, turn: records.TurnId
+    ) -> records.TurnRef:
+        """Return where a turn is looked for; ``program`` may continue it.
+
+        Where a turn of another program stands is told by the log, unless
+        the turn is not in the log yet.
+        """
+        ref = records.TurnRef(program, turn)
+        if self.known_turn(ref) is None:
+            for held in self._held_by_ref:
+                if held.turn == turn:
+                    return held
+        return ref
+
+    def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
+        """Return a whole turn if this VM has it in memory."""
+        return self._partitions.whole_turn(ref) or self._held_by_ref.get(ref)
+
+    def is_logged(self, ref: records.TurnRef) -> bool:
+        """Return whether a whole turn is known to stand in the log."""
+        return self._partitions.whole_turn(ref) is not None
+
+    def knows(self, program: records.ProgramId) -> bool:
+        """Return whether this VM has any turn of a program in memory."""
+        return (
+            bool(self._partitions.program(program).turn_by_id)
+            or self.accounts.is_home(program)
+            or self._holds(program)
+        )
+
+    def is_recorded(
+        self, program: records.ProgramId, previous: records.TurnId | None
+    ) -> bool:
+        """Return whether all that is known here of a program is in the log.
+
+        Not so if this VM does not know the turn that is to be continued.
+        """
+        if self.accounts.is_home(program) or self._holds(program):
+            return False
+        if previous is None:
+            return True
+        return self.known_turn(records.TurnRef(program, previous)) is not None
+
+    def can_take(
+        self,
+        program: records.ProgramId,
+        previous: records.TurnId | None,
+        ceiling: int,
+    ) -> bool:
+        """Return whether this VM could run a turn without the log."""
+        if previous is not None:
+            if self.known_chain(self.ref_of(program, previous)) is None:
+                return False
+        is_away = self._partitions.is_failing(
+            partitions.place_of_program(program)
+        )
+        known = self._partitions.program(program)
+        return self.accounts.can_take(known, ceiling, is_away)
+
+    def refresh_program(
+        self,
+        program: records.ProgramId,
+        patience: float,
+        on_done: Callable[[], None],
+        on_error: openings.OnError,
+        waits_long: bool = False,
+    ) -> None:
+        """Fold all records of a program's partition.
+
+        Parameters
+        ----------
+        waits_long : bool
+            Nobody waits: have all the patience while the log is away, too.
+        """
+        place = partitions.place_of_program(program)
+        if self._partitions.is_failing(place) and not waits_long:
+            patience = min(patience, FAILING_PATIENCE_SECONDS)
+        self._partitions.get(place).refresh(
+            patience, lambda fold: on_done(), on_error
+        )
+
+    def locate(
+        self,
+        turn: records.TurnId,
+        patience: float,
+        on_done: Callable[[records.ProgramId | None], None],
+        on_error: openings.OnError,
+    ) -> None:
+        """Tell among which program's records a turn stands."""
+        partition = self._partitions.get(partitions.place_of_location(turn))
+        known = partition.fold.program_by_turn.get(turn)
+        if known is not None:
+            on_done(known)
+            return
+        partition.refresh(
+            patience,
+            lambda fold: on_done(fold.program_by_turn.get(turn)),
+            on_error,
+        )
+
+    def place_of(self, program: records.ProgramId, line: str) -> str:
+        """Return the upstream that has a line's prompt in memory, or empty."""
+        return self._partitions.program(program).place_of(line)
+
+    # -- own ------------------------------------------------------------------
+
+    def _holds(self, program: records.ProgramId) -> bool:
+        """Return whether a turn of a program is not in the log yet."""
+        if self._end_copies.knows(program):
+            return True
+        return any(ref.program == program for ref in self._held_by_ref)
--- /dev/null
+++ b/postspring/histories/tests/test_end_copies.py
@@ -0,0 +1,74 @@
+"""What turns used at a home survives the VM that ran them.
+
+Found by reading: a turn that keeps no history left its charge only in the
+memory of the VM where it ran while the log was away.
+"""
+
+from postspring import histories
+from postspring.histories import records
+from postspring.histories.tests import test_journal
+
+
+class Keeper(histories.Companions):
+    """Gives copies to another VM's journal."""
+
+    def __init__(self, journal):
+        self.journal = journal
+
+    def keep(self, record, on_done):
+        """Keep it there."""
+        self.journal.keep_copy(record)
+        on_done(1)
+
+
+class EndCopiesTest(test_journal.JournalCase):
+    """One VM is a program's home, and dies; another has the copies."""
+
+    def setUp(self):
+        super().setUp()
+        self.one.journal.companions = Keeper(self.two.journal)
+        for vm in (self.one, self.two):
+            vm.log.faults.down = True
+        self.one.open("x")
+        self.one.journal.accounts.begin_home("p", 10, 25, 0, 0, True)
+
+    def spend_and_die(self):
+        """Let two turns use 20 of 25 tokens, and the VM be gone."""
+        for turn in ("a", "b"):
+            state = self.one.open(turn)
+            self.assertIs(test_journal.OPEN, state)
+            self.one.journal.end_turn(self.one.tickets[turn], 10)
+        self.clock.run_for(1.0)
+
+    def test_the_charge_gets_into_the_log(self):
+        self.spend_and_die()
+        self.two.log.faults.down = False
+        self.clock.run_for(8.0)
+        state = self.vm("three").open("c")
+        self.assertIs(test_journal.REFUSED, state)
+
+    def test_it_is_charged_once_if_both_append_it(self):
+        self.spend_and_die()
+        self.one.log.faults.down = False
+        self.two.log.faults.down = False
+        self.clock.run_for(8.0)
+        three = self.vm("three")
+        three.open("c", ceiling=1)
+        self.assertEqual(20, three.journal._partitions.program("p").settled)
+
+    def test_a_vm_that_has_copies_does_not_stop(self):
+        self.spend_and_die()
+        self.assertEqual(2, self.two.journal.unrecorded)
+        self.two.log.faults.down = False
+        self.clock.run_for(8.0)
+        self.assertEqual(0, self.two.journal.unrecorded)
+
+    def test_the_program_is_known_there(self):
+        self.spend_and_die()
+        self.assertTrue(self.two.journal.knows("p"))
+
+    def test_a_record_of_an_opening_is_not_kept(self):
+        claim = histories.Claim("one", 8, 25)
+        record = histories.OpenedTurn("p", "t", claim)
+        with self.assertRaises(histories.MalformedRecord):
+            self.two.journal.keep_copy(records.encode_record(record))
