--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -157,6 +157,7 @@
         def found(finding: ports.Finding) -> None:
             if self._closed:
                 return
+            self._outcome.add(others=finding.facts)
             place = self._helper(finding)
             if place is not None and not self._is_relayed:
                 self._pass_on(place)
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -204,6 +204,27 @@
     charged: int = 0
     home_tokens: int = 0
 
+    @property
+    def facts(self) -> list[str]:
+        """What decides, by name, for the log."""
+        told = [
+            name
+            for name in (
+                "is_answered",
+                "has_gone_on",
+                "is_known",
+                "is_certain",
+                "is_deferred",
+                "is_known_turn",
+            )
+            if getattr(self, name)
+        ]
+        if self.taker is not None:
+            told.append("taker")
+        if self.keeper is not None:
+            told.append("keeper")
+        return [*told, *(doubt.value for doubt in self.doubts)]
+
     @property
     def knows_all(self) -> bool:
         """Whether nobody can have spent what nobody tells of."""
