A carried program that nobody here knows may have run elsewhere

Cause, found by reading: while the log is away, a program that no VM of a data centre knows counted as one that begins there and had its whole budget at a home.

Such a program gets the one turn by which a budget may be passed, unless every VM was heard.

Ruled out: telling a first turn by the parts of its prompt (shared parts look the same). Cost: a carried program that begins behind a cut gets one turn's ceiling there; not measured by itself.

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -217,7 +217,11 @@
         VM has asked: successive homes passed it by a turn each.
         """
         journal = self._journal
-        known = journal.knows(self._program) or finding.is_known
+        known = (
+            journal.knows(self._program)
+            or finding.is_known
+            or self._may_have_begun
+        )
         is_certain = finding.knows_all or (
             finding.is_certain and not (known or finding.has_gone_on)
         )
@@ -238,6 +242,14 @@
         )
         self._open()
 
+    @property
+    def _may_have_begun(self) -> bool:
+        """Whether a program that nobody here knows may have run elsewhere.
+
+        A caller that carries the conversation names no turn before this one.
+        """
+        return True
+
     # -- from the delivery ----------------------------------------------------
 
     def answered(self, status: int, fields: list, body: bytes) -> None:
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -99,6 +99,11 @@
             self._outcome.add(doubts=[doubt.value for doubt in doubts])
             self._close(refusals.Refusal.TURN_UNCERTAIN)
 
+    @property
+    def _may_have_begun(self) -> bool:
+        # Then it would name a turn, which nobody here has.
+        return False
+
     # -- from the delivery ----------------------------------------------------
 
     def _pass_events(self, events: list[bytes]) -> None:
--- a/postspring/front/tests/test_carried.py
+++ b/postspring/front/tests/test_carried.py
@@ -1,9 +1,14 @@
 """Programs whose callers carry the conversation: budget and place."""
 
+import dataclasses
+
 from postspring import histories
 from postspring.platform import names
 from postspring.testing.fleet import case
 
+# Nothing listens here.
+NOWHERE = ("127.0.0.1", 1)
+
 
 class CarriedCase(case.FleetCase):
     """Turns on a route that keeps no history."""
@@ -176,3 +181,63 @@
         for n in range(4):
             self.take_turn(f"u{n}", vm=n % 2, session_id=f"sub{n}")
             self.assertEqual(self.engine_of("t0"), self.engine_of(f"u{n}"))
+
+
+class CutOffCarriedTest(CarriedCase):
+    """A program that spent elsewhere comes to a cut-off data centre.
+
+    Found by reading: its turns name none before them, so it looked like a
+    program that begins there, and had its whole budget once more.
+    """
+
+    budget = 100
+    ceiling = 16
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.start_vm("far", data_center="z2")
+        for node in self.fleet.nodes:
+            self.fleet.turn_until(
+                lambda node=node: len(node.members.others) == 2
+            )
+
+    def cut_off(self):
+        """Cut the two VMs of a data centre off."""
+        near = self.fleet.nodes[:2]
+        for node in near:
+            node.store._address = NOWHERE
+            member = node.members.by_name["far"]
+            node.members.by_name["far"] = dataclasses.replace(
+                member, peers=NOWHERE
+            )
+        for node in near:
+            self.fleet.turn_until(
+                lambda node=node: (
+                    node.isolation.is_isolated
+                    and not node.isolation.sends_away
+                )
+            )
+
+    def spend(self, vm, name):
+        """Take turns until one is not served; return the tokens."""
+        for number in range(20):
+            answer = self.fleet.take_turn(
+                f"{name}{number}",
+                vm,
+                route=self.route,
+                token_budget=str(self.budget),
+            )
+            if answer.status != 200:
+                return 12 * number
+        return 12 * 20
+
+    def test_it_gets_one_turn_more_at_most(self):
+        before = self.spend(2, "far")
+        self.assertGreater(before, self.budget - self.ceiling - 12)
+        self.cut_off()
+        after = self.spend(0, "near") + self.spend(1, "next")
+        self.assertLessEqual(before + after, self.budget + self.ceiling)
+
+    def test_one_that_begins_there_is_served(self):
+        self.cut_off()
+        self.assertGreater(self.spend(0, "near"), 0)
