--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -87,7 +87,12 @@
 
     def _open(self) -> None:
         facts = self._facts
-        self._outcome.add(ceiling=facts.ceiling, budget=facts.budget)
+        self._outcome.add(
+            ceiling=facts.ceiling,
+            budget=facts.budget,
+            line=facts.line,
+            prompt_tokens=facts.prompt_tokens,
+        )
         self._journal.open_turn(
             self._program,
             self._turn,
--- a/postspring/measuring/__main__.py
+++ b/postspring/measuring/__main__.py
@@ -5,6 +5,7 @@
 from postspring.measuring import cut
 from postspring.measuring import explore
 from postspring.measuring import failover
+from postspring.measuring import losses
 from postspring.measuring import path
 from postspring.measuring import relay
 
@@ -15,6 +16,7 @@
     "failover": failover.measure_failover,
     "idle": path.measure_idle,
     "log": failover.measure_log,
+    "losses": losses.measure_losses,
     "path": path.measure_path,
     "relay": relay.measure_relay,
 }
