Revert "A turn waits a moment for another VM that is about to let its program go on"

Its test is about this wait alone and goes with it.

Conclusion: not the wait but the promises of many askers bind an outage's programs; next: let those who are asked name the first asker, and pass on to it.

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -21,9 +21,6 @@
 # How long a turn waits for the journal before other VMs are asked, in
 # seconds; above the slow store's 0.25 s for two calls.
 OPEN_PATIENCE_SECONDS = 0.6
-# How long a turn waits for another VM that is about to let its program go on,
-# in seconds; above a question's usual few ms and its longest 0.2 s.
-DEFERRED_SECONDS = 0.25
 
 
 class BudgetedCall(relay.CallerRelay):
@@ -62,7 +59,6 @@
         self._events = 0
         self._closed = False
         self._tried_home = False
-        self._has_waited = False
         self._turn = histories.TurnId(facts.request)
         self._program = facts.program
 
@@ -255,19 +251,7 @@
         If that is not certain the program gets the one turn by which a
         budget may be passed, and only where nobody remembers that another
         VM has asked: successive homes passed it by a turn each.
-
-        If another VM is about to do the same, that one is asked for once it
-        has begun.
         """
-        if finding.is_deferred and not self._has_waited:
-            self._has_waited = True
-            self._dispatcher.timers.call_later(
-                DEFERRED_SECONDS,
-                self._ask_others,
-                self._begin_home,
-                ports.Question.HOME,
-            )
-            return
         journal = self._journal
         known = (
             journal.knows(self._program)
--- a/postspring/front/tests/test_homes.py
+++ b/postspring/front/tests/test_homes.py
@@ -206,32 +206,3 @@
             )
         self.spend("next", turns=1, vm=1)
         self.assertFalse(node.neighbourhood.may_owe("p1"))
-
-
-class AtTheSameTimeTest(HomesCase):
-    """Lines of a program come to several VMs at once in an outage.
-
-    Seen: of 324 turns refused in an outage of 7 s about half were, because
-    another VM was about to let the program go on; they were told to come back
-    after 1.2 s.
-    """
-
-    vms = 3
-
-    def test_both_are_served(self):
-        callers = []
-        for vm in (0, 1):
-            caller = self.fleet.caller(vm)
-            fields = {
-                "program_id": "p1",
-                "token_usage": "100,16",
-                "token_budget": "1000",
-            }
-            headers = self.fleet.headers(f"t{vm}", fields)
-            caller.send("POST", "/carried-stream/x", headers, b"x")
-            callers.append(caller)
-        self.fleet.turn_until(
-            lambda: all(caller.answer.settled for caller in callers)
-        )
-        statuses = [caller.answer.status for caller in callers]
-        self.assertEqual([200, 200], statuses)
