One way to tell that an upstream is slow

The usual pace and its excess stood twice, in paced_affinity and in shared_affinity; both use the same two functions now. No change of behaviour: the tests of both policies and the model's pass.

--- a/postspring/scheduling/placement.py
+++ b/postspring/scheduling/placement.py
@@ -17,7 +17,9 @@
     "PrefixAffinity",
     "Random",
     "RoundRobin",
+    "excess_pace",
     "placement_by_name",
+    "usual_pace",
 ]
 
 # How many more calls of this VM an upstream may have in flight than the
@@ -30,6 +32,8 @@
 SLOW_CALLS = 5.0
 # The usual pace is not known from fewer upstreams.
 LEAST_PACES = 3
+# Below this a pause between two events is no measure, in seconds.
+SHORTEST_PAUSE_SECONDS = 1e-3
 
 placement_by_name: registry.Registry = registry.Registry("placement")
 
@@ -177,18 +181,32 @@
 
     def _costs(self, ticket, candidates):
         costs = super()._costs(ticket, candidates)
-        now = ticket.now
-        known = [item for item in candidates if item.pace_trust(now)]
-        if len(known) < LEAST_PACES:
-            return costs
-        usual = statistics.median(item.pace for item in known)
-        for upstream in known:
-            excess = max(0.0, upstream.pace / max(usual, 1e-3) - 1.0)
-            trust = upstream.pace_trust(now)
-            costs[upstream.id] += SLOW_CALLS * excess * trust
+        usual = usual_pace(candidates, ticket.now)
+        for upstream in candidates:
+            excess = excess_pace(upstream, usual, ticket.now)
+            costs[upstream.id] += SLOW_CALLS * excess
         return costs
 
 
+def usual_pace(candidates, now: float) -> float | None:
+    """Return the usual pause between two events, if enough is known."""
+    known = [item.pace for item in candidates if item.pace_trust(now)]
+    if len(known) < LEAST_PACES:
+        return None
+    return max(statistics.median(known), SHORTEST_PAUSE_SECONDS)
+
+
+def excess_pace(upstream, usual: float | None, now: float) -> float:
+    """Return how much slower than usual an upstream is, as far as trusted.
+
+    1.0 is twice as slow, seen just now.
+    """
+    if usual is None:
+        return 0.0
+    excess = max(0.0, upstream.pace / usual - 1.0)
+    return excess * upstream.pace_trust(now)
+
+
 @placement_by_name.register("prefix_affinity")
 class PrefixAffinity(Placement):
     """Baseline: where the program ran last, else the least loaded."""
--- a/postspring/scheduling/shared_load.py
+++ b/postspring/scheduling/shared_load.py
@@ -6,8 +6,6 @@
 the others have in flight is told some times a second.
 """
 
-import statistics
-
 from postspring.scheduling import placement
 
 __all__ = ["SharedAffinity"]
@@ -29,8 +27,6 @@
 # What an upstream that is twice as slow as usual counts for, in times its
 # concurrency: more than a line is kept for, as the rest would be late.
 SLOW_BATCHES = 1.25
-# The usual pace is not known from fewer upstreams.
-LEAST_PACES = 3
 
 
 @placement.placement_by_name.register("shared_affinity")
@@ -70,11 +66,12 @@
         exactly, and all candidates are compared.
         """
         now = ticket.now
-        pace = _usual_pace(candidates, now)
+        usual = placement.usual_pace(candidates, now)
 
         def cost(upstream) -> float:
-            calls = upstream.calls_of_all(now)
-            return calls + _slowness(upstream, pace, now)
+            excess = placement.excess_pace(upstream, usual, now)
+            slowness = SLOW_BATCHES * upstream.concurrency * excess
+            return upstream.calls_of_all(now) + slowness
 
         def far_cost(upstream) -> float:
             is_near = upstream.data_center == ticket.data_center
@@ -99,20 +96,3 @@
     """Return some candidates of this data centre, and some of all."""
     near = [item for item in candidates if item.data_center == data_center]
     return [*near[:CHOICES], *candidates[:CHOICES]]
-
-
-def _usual_pace(candidates, now: float) -> float | None:
-    """Return the usual pause between two events, if it is known."""
-    known = [item.pace for item in candidates if item.pace_trust(now)]
-    if len(known) < LEAST_PACES:
-        return None
-    return max(statistics.median(known), 1e-3)
-
-
-def _slowness(upstream, usual: float | None, now: float) -> float:
-    """Return what an upstream's slowness counts for, in calls."""
-    if usual is None:
-        return 0.0
-    excess = max(0.0, upstream.pace / usual - 1.0)
-    trust = upstream.pace_trust(now)
-    return SLOW_BATCHES * upstream.concurrency * excess * trust
