--- a/postspring/front/tests/test_silence.py
+++ b/postspring/front/tests/test_silence.py
@@ -94,13 +94,18 @@
 
     vms = 2
 
-    def test_the_configuration_comes_within_its_bound(self):
+    def lose_direct_way(self):
+        """Cut a VM off from the store; return it, and its helper."""
         cut, helper = self.fleet.nodes
         for node in self.fleet.nodes:
             self.fleet.turn_until(lambda node=node: node.members.others)
         cut.store._address = ("127.0.0.1", 1)
         cut._peer_http.discard(self.fleet.store.address)
         self.fleet.turn_for(3.0)
+        return cut, helper
+
+    def test_the_configuration_comes_within_its_bound(self):
+        cut, helper = self.lose_direct_way()
         self.assertGreater(silence.silence(helper.peers), 0)
         for version in (5, 6, 7):
             seconds = self.seconds_until_configured(cut, version)
@@ -108,12 +113,7 @@
 
     def check_silence_at_a_read(self, subject):
         """The helper falls silent just when it is asked for a subject."""
-        cut, helper = self.fleet.nodes
-        for node in self.fleet.nodes:
-            self.fleet.turn_until(lambda node=node: node.members.others)
-        cut.store._address = ("127.0.0.1", 1)
-        cut._peer_http.discard(self.fleet.store.address)
-        self.fleet.turn_for(3.0)
+        cut, helper = self.lose_direct_way()
         through = cut.log._through
         fallen = []
 
