Rename five metaphors to the field's terms

Now OutboundCall, timeout and SilenceTimer, PeerClient and Peers, ReplicaHolders, chain_holder, _leave_when_recorded. No behaviour changed; no test's assertion was touched.

--- a/postspring/coordination/call_flow.py
+++ b/postspring/coordination/call_flow.py
@@ -303,7 +303,7 @@
             now >= call.deadline
             or (
                 not self._desk.log_up
-                and waited > self._desk.limits.log_patience
+                and waited > self._desk.limits.log_timeout
             )
         ):
             # Its record may still count, but this owner never dispatches
--- a/postspring/coordination/limits.py
+++ b/postspring/coordination/limits.py
@@ -22,7 +22,7 @@
         Attempts of one call, the first included.
     hold_after : float
         A turn that is not in the log by then is answered as held.
-    log_patience : float
+    log_timeout : float
         A call that waits for the log that long is refused as not run.
     outcome_grace : float
         How long after a claim a former owner's outcome may still come in
@@ -34,7 +34,7 @@
     queue_window: int = 8
     max_attempts: int = 3
     hold_after: float = 1.0
-    log_patience: float = 1.0
+    log_timeout: float = 1.0
     outcome_grace: float = 1.0
     held_bytes: int = 8 * 1024 * 1024
 
--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -240,7 +240,7 @@
         ]
 
     def _copy_turn(self, turn: ownership.Turn) -> None:
-        """Give copies of a held turn to a few VMs, neighbours first."""
+        """Give copies of a held turn to a few VMs, peers first."""
         home = self.settings.data_center
         responsive = [
             entry
--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -14,8 +14,8 @@
 from postspring.forwarding.ports import EventFacts
 from postspring.forwarding.ports import Finding
 from postspring.forwarding.ports import HeaderGetter
-from postspring.forwarding.ports import Neighbours
-from postspring.forwarding.ports import NoNeighbours
+from postspring.forwarding.ports import NoPeers
+from postspring.forwarding.ports import Peers
 from postspring.forwarding.ports import Question
 from postspring.forwarding.ports import UpstreamExtra
 from postspring.forwarding.ports import WireFormat
@@ -33,8 +33,8 @@
     "Finding",
     "Forwarder",
     "HeaderGetter",
-    "Neighbours",
-    "NoNeighbours",
+    "Peers",
+    "NoPeers",
     "Question",
     "Receiver",
     "Refusal",
--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -16,11 +16,11 @@
 from postspring import transport
 from postspring import upstreams
 
-__all__ = ["OPEN_PATIENCE_SECONDS", "BudgetedCall", "TurnServices"]
+__all__ = ["OPEN_TIMEOUT_SECONDS", "BudgetedCall", "TurnServices"]
 
 # How long a turn waits for the journal before other VMs are asked, in
 # seconds; above the slow store's 0.25 s for two calls.
-OPEN_PATIENCE_SECONDS = 0.6
+OPEN_TIMEOUT_SECONDS = 0.6
 
 
 class BudgetedCall(relay.CallerRelay):
@@ -98,7 +98,7 @@
             self._turn,
             facts.ceiling,
             facts.budget,
-            OPEN_PATIENCE_SECONDS,
+            OPEN_TIMEOUT_SECONDS,
             self._turn_opened,
             lambda error: self._ask_others(
                 self._begin_home, ports.Question.HOME
@@ -133,14 +133,12 @@
         the records of a home: a program got 1,368 tokens of 864.  What was
         reserved is charged already and needs no question.
         """
-        neighbours = self._shared.neighbours
+        peers = self._shared.peers
         is_charged = self._ticket.origin is not histories.Origin.LOG
-        if is_charged or not neighbours.may_owe(self._program):
+        if is_charged or not peers.may_owe(self._program):
             self._deliver()
             return
-        neighbours.find(
-            self._facts, self._homes_told, ports.Question.UNSETTLED
-        )
+        peers.find(self._facts, self._homes_told, ports.Question.UNSETTLED)
 
     def _homes_told(self, finding: ports.Finding) -> None:
         if self._closed:
@@ -161,17 +159,19 @@
         self._unsent_timer.cancel()
         self.delivery = delivery_module.Delivery(
             self._dispatcher,
-            self._parcel(),
+            self._outbound_call(),
             self._route,
             self._deadline,
             self,
         )
         self.delivery.start()
 
-    def _parcel(self) -> choice.Parcel:
+    def _outbound_call(self) -> choice.OutboundCall:
         """Return what is sent, and where it had better go."""
         place = self._journal.place_of(self._program, self._facts.line)
-        return choice.Parcel(self._call, self._facts, self._call.body, place)
+        return choice.OutboundCall(
+            self._call, self._facts, self._call.body, place
+        )
 
     def _close(self, refusal: refusals.Refusal) -> None:
         self._closed = True
@@ -188,7 +188,7 @@
         """Pass the turn on to a VM that can run it, or go on otherwise."""
         if self._closed:
             return
-        neighbours = self._shared.neighbours
+        peers = self._shared.peers
 
         def found(finding: ports.Finding) -> None:
             if self._closed:
@@ -200,7 +200,7 @@
             else:
                 otherwise(finding)
 
-        neighbours.find(self._facts, found, question)
+        peers.find(self._facts, found, question)
 
     def _helper(self, finding: ports.Finding) -> upstreams.Upstream | None:
         """Return the VM that the turn had better be passed on to."""
@@ -209,16 +209,16 @@
     @property
     def _is_better_elsewhere(self) -> bool:
         """Whether this VM is cut off, and others know the program as well."""
-        neighbours = self._shared.neighbours
+        peers = self._shared.peers
         return (
-            neighbours.send_away
+            peers.send_away
             and not self._is_relayed
             and self._journal.is_recorded(self._program, self._facts.previous)
         )
 
     @property
     def _is_relayed(self) -> bool:
-        return self._shared.neighbours.is_relayed(self._call.header)
+        return self._shared.peers.is_relayed(self._call.header)
 
     def _pass_on(self, taker: upstreams.Upstream) -> None:
         self._closed = True
@@ -232,7 +232,7 @@
             self._deadline,
             self._outcome,
             only=taker,
-            extra_fields=(self._shared.neighbours.relayed_field,),
+            extra_fields=(self._shared.peers.relayed_field,),
         )
         passed.start()
 
@@ -367,4 +367,4 @@
     """What all turns of a VM share."""
 
     journal: histories.Journal
-    neighbours: ports.Neighbours
+    peers: ports.Peers
--- a/postspring/forwarding/choice.py
+++ b/postspring/forwarding/choice.py
@@ -9,7 +9,7 @@
 from postspring import transport
 from postspring import upstreams
 
-__all__ = ["Order", "Parcel", "choose_upstream"]
+__all__ = ["Order", "OutboundCall", "choose_upstream"]
 
 # Links take a few ms; an address that does not answer by then is dead.
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -59,7 +59,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Parcel:
+class OutboundCall:
     """What a call is sent with, whichever upstream gets it.
 
     Parameters
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -14,9 +14,9 @@
 from postspring.forwarding import dispatch
 from postspring.forwarding import event_splitter
 from postspring.forwarding import pace
-from postspring.forwarding import patience
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
+from postspring.forwarding import silence_timer
 from postspring.forwarding import stream_position
 from postspring import routing
 from postspring import transport
@@ -41,7 +41,7 @@
     Parameters
     ==========
 
-    parcel : Parcel
+    outbound : OutboundCall
         What is sent.
     deadline : float
         Monotonic time by which there has to be an answer.
@@ -50,13 +50,13 @@
     def __init__(
         self,
         dispatcher: dispatch.Dispatcher,
-        parcel: choice.Parcel,
+        outbound: choice.OutboundCall,
         route: routing.Route,
         deadline: float,
         receiver: dispatch.Receiver,
     ):
         self._dispatcher = dispatcher
-        self._parcel = parcel
+        self._outbound_call = outbound
         self._route = route
         self._deadline = deadline
         self._receiver = receiver
@@ -71,9 +71,9 @@
         self._position = stream_position.StreamPosition(
             dispatcher.wire.decode_event
         )
-        self._patience = patience.Patience(
+        self._silence_timer = silence_timer.SilenceTimer(
             dispatcher.timers,
-            None if parcel.only else patience.patience_with(route),
+            None if outbound.only else silence_timer.silence_timeout_of(route),
             self._silent,
         )
         self._timer: transport.TimerHandle | None = None
@@ -94,7 +94,7 @@
         self._timer = self._dispatcher.timers.call_later(
             max(0.0, remaining), self._overdue
         )
-        if self._route.may_repeat and self._parcel.only is None:
+        if self._route.may_repeat and self._outbound_call.only is None:
             self._dispatcher.hedges.deposit()
         self._send()
 
@@ -113,7 +113,7 @@
     # -- sending --------------------------------------------------------------
 
     def _send(self) -> None:
-        upstream = self._parcel.choose(
+        upstream = self._outbound_call.choose(
             self._dispatcher, self._service, self.attempts.tried
         )
         if upstream is None:
@@ -128,7 +128,7 @@
         self._buffer.clear()
         self._splitter = event_splitter.EventSplitter()
         self._pace = pace.StreamPace()
-        self._patience.start()
+        self._silence_timer.start()
         self._exchange = self._dispatcher.http.send(
             self._request(upstream), self
         )
@@ -168,7 +168,7 @@
             last_event=self._position.last_event,
             weights=self._position.weights,
         )
-        return self._parcel.request(self._dispatcher, upstream, extra)
+        return self._outbound_call.request(self._dispatcher, upstream, extra)
 
     # -- from the exchange ----------------------------------------------------
 
@@ -224,7 +224,7 @@
     def _relay(self, events: list[bytes]) -> None:
         if not events:
             return
-        self._patience.heard()
+        self._silence_timer.heard()
         self.attempts.note_run()
         if not self._has_begun:
             self._has_begun = True
@@ -265,7 +265,7 @@
     def _may_resume(self) -> bool:
         return (
             self._route.may_resume
-            and self._parcel.only is None
+            and self._outbound_call.only is None
             and self._position.last_event is not None
         )
 
@@ -297,7 +297,7 @@
         return (
             self._status in NOT_RUN_STATUSES
             and not self._route.may_repeat
-            and self._parcel.only is None
+            and self._outbound_call.only is None
         )
 
     def _not_run(self) -> None:
@@ -371,6 +371,6 @@
     def _finish(self) -> None:
         self._settle()
         self._phase = _Phase.DONE
-        self._patience.stop()
+        self._silence_timer.stop()
         if self._timer is not None:
             self._timer.cancel()
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -31,7 +31,7 @@
         Keeps turns.
     current : callable
         Returns the configuration in force, or None.
-    neighbours : Neighbours
+    peers : Peers
         The other VMs.
     takes_work : callable
         Returns whether there is time left to finish a call.
@@ -47,7 +47,7 @@
         journal: histories.Journal,
         current: Callable[[], routing.Snapshot | None],
         inputs: Callable[[], dict] = dict,
-        neighbours: ports.Neighbours | None = None,
+        peers: ports.Peers | None = None,
         takes_work: Callable[[], bool] = lambda: True,
         routes_certainty: Callable[[], certainty_module.Certainty] = lambda: (
             certainty_module.Certainty(0.0)
@@ -58,7 +58,7 @@
         self._dispatcher = dispatcher
         self._turn_services = budgeted_call.TurnServices(
             journal,
-            neighbours or ports.NoNeighbours(),
+            peers or ports.NoPeers(),
         )
         self._current = current
         self._inputs = inputs
@@ -110,10 +110,10 @@
         return refusals.Refusal.ROUTE_UNCERTAIN
 
     def _start(self, call, facts, route, snapshot, outcome) -> None:
-        patience = route.timeout
+        timeout = route.timeout
         if facts.deadline is not None:
-            patience = min(patience, facts.deadline)
-        deadline = call.received_at + patience
+            timeout = min(timeout, facts.deadline)
+        deadline = call.received_at + timeout
         if route.has_programs and facts.request:
             self._start_turn(call, facts, route, snapshot, deadline, outcome)
             return
--- a/postspring/forwarding/plain.py
+++ b/postspring/forwarding/plain.py
@@ -20,7 +20,7 @@
     ==========
 
     options : dict
-        Further arguments of the :class:`Parcel`.
+        Further arguments of the :class:`OutboundCall`.
     """
 
     def __init__(
@@ -35,9 +35,9 @@
     ):
         super().__init__(dispatcher, call, facts, outcome)
         self._route = route
-        parcel = choice.Parcel(call, facts, call.body, **options)
+        outbound = choice.OutboundCall(call, facts, call.body, **options)
         self.delivery = delivery_module.Delivery(
-            dispatcher, parcel, route, deadline, self
+            dispatcher, outbound, route, deadline, self
         )
 
     def start(self) -> None:
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -19,8 +19,8 @@
     "EventFacts",
     "Finding",
     "HeaderGetter",
-    "Neighbours",
-    "NoNeighbours",
+    "Peers",
+    "NoPeers",
     "Question",
     "UpstreamExtra",
     "WireFormat",
@@ -171,7 +171,7 @@
 
     taker : Upstream or None
         A VM that can run the turn.
-    keeper : Upstream or None
+    chain_holder : Upstream or None
         A VM that has the whole chain that is to be continued.
     is_answered : bool
         Some VM answered.
@@ -199,7 +199,7 @@
     """
 
     taker: upstreams.Upstream | None = None
-    keeper: upstreams.Upstream | None = None
+    chain_holder: upstreams.Upstream | None = None
     is_answered: bool = False
     doubts: tuple[certainty.Doubt, ...] = (certainty.Doubt.VM_UNHEARD,)
     has_gone_on: bool = False
@@ -231,8 +231,8 @@
         ]
         if self.taker is not None:
             told.append("taker")
-        if self.keeper is not None:
-            told.append("keeper")
+        if self.chain_holder is not None:
+            told.append("chain_holder")
         return [*told, *(doubt.value for doubt in self.doubts)]
 
     @property
@@ -241,7 +241,7 @@
         return not set(self.doubts) - _LIGHT_DOUBTS
 
 
-class Neighbours(abc.ABC):
+class Peers(abc.ABC):
     """The other VMs, as far as callers' requests need them."""
 
     # Marks a request that another VM has passed on.
@@ -267,7 +267,7 @@
         return bool(header(self.relayed_field[0]))
 
 
-class NoNeighbours(Neighbours):
+class NoPeers(Peers):
     """A VM alone."""
 
     def find(self, facts, on_done, question=Question.TAKER) -> None:
--- a/postspring/forwarding/patience.py
+++ b/postspring/forwarding/silence_timer.py
@@ -5,7 +5,7 @@
 from postspring import routing
 from postspring import transport
 
-__all__ = ["Patience", "patience_with"]
+__all__ = ["SilenceTimer", "silence_timeout_of"]
 
 # Times a route's objectives: callers leave a stream after four times the
 # objective to its first event, or eight times that of its pauses, but not
@@ -14,7 +14,7 @@
 PAUSE_FACTOR = 4.0
 
 
-def patience_with(route: routing.Route) -> float | None:
+def silence_timeout_of(route: routing.Route) -> float | None:
     """Return after how many seconds of silence a call is tried elsewhere.
 
     None if it may not run twice.
@@ -24,10 +24,10 @@
     >>> def make(kind, **other):
     ...     shares = (routing.ServiceShare("s"),)
     ...     return routing.Route("r", "h", "/", kind, shares, 4, 0.25, **other)
-    >>> patience_with(make(routing.CallKind.IDEMPOTENT))
+    >>> silence_timeout_of(make(routing.CallKind.IDEMPOTENT))
     0.25
-    >>> patience_with(make(routing.CallKind.STREAM))
-    >>> patience_with(
+    >>> silence_timeout_of(make(routing.CallKind.STREAM))
+    >>> silence_timeout_of(
     ...     make(routing.CallKind.STREAM, may_resume=True, pause_objective=0.2)
     ... )
     0.8
@@ -42,7 +42,7 @@
     )
 
 
-class Patience:
+class SilenceTimer:
     """Tells when an upstream has been silent for too long.
 
     One timer serves all events of a stream: it looks when the last one
@@ -52,9 +52,9 @@
     ==========
 
     seconds : float or None
-        How much of it there is; None: without end.
+        After how much of it; None: never.
     on_silent : callable
-        Called at the end of it, once for each :meth:`start`.
+        Called then, once for each :meth:`start`.
     """
 
     def __init__(
@@ -82,7 +82,7 @@
         self._heard_at = self._timers.now()
 
     def stop(self) -> None:
-        """Have patience without end."""
+        """Wait no longer."""
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -11,7 +11,7 @@
 
 __all__ = ["TurnCall"]
 
-OPEN_PATIENCE_SECONDS = budgeted_call.OPEN_PATIENCE_SECONDS
+OPEN_TIMEOUT_SECONDS = budgeted_call.OPEN_TIMEOUT_SECONDS
 
 
 class TurnCall(budgeted_call.BudgetedCall):
@@ -39,7 +39,7 @@
         self._journal.find_chain(
             self._program,
             self._facts.previous,
-            OPEN_PATIENCE_SECONDS,
+            OPEN_TIMEOUT_SECONDS,
             self._chain_found,
             lambda error: self._ask_others(self._unavailable),
         )
@@ -53,9 +53,9 @@
         self._chain = chain
         self._open()
 
-    def _parcel(self) -> choice.Parcel:
+    def _outbound_call(self) -> choice.OutboundCall:
         body = b"".join((*self._chain.parts, self._call.body))
-        return choice.Parcel(
+        return choice.OutboundCall(
             self._call, self._facts, body, self._chain.upstream
         )
 
@@ -63,7 +63,7 @@
 
     def _helper(self, finding: ports.Finding) -> upstreams.Upstream | None:
         if finding.taker is None and not self._has_chain:
-            return finding.keeper
+            return finding.chain_holder
         return finding.taker
 
     @property
@@ -80,7 +80,7 @@
         self._journal.find_chain(
             self._program,
             self._facts.previous,
-            OPEN_PATIENCE_SECONDS,
+            OPEN_TIMEOUT_SECONDS,
             self._found_at_last,
             lambda error: self._uncertain(certainty.Doubt.LOG_UNREAD),
         )
--- a/postspring/front/configuration.py
+++ b/postspring/front/configuration.py
@@ -7,12 +7,12 @@
 from postspring import keyedlog
 from postspring import routing
 
-__all__ = ["ConfigurationKeeper"]
+__all__ = ["CurrentConfiguration"]
 
 LOG = logging.getLogger(__name__)
 
 
-class ConfigurationKeeper:
+class CurrentConfiguration:
     """Keeps the newest configuration; a version never goes back.
 
     Parameters
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -93,7 +93,7 @@
         self.directory = upstreams.Directory(
             self.timers.now, self._upstream_gone
         )
-        self.configuration = configuration.ConfigurationKeeper(
+        self.configuration = configuration.CurrentConfiguration(
             platform.CONFIGURATION_KEY,
             platform.decode_snapshot,
             self._configuration_changed,
@@ -116,7 +116,7 @@
             self.timers,
             self.callers,
             vm.grace,
-            self._last_words,
+            self._leave_when_recorded,
             on_stopped,
         )
 
@@ -235,7 +235,7 @@
             lambda: self.log.is_direct,
             lambda: self.log.silence,
         )
-        self.neighbourhood = peering.Neighbourhood(
+        self.peer_client = peering.PeerClient(
             self._peer_http,
             self.members,
             promises,
@@ -243,7 +243,7 @@
             self.isolation,
             self.timers,
         )
-        self.journal.companions = self.neighbourhood
+        self.journal.replica_holders = self.peer_client
         self.loads = peering.LoadExchange(
             self._peer_http, self.timers, self.members, self.directory
         )
@@ -274,7 +274,7 @@
             self.journal,
             lambda: self.configuration.snapshot,
             self._decision_inputs,
-            self.neighbourhood,
+            self.peer_client,
             lambda: self.shutdown.takes_work,
             self._routes_certainty,
         )
@@ -314,7 +314,7 @@
         self._limits.header_seconds = snapshot.limits.header_seconds
         self._limits.idle_seconds = snapshot.limits.idle_seconds
 
-    def _last_words(self) -> bool:
+    def _leave_when_recorded(self) -> bool:
         """Leave the others' list when all is recorded; tell if that is done.
 
         Whoever is not on it isn't asked before a turn is said not to exist.
@@ -364,7 +364,7 @@
             self.journal.log_is_back()
 
     def _ask_view(self, place, on_page) -> None:
-        self.neighbourhood.ask_view(place, on_page)
+        self.peer_client.ask_view(place, on_page)
 
     def _view_of(self, subject: str) -> keyedlog.LogPage | None:
         """Return what this VM knows, for one that has just started."""
--- a/postspring/front/tests/test_homes.py
+++ b/postspring/front/tests/test_homes.py
@@ -197,7 +197,7 @@
         self.spend("home", turns=1)
         partition, slow = self.bring_back()
         node = self.fleet.nodes[1]
-        self.assertTrue(node.neighbourhood.may_owe("p1"))
+        self.assertTrue(node.peer_client.may_owe("p1"))
         slow.stop()
         partition._retry_now()
         for other in self.fleet.nodes:
@@ -205,4 +205,4 @@
                 lambda other=other: not other.journal.unrecorded
             )
         self.spend("next", turns=1, vm=1)
-        self.assertFalse(node.neighbourhood.may_owe("p1"))
+        self.assertFalse(node.peer_client.may_owe("p1"))
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -10,8 +10,8 @@
 from postspring.histories.fold import LocationFold
 from postspring.histories.fold import ProgramFold
 from postspring.histories.journal import Journal
-from postspring.histories.ports import Companions
-from postspring.histories.ports import NoCompanions
+from postspring.histories.ports import NoReplicaHolders
+from postspring.histories.ports import ReplicaHolders
 from postspring.histories.program import Program
 from postspring.histories.program import Turn
 from postspring.histories.records import Claim
@@ -31,7 +31,7 @@
 __all__ = [
     "Chain",
     "Claim",
-    "Companions",
+    "ReplicaHolders",
     "EndedTurn",
     "HistoryError",
     "Journal",
@@ -39,7 +39,7 @@
     "LocalAccounts",
     "LocationFold",
     "MalformedRecord",
-    "NoCompanions",
+    "NoReplicaHolders",
     "OpenedTurn",
     "Origin",
     "Program",
--- a/postspring/histories/chains.py
+++ b/postspring/histories/chains.py
@@ -54,9 +54,9 @@
 class ChainSearch:
     """Walks a chain from its head to its root, reading what is missing."""
 
-    def __init__(self, journal, patience: float, on_done, on_error):
+    def __init__(self, journal, timeout: float, on_done, on_error):
         self._journal = journal
-        self._patience = patience
+        self._timeout = timeout
         self._on_done = on_done
         self._on_error = on_error
         self._head: records.TurnRef | None = None
@@ -83,14 +83,14 @@
         self._refreshed.add(missing.program)
         self._journal.refresh_program(
             missing.program,
-            self._patience,
+            self._timeout,
             functools.partial(self._walk, when_missing),
             self._on_error,
         )
 
     def _locate_head(self) -> None:
         self._journal.locate(
-            self._head.turn, self._patience, self._located, self._on_error
+            self._head.turn, self._timeout, self._located, self._on_error
         )
 
     def _located(self, program: records.ProgramId | None) -> None:
--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -52,11 +52,11 @@
     def __init__(
         self,
         timers: timers_module.Timers,
-        companions: ports.Companions,
+        replica_holders: ports.ReplicaHolders,
         record: bytes,
     ):
         self._timers = timers
-        self._companions = companions
+        self._replica_holders = replica_holders
         self._record = record
         self._on_done: Callable[[str], None] | None = None
         self._is_logged = False
@@ -81,7 +81,7 @@
 
     def _hold(self) -> None:
         if self._on_done is not None:
-            self._companions.keep(self._record, self._kept)
+            self._replica_holders.keep(self._record, self._kept)
 
     def _kept(self, copies: int) -> None:
         if copies:
--- a/postspring/histories/copies.py
+++ b/postspring/histories/copies.py
@@ -17,18 +17,18 @@
 CHECK_SECONDS = (2.0, 3.0)
 # How long the log may be away, in seconds; above the retention of the users'
 # routes.
-PATIENCE_SECONDS = 120.0
+TIMEOUT_SECONDS = 120.0
 
 
 class CopyKeeper(Protocol):
     """What a check needs of the journal that keeps the copy."""
 
     def refresh_program(
-        self, program, patience, on_done, on_error, waits_long=False
+        self, program, timeout, on_done, on_error, waits_long=False
     ) -> None:
         """Fold all records of a program's partition."""
 
-    def locate(self, turn, patience, on_done, on_error) -> None:
+    def locate(self, turn, timeout, on_done, on_error) -> None:
         """Tell among which program's records a turn stands."""
 
     def is_logged(self, ref: records.TurnRef) -> bool:
@@ -82,7 +82,7 @@
     def _look(self) -> None:
         self._journal.refresh_program(
             self._record.program,
-            PATIENCE_SECONDS,
+            TIMEOUT_SECONDS,
             self._folded,
             self._lost,
             waits_long=True,
@@ -93,7 +93,7 @@
             self._journal.record_copy(self._record)
             return
         self._journal.locate(
-            self._record.turn, PATIENCE_SECONDS, self._located, self._lost
+            self._record.turn, TIMEOUT_SECONDS, self._located, self._lost
         )
 
     def _located(self, program: records.ProgramId | None) -> None:
@@ -171,7 +171,7 @@
 
         self._refresh(
             record.program,
-            PATIENCE_SECONDS,
+            TIMEOUT_SECONDS,
             folded,
             lambda error: self._drop(record),
             waits_long=True,
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -42,10 +42,10 @@
     log : KeyedLog
         The shared log.
     timers : Timers
-        For resending and patience.
+        For resending and timeout.
     author : str
         This VM's incarnation: another one after each start.
-    companions : Companions
+    replica_holders : ReplicaHolders
         Keep copies of what is not in the log yet.
     catch_up_rate : callable
         Returns with how many appends a second this VM may catch up when
@@ -57,7 +57,7 @@
         log: keyedlog.KeyedLog,
         timers: timers_module.Timers,
         author: str,
-        companions: ports.Companions | None = None,
+        replica_holders: ports.ReplicaHolders | None = None,
         catch_up_rate: Callable[[], float] = lambda: partitions.CATCH_UP_RATE,
     ):
         self._timers = timers
@@ -70,7 +70,7 @@
         self._openings = openings.Openings(
             self._claims, self._commit, self._settle_unrun
         )
-        self.companions = companions or ports.NoCompanions()
+        self.replica_holders = replica_holders or ports.NoReplicaHolders()
         self._end_copies = copies.EndCopies(
             timers,
             self.refresh_program,
@@ -105,7 +105,7 @@
         turn: records.TurnId,
         ceiling: int,
         budget: int | None,
-        patience: float,
+        timeout: float,
         on_done: openings.OnOpened,
         on_error: openings.OnError,
     ) -> None:
@@ -133,8 +133,8 @@
             on_done(shares.TurnState.REFUSED, opened)
         else:
             if is_away:
-                patience = min(patience, reading.FAILING_PATIENCE_SECONDS)
-            self._openings.open(known, opened, patience, on_done, on_error)
+                timeout = min(timeout, reading.FAILING_TIMEOUT_SECONDS)
+            self._openings.open(known, opened, timeout, on_done, on_error)
 
     def end_turn(
         self,
@@ -174,7 +174,7 @@
         if ticket.origin is accounts.Origin.HOME:
             # Nothing in the log charges it, and this VM may die first.
             data = records.encode_record(record)
-            self.companions.keep(data, lambda copies: None)
+            self.replica_holders.keep(data, lambda copies: None)
 
     def complete_turn(
         self,
@@ -204,7 +204,7 @@
         self._openings.end(records.TurnRef(ticket.program, ticket.turn))
         self.accounts.spent(ticket, tokens)
         safe = completion.Completion(
-            self._timers, self.companions, records.encode_record(record)
+            self._timers, self.replica_holders, records.encode_record(record)
         )
         logged = self._record_whole(
             record,
--- a/postspring/histories/openings.py
+++ b/postspring/histories/openings.py
@@ -23,7 +23,7 @@
     ==========
 
     commit : callable
-        Appends a record; takes patience and what to call with the fold, or
+        Appends a record; takes timeout and what to call with the fold, or
         with an error.
     settle : callable
         Appends the record of a turn that never ran, however long it takes.
@@ -60,7 +60,7 @@
         self,
         known: program_module.Program,
         ticket: accounts.Ticket,
-        patience: float,
+        timeout: float,
         on_done: OnOpened,
         on_error: OnError,
     ) -> None:
@@ -83,4 +83,4 @@
             self._settle(self._claims.failed(record))
             on_error(error)
 
-        self._commit(record, patience, folded, failed)
+        self._commit(record, timeout, folded, failed)
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -29,7 +29,7 @@
 # An append without an answer for this long counts as failing; the slow
 # store takes 0.25 s.
 SLOW_SECONDS = 0.4
-# Who has more patience than this keeps nobody waiting, in seconds: callers
+# A longer timeout than this keeps nobody waiting, in seconds: callers
 # wait for some seconds, what has to be recorded can wait for minutes.
 LONGEST_AWAITED_SECONDS = 30.0
 
@@ -134,7 +134,7 @@
     def commit(
         self,
         entry: keyedlog.LogEntry,
-        patience: float,
+        timeout: float,
         on_done: Callable[[Any], None],
         on_error: Callable[[errors.HistoryError], None],
         awaited: float = 0.0,
@@ -143,25 +143,25 @@
 
         Parameters
         ----------
-        patience : float
+        timeout : float
             Seconds after which to give up; the entry may be appended all
-            the same.  With the patience of somebody who waits now, it
+            the same.  With the timeout of somebody who waits now, it
             doesn't wait for its turn in the queue of retries.
         awaited : float
-            Seconds for which somebody waits, if the patience is longer.
+            Seconds for which somebody waits, if the timeout is longer.
         """
         waiter = _Waiter(entry, on_done, on_error)
-        self._wait(self._commits, waiter, patience, awaited)
+        self._wait(self._commits, waiter, timeout, awaited)
 
     def refresh(
         self,
-        patience: float,
+        timeout: float,
         on_done: Callable[[Any], None],
         on_error: Callable[[errors.HistoryError], None],
     ) -> None:
         """Fold all that is in the partition now."""
         waiter = _Waiter(None, on_done, on_error)
-        self._wait(self._refreshes, waiter, patience)
+        self._wait(self._refreshes, waiter, timeout)
 
     # -- own ------------------------------------------------------------------
 
@@ -169,15 +169,15 @@
         self,
         waiters: list[_Waiter],
         waiter: _Waiter,
-        patience: float,
+        timeout: float,
         awaited: float = 0.0,
     ) -> None:
         waiters.append(waiter)
         waiter.expiry = self._timers.call_later(
-            patience, self._expire, waiters, waiter
+            timeout, self._expire, waiters, waiter
         )
-        if patience <= LONGEST_AWAITED_SECONDS:
-            awaited = patience
+        if timeout <= LONGEST_AWAITED_SECONDS:
+            awaited = timeout
         if awaited:
             waiter.awaited_until = self._timers.now() + awaited
         self._work()
--- a/postspring/histories/ports.py
+++ b/postspring/histories/ports.py
@@ -3,10 +3,10 @@
 import abc
 from collections.abc import Callable
 
-__all__ = ["Companions", "NoCompanions"]
+__all__ = ["ReplicaHolders", "NoReplicaHolders"]
 
 
-class Companions(abc.ABC):
+class ReplicaHolders(abc.ABC):
     """Other VMs that keep copies of what is not in the log yet."""
 
     @abc.abstractmethod
@@ -14,7 +14,7 @@
         """Give a copy to some VMs; hand over how many have it."""
 
 
-class NoCompanions(Companions):
+class NoReplicaHolders(ReplicaHolders):
     """A VM alone."""
 
     def keep(self, record, on_done) -> None:
--- a/postspring/histories/reachability.py
+++ b/postspring/histories/reachability.py
@@ -13,7 +13,7 @@
 RETRY_SECONDS = 0.1
 LONGEST_RETRY_SECONDS = 1.0
 # What somebody waits for is tried this long after a failure at the latest,
-# in seconds: below the patience of turns, 0.6 s.  Sooner, a partition that
+# in seconds: below the timeout of turns, 0.6 s.  Sooner, a partition that
 # was lost is not tried by all ways (peering/failover.py).
 AWAITED_RETRY_SECONDS = 0.5
 
--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -14,7 +14,7 @@
 
 # Patience with a partition that failed just now, in seconds; above the
 # store's usual 4 ms.
-FAILING_PATIENCE_SECONDS = 0.05
+FAILING_TIMEOUT_SECONDS = 0.05
 
 
 class JournalReader:
@@ -77,7 +77,7 @@
         self,
         program: records.ProgramId,
         turn: records.TurnId,
-        patience: float,
+        timeout: float,
         on_done: Callable[[chains.Chain | None], None],
         on_error: openings.OnError,
     ) -> None:
@@ -85,7 +85,7 @@
 
         ``program`` is where it is looked for first.
         """
-        search = chains.ChainSearch(self, patience, on_done, on_error)
+        search = chains.ChainSearch(self, timeout, on_done, on_error)
         search.start(self.ref_of(program, turn))
 
     def known_chain(self, ref: records.TurnRef) -> chains.Chain | None:
@@ -155,7 +155,7 @@
     def refresh_program(
         self,
         program: records.ProgramId,
-        patience: float,
+        timeout: float,
         on_done: Callable[[], None],
         on_error: openings.OnError,
         waits_long: bool = False,
@@ -165,19 +165,19 @@
         Parameters
         ----------
         waits_long : bool
-            Nobody waits: have all the patience while the log is away, too.
+            Nobody waits: have all the timeout while the log is away, too.
         """
         place = partitions.place_of_program(program)
         if self._partitions.is_failing(place) and not waits_long:
-            patience = min(patience, FAILING_PATIENCE_SECONDS)
+            timeout = min(timeout, FAILING_TIMEOUT_SECONDS)
         self._partitions.get(place).refresh(
-            patience, lambda fold: on_done(), on_error
+            timeout, lambda fold: on_done(), on_error
         )
 
     def locate(
         self,
         turn: records.TurnId,
-        patience: float,
+        timeout: float,
         on_done: Callable[[records.ProgramId | None], None],
         on_error: openings.OnError,
     ) -> None:
@@ -188,7 +188,7 @@
             on_done(known)
             return
         partition.refresh(
-            patience,
+            timeout,
             lambda fold: on_done(fold.program_by_turn.get(turn)),
             on_error,
         )
--- a/postspring/histories/recording.py
+++ b/postspring/histories/recording.py
@@ -23,7 +23,7 @@
 def append_record(
     partitions: partitions_module.Partitions,
     record: records.OpenedTurn | records.WholeTurn | records.EndedTurn,
-    patience: float,
+    timeout: float,
     on_done: Callable[[fold_module.ProgramFold], None],
     on_error: Callable[[errors.HistoryError], None],
     awaited: float = 0.0,
@@ -33,7 +33,7 @@
     data = records.encode_record(record)
     entry = keyedlog.LogEntry(records.record_key(record, data), data)
     partition = partitions.get(place)
-    partition.commit(entry, patience, on_done, on_error, awaited)
+    partition.commit(entry, timeout, on_done, on_error, awaited)
 
 
 def append_location(
--- a/postspring/histories/tests/test_awaited.py
+++ b/postspring/histories/tests/test_awaited.py
@@ -21,7 +21,7 @@
 # Its partition is the last one in the queue.
 LAST = f"p{PROGRAMS - 1}"
 # As a turn waits (forwarding/turn_call.py), in seconds.
-PATIENCE = 0.6
+TIMEOUT = 0.6
 
 
 class QueueCase(unittest.TestCase):
@@ -51,8 +51,8 @@
         self.clock.run_for(2.0)
 
     def open(self, turn, program=LAST):
-        """Open a turn with the patience of a caller."""
-        return self.vm.open(turn, program=program, patience=PATIENCE)
+        """Open a turn with the timeout of a caller."""
+        return self.vm.open(turn, program=program, timeout=TIMEOUT)
 
     def is_failing(self, program=LAST):
         """Return whether the VM takes a program's partition to be away."""
@@ -71,7 +71,7 @@
 
     def test_a_chain_that_somebody_waits_for_goes_first(self):
         self.bring_back()
-        self.assertIsNone(self.vm.chain("u", LAST, patience=PATIENCE))
+        self.assertIsNone(self.vm.chain("u", LAST, timeout=TIMEOUT))
 
     def test_a_home_does_not_go_on(self):
         self.vm.journal.accounts.make_home(LAST, 100, is_certain=True)
@@ -154,7 +154,7 @@
         before = len(self.vm.log.calls)
         for number in range(200):
             self.vm.journal.open_turn(
-                LAST, f"u{number}", 10, 25, PATIENCE, print, lambda error: None
+                LAST, f"u{number}", 10, 25, TIMEOUT, print, lambda error: None
             )
             self.clock.run_for(0.01)
         most = math.ceil(SHARE * 2.0) + 1
@@ -187,7 +187,7 @@
         before = self.vm.log.calls.count("append")
         for number in range(200):
             self.vm.journal.open_turn(
-                LAST, f"u{number}", 10, 25, PATIENCE, print, lambda error: None
+                LAST, f"u{number}", 10, 25, TIMEOUT, print, lambda error: None
             )
             self.clock.run_for(0.01)
         self.assertLessEqual(self.vm.log.calls.count("append") - before, 4)
@@ -201,7 +201,7 @@
         before = self.vm.log.calls.count("append")
         for number in range(200):
             self.vm.journal.open_turn(
-                LAST, f"u{number}", 10, 25, PATIENCE, print, lambda error: None
+                LAST, f"u{number}", 10, 25, TIMEOUT, print, lambda error: None
             )
             self.clock.run_for(0.01)
         self.assertLessEqual(self.vm.log.calls.count("append") - before, 3)
--- a/postspring/histories/tests/test_budget_races.py
+++ b/postspring/histories/tests/test_budget_races.py
@@ -100,9 +100,9 @@
         for vm in self.vm_by_name.values():
             vm.log.faults.lose_answers = vm.log.faults.late_appends = 0
             vm.wait_for(
-                lambda patience, done, failed, vm=vm: (
+                lambda timeout, done, failed, vm=vm: (
                     vm.journal.refresh_program(
-                        "p", patience, lambda: done("read"), failed
+                        "p", timeout, lambda: done("read"), failed
                     )
                 )
             )
--- a/postspring/histories/tests/test_compaction.py
+++ b/postspring/histories/tests/test_compaction.py
@@ -122,8 +122,8 @@
 def refresh(vm):
     """Let a VM read the program's partition to its end."""
     vm.wait_for(
-        lambda patience, done, failed: vm.journal.refresh_program(
-            "p", patience, lambda: done("read"), failed
+        lambda timeout, done, failed: vm.journal.refresh_program(
+            "p", timeout, lambda: done("read"), failed
         )
     )
 
--- a/postspring/histories/tests/test_end_copies.py
+++ b/postspring/histories/tests/test_end_copies.py
@@ -9,7 +9,7 @@
 from postspring.histories.tests import test_journal
 
 
-class Keeper(histories.Companions):
+class Keeper(histories.ReplicaHolders):
     """Gives copies to another VM's journal."""
 
     def __init__(self, journal):
@@ -26,7 +26,7 @@
 
     def setUp(self):
         super().setUp()
-        self.one.journal.companions = Keeper(self.two.journal)
+        self.one.journal.replica_holders = Keeper(self.two.journal)
         for vm in (self.one, self.two):
             vm.log.faults.down = True
         self.one.open("x")
--- a/postspring/histories/tests/test_journal.py
+++ b/postspring/histories/tests/test_journal.py
@@ -9,7 +9,7 @@
 
 OPEN = histories.TurnState.OPEN
 REFUSED = histories.TurnState.REFUSED
-PATIENCE = 1.0
+TIMEOUT = 1.0
 
 
 class Vm:
@@ -23,28 +23,28 @@
         self.clock = clock
         self.tickets = {}
 
-    def wait_for(self, start, patience=PATIENCE):
+    def wait_for(self, start, timeout=TIMEOUT):
         """Start a call that takes two functions; return what came."""
         heard = []
-        start(patience, heard.append, heard.append)
+        start(timeout, heard.append, heard.append)
         self.clock.run_until(lambda: heard, 30)
         return heard[0] if heard else None
 
-    def open(self, turn, program="p", ceiling=10, budget=25, patience=1.0):
+    def open(self, turn, program="p", ceiling=10, budget=25, timeout=1.0):
         """Open a turn; return its state or the error."""
 
-        def start(patience, done, failed):
+        def start(timeout, done, failed):
             self.journal.open_turn(
                 program,
                 turn,
                 ceiling,
                 budget,
-                patience,
+                timeout,
                 lambda state, ticket: done((state, ticket)),
                 failed,
             )
 
-        heard = self.wait_for(start, patience)
+        heard = self.wait_for(start, timeout)
         if isinstance(heard, tuple):
             self.tickets[turn] = heard[1]
             return heard[0]
@@ -74,11 +74,11 @@
         self.journal.end_turn(self.tickets[turn], tokens)
         self.clock.run_for(0.1)
 
-    def chain(self, turn, program="p", patience=PATIENCE):
+    def chain(self, turn, program="p", timeout=TIMEOUT):
         """Return a turn's history, None, or the error."""
         found = []
         self.journal.find_chain(
-            program, turn, patience, found.append, found.append
+            program, turn, timeout, found.append, found.append
         )
         self.clock.run_until(lambda: found, 30)
         if isinstance(found[0], histories.Chain):
@@ -138,22 +138,22 @@
 
     def test_a_log_that_is_down_is_reported_in_time(self):
         self.one.log.faults.down = True
-        error = self.one.open("a", patience=0.5)
+        error = self.one.open("a", timeout=0.5)
         self.assertIsInstance(error, histories.JournalUnavailable)
 
     def test_a_log_that_is_silent_is_reported_in_time(self):
         self.one.log.faults.silent = True
-        error = self.one.open("a", patience=0.5)
+        error = self.one.open("a", timeout=0.5)
         self.assertIsInstance(error, histories.JournalUnavailable)
 
     def test_a_log_that_comes_back_is_used(self):
         self.one.log.faults.down = True
         self.clock.call_later(0.4, setattr, self.one.log.faults, "down", False)
-        self.assertIs(OPEN, self.one.open("a", patience=2.0))
+        self.assertIs(OPEN, self.one.open("a", timeout=2.0))
 
     def test_a_late_append_does_not_stay_charged(self):
         self.one.log.faults.late_appends = 9
-        self.one.open("a", ceiling=20, patience=0.3)
+        self.one.open("a", ceiling=20, timeout=0.3)
         self.one.log.faults.late_appends = 0
         self.clock.run_for(10)
         self.assertIs(OPEN, self.two.open("b", ceiling=20))
@@ -201,7 +201,7 @@
 
     def test_nobody_says_it_does_not_exist_while_the_log_is_down(self):
         self.two.log.faults.down = True
-        error = self.two.chain("b", patience=0.5)
+        error = self.two.chain("b", timeout=0.5)
         self.assertIsInstance(error, histories.JournalUnavailable)
 
     def test_all_vms_may_be_replaced(self):
@@ -259,7 +259,7 @@
         # Found on tallgrass trouble-3: the turn was known here, the one
         # before it was still kept elsewhere; the answer was 404.
         self.two.journal.keep_copy(self.copy_of("b", parent="a"))
-        error = self.two.chain("b", patience=0.5)
+        error = self.two.chain("b", timeout=0.5)
         self.assertIsInstance(error, histories.JournalUnavailable)
 
     def test_two_copies_are_recorded_once(self):
--- a/postspring/histories/tests/test_partitions.py
+++ b/postspring/histories/tests/test_partitions.py
@@ -13,7 +13,7 @@
 # Appends a second that the log takes, and the share for catching up.
 WRITES = 1500.0
 SHARE = 0.5
-PATIENCE_SECONDS = 120.0
+TIMEOUT_SECONDS = 120.0
 
 
 class CatchUpTest(unittest.TestCase):
@@ -51,7 +51,7 @@
                 )
                 partitions.get(place).commit(
                     keyedlog.LogEntry("k", b"v"),
-                    PATIENCE_SECONDS,
+                    TIMEOUT_SECONDS,
                     self._count,
                     lambda error: None,
                 )
--- a/postspring/peering/__init__.py
+++ b/postspring/peering/__init__.py
@@ -12,7 +12,7 @@
 from postspring.peering.members import Member
 from postspring.peering.members import Members
 from postspring.peering.messages import STORE_PREFIX
-from postspring.peering.neighbourhood import Neighbourhood
+from postspring.peering.peer_client import PeerClient
 from postspring.peering.promises import Promises
 from postspring.peering.service import PeerService
 
@@ -22,7 +22,7 @@
     "LoadExchange",
     "Member",
     "Members",
-    "Neighbourhood",
+    "PeerClient",
     "PeerService",
     "Promises",
     "STORE_PREFIX",
--- a/postspring/peering/failover_call.py
+++ b/postspring/peering/failover_call.py
@@ -9,7 +9,7 @@
 
 # Then a call is given up after this long, in seconds: above the hedge, and
 # below the store's own time-out, so that the next one is soon made.
-BROKEN_PATIENCE_SECONDS = 0.5
+BROKEN_READ_TIMEOUT_SECONDS = 0.5
 # VMs that are asked to help with a call.
 MAX_HELPERS = 2
 # The same for the configuration, which has to come within a bound while any
@@ -36,17 +36,17 @@
         Knows the ways.
     start : callable
         Begins the call on a log, with who takes the result or the error.
-    patience : float
+    timeout : float
         Seconds after which other ways are tried as well.
     """
 
-    def __init__(self, log, place, start, on_done, on_error, patience):
+    def __init__(self, log, place, start, on_done, on_error, timeout):
         self._log = log
         self._place = place
         self._start = start
         self._on_done = on_done
         self._on_error = on_error
-        self._patience = patience
+        self._timeout = timeout
         self._is_configuration = (
             place.subject is keyedlog.Subject.CONFIGURATION
         )
@@ -67,7 +67,7 @@
         """
         if self._log.is_broken:
             self._limit = self._log.call_later(
-                BROKEN_PATIENCE_SECONDS, self._give_up
+                BROKEN_READ_TIMEOUT_SECONDS, self._give_up
             )
         if self._log.fails_at_once(self._place):
             error = keyedlog.LogDown("down")
@@ -75,8 +75,8 @@
         elif self._log.try_direct(self._place):
             self._open += 1
             if self._is_configuration and not self._log.works(self._place):
-                self._patience = NEXT_HELPER_SECONDS
-            self._timer = self._log.call_later(self._patience, self._overdue)
+                self._timeout = NEXT_HELPER_SECONDS
+            self._timer = self._log.call_later(self._timeout, self._overdue)
             self._start(
                 self._log.direct, self._direct_done, self._direct_failed
             )
--- a/postspring/peering/neighbourhood.py
+++ b/postspring/peering/peer_client.py
@@ -16,7 +16,7 @@
 from postspring.peering import search as search_module
 from postspring import transport
 
-__all__ = ["Neighbourhood"]
+__all__ = ["PeerClient"]
 
 LOG = logging.getLogger(__name__)
 
@@ -33,14 +33,14 @@
 # VMs that are asked to keep a record at the same time, and how many copies
 # are waited for while more may come.  VMs are killed one after the other,
 # also while the log is away.
-KEEPERS = 4
+REPLICAS_ASKED = 4
 # After an outage of the log its homes are recorded within seconds; a VM that
 # was started meanwhile asks for them for this long, in seconds.
 NEW_SECONDS = 8.0
 ENOUGH_COPIES = 2
 
 
-class Neighbourhood(forwarding.Neighbours, histories.Companions):
+class PeerClient(forwarding.Peers, histories.ReplicaHolders):
     """The other VMs, asked when they are needed.
 
     Parameters
@@ -86,23 +86,23 @@
     def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
         """Give a copy to the nearest VM and to others elsewhere."""
         body = messages.encode(messages.KeepRequest([record]))
-        keepers = self._keepers()
+        holders = self._replica_holders()
         # Of a turn that others keep its author is asked, if they know it.
-        if not keepers or not self._members.is_announced:
+        if not holders or not self._members.is_announced:
             on_done(0)
             return
-        _Copies(len(keepers), on_done).send(
-            self._http, keepers, body, KEEP_SECONDS
+        _Copies(len(holders), on_done).send(
+            self._http, holders, body, KEEP_SECONDS
         )
 
-    def _keepers(self) -> list[members_module.Member]:
+    def _replica_holders(self) -> list[members_module.Member]:
         """One of this data centre, the others from elsewhere if possible."""
         found = sorted(self._members.nearest_first(), key=self._is_avoided)
         here = self._members.own.data_center
         near = [member for member in found if member.data_center == here]
         far = [member for member in found if member.data_center != here]
-        chosen = near[:1] + far[: KEEPERS - 1]
-        return chosen + near[1 : 1 + KEEPERS - len(chosen)]
+        chosen = near[:1] + far[: REPLICAS_ASKED - 1]
+        return chosen + near[1 : 1 + REPLICAS_ASKED - len(chosen)]
 
     # -- questions ------------------------------------------------------------
 
@@ -269,9 +269,9 @@
         self._kept = 0
         self._on_done: Callable[[int], None] | None = on_done
 
-    def send(self, http, keepers, body: bytes, seconds: float) -> None:
-        """Ask all keepers."""
-        for member in keepers:
+    def send(self, http, holders, body: bytes, seconds: float) -> None:
+        """Ask all holders."""
+        for member in holders:
             http.send(
                 messages.request_to(
                     member.peers, messages.KEEP_PATH, body, seconds
--- a/postspring/peering/search.py
+++ b/postspring/peering/search.py
@@ -52,7 +52,7 @@
         self._answers: dict[str, messages.Found] = {}
         self._open = 0
         self._taker: members_module.Member | None = None
-        self._keeper: members_module.Member | None = None
+        self._chain_holder: members_module.Member | None = None
         self._is_finished = False
 
     def take(
@@ -74,8 +74,8 @@
         self._answers[member.name] = found
         if found.can_take and self._taker is None:
             self._taker = member
-        if found.has_chain and self._keeper is None:
-            self._keeper = member
+        if found.has_chain and self._chain_holder is None:
+            self._chain_holder = member
         self._count_down()
 
     def failed(self) -> None:
@@ -117,7 +117,7 @@
         doubts = self._doubts(is_complete)
         return forwarding.Finding(
             taker=_as_upstream(self._taker),
-            keeper=_as_upstream(self._keeper),
+            chain_holder=_as_upstream(self._chain_holder),
             is_answered=bool(answers),
             doubts=doubts,
             has_gone_on=any(item.has_gone_on for item in answers),
