An upstream's starts are told apart; entries are decoded strictly

Cause: the directory kept the first address and service of an id for good and read no 'born'; an entry's fields were coerced (state 7 was ready, slots true was 1, port 99999 was taken) and one nested 100,000 deep ended the process. Now an incarnation is an id and the time of its start: places of lines, loads, pace, failures, tried upstreams and kept connections belong to it, a late entry of an earlier start changes nothing, and one that alone goes on writing counts after 10 s (a clock that was set back).

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -358,7 +358,8 @@
             return
         line = place = ""
         if self._tokens and not self._route.keeps_history:
-            line, place = self._facts.line, self.delivery.upstream.id
+            line = self._facts.line
+            place = self.delivery.upstream.incarnation
         self._journal.end_turn(self._ticket, self._tokens, line, place)
 
 
--- a/postspring/forwarding/choice.py
+++ b/postspring/forwarding/choice.py
@@ -26,7 +26,7 @@
     ==========
 
     last_upstream : str
-        Id of the upstream that has the call's history in memory.
+        Incarnation of the upstream that has the call's history in memory.
     data_center : str
         Where the call came in.
     now : float
@@ -50,7 +50,7 @@
     candidates = directory.usable(service)
     if not candidates:
         candidates = directory.last_resort(service)
-    fresh = [item for item in candidates if item.id not in tried]
+    fresh = [item for item in candidates if item.incarnation not in tried]
     candidates = fresh or candidates
     if not candidates:
         return None
@@ -66,7 +66,7 @@
     ==========
 
     preferred : str
-        Id of the upstream that has the call's history in memory.
+        Incarnation of the upstream that has the call's history in memory.
     only : Upstream, optional
         The one place that the call may be sent to: another VM.
     extra_fields : tuple
@@ -88,7 +88,7 @@
     ) -> upstreams.Upstream | None:
         """Return the upstream to send it to, or None if there is none."""
         if self.only is not None:
-            return None if self.only.id in tried else self.only
+            return None if self.only.incarnation in tried else self.only
         order = Order(
             self.preferred,
             self.facts.affinity_key,
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -119,7 +119,7 @@
         if upstream is None:
             self._give_up(self._why_none())
             return
-        self.attempts.begin(upstream.id)
+        self.attempts.begin(upstream.incarnation)
         self.upstream = upstream
         upstream.in_flight += 1
         self._holds_place = True
@@ -145,7 +145,7 @@
         if self.attempts.are_last:
             return
         others = self._dispatcher.directory.usable(self._service)
-        if all(item.id in self.attempts.tried for item in others):
+        if all(item.incarnation in self.attempts.tried for item in others):
             return
         if not self._dispatcher.hedges.take():
             return
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -119,7 +119,7 @@
             self._tokens,
             self._call.body,
             b"".join(self._output),
-            self.delivery.upstream.id,
+            self.delivery.upstream.incarnation,
             self._safe,
         )
 
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -171,7 +171,9 @@
 
     def _follow(self) -> None:
         watch = upstream_watch.UpstreamWatch(
-            self.directory, platform.decode_announcement
+            self.directory,
+            platform.decode_announcement,
+            lambda: self.metrics.entries_refused.add(1),
         )
         self._configuration_follower = keyedlog.Follower(
             self.log,
--- a/postspring/histories/records.py
+++ b/postspring/histories/records.py
@@ -124,7 +124,7 @@
     input, output : bytes
         The caller's body; the data of each event with a line feed.
     upstream : str
-        Id of the upstream that has the turn's history in memory.
+        Incarnation of the upstream that has the turn's history in memory.
     """
 
     program: ProgramId
@@ -149,7 +149,8 @@
         The line of turns that it belongs to, if the caller carries the
         conversation.
     upstream : str
-        Id of the upstream that has the turn's prompt in memory, or empty.
+        Incarnation of the upstream that has the turn's prompt in memory, or
+        empty.
     """
 
     program: ProgramId
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -61,6 +61,9 @@
         self.store_calls = self._counter(
             "store_calls", "Calls to the platform's store, by outcome"
         )
+        self.entries_refused = self._counter(
+            "entries_refused", "Upstreams' entries that can't be read"
+        )
         self.call_seconds = self._meter.create_histogram(
             "postspring_call_seconds", unit="s", description="Call latency"
         )
--- a/postspring/peering/loads.py
+++ b/postspring/peering/loads.py
@@ -179,7 +179,7 @@
 
     def _own_calls(self) -> Calls:
         return {
-            upstream.id: upstream.in_flight
+            upstream.incarnation: upstream.in_flight
             for upstream in self._directory.by_id.values()
             if upstream.in_flight
         }
@@ -219,7 +219,7 @@
     def _note(self, calls: Calls) -> None:
         now = self._timers.now()
         for upstream in self._directory.by_id.values():
-            upstream.note_others(calls.get(upstream.id, 0), now)
+            upstream.note_others(calls.get(upstream.incarnation, 0), now)
 
     def _unanswered(self, member, error) -> None:
         until = self._timers.now() + AVOID_SECONDS
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -159,7 +159,7 @@
     is_data_center : bool
         The calls are those of all VMs of a data centre.
     calls : list of (str, int)
-        Upstream's id and calls there; others have none.
+        Upstream's incarnation and calls there; others have none.
     """
 
     source: str
--- a/postspring/platform/documents.py
+++ b/postspring/platform/documents.py
@@ -1,8 +1,13 @@
 """Documents in the store: the configuration, and upstreams' entries."""
 
+import enum
 import json
+import socket
+from typing import Annotated
 from typing import Any
 
+import msgspec
+
 from postspring import errors
 from postspring.platform import names
 from postspring.platform import settings
@@ -20,6 +25,12 @@
     "stream": routing.CallKind.STREAM,
 }
 _DEFAULT_TIMEOUT_MS = 30_000
+# Far above any batch or start: more than these are no figures of an upstream.
+_MOST_SLOTS = 1_000_000
+_LONGEST_WARM_UP_MS = 3_600_000
+_HIGHEST_PORT = 65_535
+# Characters of an error's text that go into a log line.
+_LONGEST_ERROR = 300
 
 
 def decode_snapshot(data: bytes) -> routing.Snapshot:
@@ -40,9 +51,16 @@
             },
             limits=_limits(raw.get("limits") or {}),
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (
+        AttributeError,
+        KeyError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         text = f"configuration: {type(error).__name__}: {error}"
-        raise errors.ConfigurationError(text) from error
+        raise errors.ConfigurationError(text[:_LONGEST_ERROR]) from error
 
 
 def _route(raw: dict) -> routing.Route:
@@ -114,19 +132,65 @@
     Raises
     ------
     UpstreamError
-        If it is not one.
+        If it is none that an upstream writes: fields that are missing, of
+        another type or out of bounds, or bytes that can't be read.
     """
     try:
-        raw = json.loads(data)
+        entry = _entry_decoder.decode(data)
         return upstreams.Announcement(
             id=upstreams.UpstreamId(upstream),
-            service=str(raw["service"]),
-            address=settings.split_address(raw["address"]),
-            data_center=str(raw.get("zone") or ""),
-            slots=max(1, int(raw.get("slots") or 1)),
-            leaving=raw.get("state") == "draining",
-            warm_up=float(raw.get("warmup_remaining_ms") or 0) / 1000,
+            service=entry.service,
+            address=_address(entry.address),
+            data_center=entry.zone,
+            slots=entry.slots,
+            leaving=entry.state is _EntryState.DRAINING,
+            warm_up=entry.warmup_remaining_ms / 1000,
+            born=entry.born,
         )
-    except (AttributeError, KeyError, TypeError, ValueError) as error:
+    except (RecursionError, ValueError) as error:
         text = f"entry of {upstream}: {type(error).__name__}: {error}"
-        raise errors.UpstreamError(text) from error
+        raise errors.UpstreamError(text[:_LONGEST_ERROR]) from error
+
+
+def _address(text: str) -> tuple[str, int]:
+    """Return where an upstream listens; it has an IP number and a port."""
+    host, port = settings.split_address(text)
+    try:
+        socket.inet_pton(socket.AF_INET, host)
+    except OSError as error:
+        raise ValueError(f"{host!r} is no IP number") from error
+    if not 0 < port <= _HIGHEST_PORT:
+        raise ValueError(f"{port} is no port")
+    return host, port
+
+
+class _EntryState(enum.Enum):
+    READY = "ready"
+    DRAINING = "draining"
+
+
+_Text = Annotated[str, msgspec.Meta(min_length=1, max_length=200)]
+_Count = Annotated[int, msgspec.Meta(ge=0, le=2**63 - 1)]
+
+
+class _Entry(msgspec.Struct):
+    """An upstream's entry as it stands in the store.
+
+    Upstreams write more fields, which have no use here.  ``born`` is left
+    out where each start has a new id.
+    """
+
+    service: _Text
+    address: _Text
+    zone: _Text
+    version: str
+    slots: Annotated[int, msgspec.Meta(ge=1, le=_MOST_SLOTS)]
+    state: _EntryState
+    warmup_remaining_ms: Annotated[
+        float, msgspec.Meta(ge=0, le=_LONGEST_WARM_UP_MS)
+    ]
+    sequence: _Count
+    born: _Count | None = None
+
+
+_entry_decoder = msgspec.json.Decoder(_Entry)
--- a/postspring/platform/tests/test_documents.py
+++ b/postspring/platform/tests/test_documents.py
@@ -56,6 +56,11 @@
         with self.assertRaises(errors.ConfigurationError):
             platform.decode_snapshot(b"\xff")
 
+    def test_one_that_is_nested_too_deep(self):
+        deep = b'{"version":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        with self.assertRaises(errors.ConfigurationError):
+            platform.decode_snapshot(deep)
+
 
 class AnnouncementTest(unittest.TestCase):
     """Upstreams' entries."""
@@ -64,11 +69,18 @@
         "service": "s",
         "address": "10.0.0.9:80",
         "zone": "z",
+        "version": "v1",
         "slots": 6,
         "state": "draining",
         "warmup_remaining_ms": 500,
+        "sequence": 4,
     }
 
+    def refuse(self, data):
+        """Check that bytes are no entry."""
+        with self.assertRaises(errors.UpstreamError):
+            platform.decode_announcement("i-1", data)
+
     def test_fields(self):
         data = json.dumps(self.RAW).encode()
         entry = platform.decode_announcement("i-1", data)
@@ -76,7 +88,50 @@
         self.assertTrue(entry.leaving)
         self.assertEqual(0.5, entry.warm_up)
 
+    def test_when_it_was_started(self):
+        data = json.dumps(self.RAW | {"born": 1_764_700_000_123}).encode()
+        entry = platform.decode_announcement("i-1", data)
+        self.assertEqual(1_764_700_000_123, entry.born)
+
     def test_what_is_none(self):
         for raw in ({}, [], self.RAW | {"address": "x"}):
             with self.assertRaises(errors.UpstreamError):
                 platform.decode_announcement("i-1", json.dumps(raw).encode())
+
+    def test_a_field_that_is_missing(self):
+        for name in self.RAW:
+            raw = dict(self.RAW)
+            del raw[name]
+            with self.subTest(name):
+                self.refuse(json.dumps(raw).encode())
+
+    def test_a_field_of_another_type_or_out_of_bounds(self):
+        wrong = [
+            ("service", 5),
+            ("service", ""),
+            ("address", "10.0.0.9:99999"),
+            ("address", "10.0.0.9:0"),
+            ("address", "machine:80"),
+            ("slots", "4"),
+            ("slots", True),
+            ("slots", 2.7),
+            ("slots", 0),
+            ("state", "retired"),
+            ("state", 7),
+            ("warmup_remaining_ms", -1),
+            ("warmup_remaining_ms", 1e300),
+            ("sequence", "x"),
+            ("born", 1.5),
+            ("born", "1764700000123"),
+            ("born", -1),
+        ]
+        for name, value in wrong:
+            with self.subTest(name=name, value=value):
+                self.refuse(json.dumps(self.RAW | {name: value}).encode())
+
+    def test_bytes_that_cannot_be_read(self):
+        endless = json.dumps(self.RAW).replace("500", "1e400")
+        deep = b'{"x":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
+        for data in (b"", b"\xff", b"{", endless.encode(), deep):
+            with self.subTest(data[:20]):
+                self.refuse(data)
--- a/postspring/scheduling/placement.py
+++ b/postspring/scheduling/placement.py
@@ -123,7 +123,7 @@
 
         least = min(candidates, key=cost)
         for upstream in candidates:
-            if upstream.id == ticket.last_upstream:
+            if upstream.incarnation == ticket.last_upstream:
                 if cost(upstream) <= cost(least) + AFFINITY_CALLS:
                     return upstream
         near = [
@@ -214,6 +214,6 @@
     def choose(self, ticket, candidates):
         """Return the program's last upstream, or the least loaded."""
         for upstream in candidates:
-            if upstream.id == ticket.last_upstream:
+            if upstream.incarnation == ticket.last_upstream:
                 return upstream
         return min(candidates, key=lambda upstream: upstream.load)
--- a/postspring/scheduling/shared_load.py
+++ b/postspring/scheduling/shared_load.py
@@ -84,7 +84,7 @@
             compared = _sample(candidates, ticket.data_center)
         best = min(compared, key=far_cost)
         for upstream in candidates:
-            if upstream.id == ticket.last_upstream:
+            if upstream.incarnation == ticket.last_upstream:
                 room = max(upstream.concurrency, cost(best))
                 margin = STAY_BATCHES * upstream.concurrency
                 if cost(upstream) <= room + margin:
--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -104,6 +104,8 @@
         self.new_weights_at = 0
         self.runs: list[Arrival] = []
         self.gone = 0
+        # When it was started, Unix ms; None on deployments without.
+        self.born: int | None = None
         self._timers = timers
         self._server = transport.HttpServer(timers, self._handle, LIMITS)
         self._server.listen(parent, ("127.0.0.1", 0), f"engine-{name}")
@@ -127,8 +129,17 @@
             "zone": "z1",
             "slots": 8,
             "state": state,
+            "version": "v1",
             "warmup_remaining_ms": 0,
-        }
+            "sequence": 1,
+        } | ({} if self.born is None else {"born": self.born})
+
+    def start_again(self, born: int) -> None:
+        """Lose everything and begin anew under the same id."""
+        self.born = born
+        self.runs.clear()
+        for connection in list(self._server._connections):
+            connection.abort()
 
     # -- requests -------------------------------------------------------------
 
--- a/postspring/testing/load/world.py
+++ b/postspring/testing/load/world.py
@@ -238,7 +238,7 @@
             pause = (self.clock.now - began[0]) / max(1, turn.output - 12)
             if turn.output > 24:
                 upstream.note_pace(pause, self.clock.now)
-            turn.last_upstream = upstream.id
+            turn.last_upstream = upstream.incarnation
             self.clock.call_later(WAY_SECONDS, turn.done)
 
         job = engine_module.Job(
--- a/postspring/upstreams/__init__.py
+++ b/postspring/upstreams/__init__.py
@@ -2,6 +2,7 @@
 
 from postspring.upstreams.directory import Announcement
 from postspring.upstreams.directory import Directory
+from postspring.upstreams.directory import IncarnationId
 from postspring.upstreams.directory import Upstream
 from postspring.upstreams.directory import UpstreamId
 from postspring.upstreams.load import UpstreamLoad
@@ -10,6 +11,7 @@
 __all__ = [
     "Announcement",
     "Directory",
+    "IncarnationId",
     "Upstream",
     "UpstreamId",
     "UpstreamLoad",
--- a/postspring/upstreams/directory.py
+++ b/postspring/upstreams/directory.py
@@ -1,4 +1,9 @@
-"""The upstreams that announced themselves, by id and by service."""
+"""The upstreams that announced themselves, by id and by service.
+
+An upstream may start again under its id.  It holds and knows nothing of what
+was before, so whatever a VM observed belongs to one incarnation of it: an id
+and the time of a start.
+"""
 
 from collections.abc import Callable
 from collections.abc import Iterable
@@ -6,15 +11,24 @@
 import logging
 import math
 import random
+from typing import NamedTuple
 from typing import NewType
 
 from postspring.upstreams import load as load_module
 
-__all__ = ["Announcement", "Directory", "Upstream", "UpstreamId"]
+__all__ = [
+    "Announcement",
+    "Directory",
+    "IncarnationId",
+    "Upstream",
+    "UpstreamId",
+]
 
 LOG = logging.getLogger(__name__)
 
 UpstreamId = NewType("UpstreamId", str)
+# One start of an upstream.
+IncarnationId = NewType("IncarnationId", str)
 
 # Entries that lapsed while the log was away come back within about 2 s of
 # its return (the platform's page); one still missing then is gone.
@@ -25,11 +39,16 @@
 UNREACHABLE_UPSTREAMS = 2
 # How often one of them is tried all the same, in seconds.
 PROBE_SECONDS = 0.5
+# An entry of an earlier start that was written late changes nothing for this
+# long after the last entry of a later one, in seconds.  Late writes take
+# effect within 6 s; after that the later start is silent and the earlier one
+# is not, which is what a clock that was set back looks like.
+LATE_ENTRY_SECONDS = 10.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Announcement:
-    """What an upstream says of itself; each start has a new id.
+    """What an upstream says of itself.
 
     Parameters
     ==========
@@ -42,6 +61,9 @@
         It will exit soon and gets no more work.
     warm_up : float
         Seconds for which it stays slow after its start.
+    born : int or None
+        When it was started, in milliseconds of Unix time; None where starts
+        are told apart by their ids.
     """
 
     id: UpstreamId
@@ -51,14 +73,35 @@
     slots: int = 1
     leaving: bool = False
     warm_up: float = 0.0
+    born: int | None = None
 
 
 @dataclasses.dataclass(slots=True, kw_only=True, eq=False)
 class Upstream(load_module.UpstreamLoad):
-    """An upstream: what it announced, and what was observed of it.
+    """One start of an upstream: what it announced, what was observed.
+
+    Parameters
+    ==========
 
-    ``missing`` ones have no entry any more, while it is too early to say
-    that they are gone.
+    missing : bool
+        It has no entry any more, and it is too early to say that it is gone.
+    unreadable : bool
+        Its entry is none that it can have written: it gets no new work.
+
+    Examples
+    ========
+
+    >>> def make(born):
+    ...     return Upstream(
+    ...         id=UpstreamId("u"),
+    ...         service="s",
+    ...         address=("10.0.0.1", 80),
+    ...         data_center="",
+    ...         concurrency=1,
+    ...         born=born,
+    ...     )
+    >>> make(None).incarnation, make(17).incarnation
+    ('u', 'u@17')
     """
 
     id: UpstreamId
@@ -67,13 +110,43 @@
     data_center: str
     warm_at: float = 0.0
     unreachable_at: float = -math.inf
+    born: int | None = None
     missing: bool = False
+    unreadable: bool = False
+
+    @property
+    def incarnation(self) -> IncarnationId:
+        """What places and loads are known by; no other start has it."""
+        if self.born is None:
+            return IncarnationId(self.id)
+        return IncarnationId(f"{self.id}@{self.born}")
 
     def is_unreachable(self, now: float) -> bool:
         """Return whether the machine did not acknowledge lately."""
         return now - self.unreachable_at < UNREACHABLE_SECONDS
 
 
+class _LatestStart(NamedTuple):
+    """When an upstream was started last, and when it said so.
+
+    Parameters
+    ==========
+
+    born : int
+        Milliseconds of Unix time.
+    read_at : float
+        Seconds on this VM's own clock.
+    """
+
+    born: int
+    read_at: float
+
+
+def _is_same_start(upstream: Upstream, entry: Announcement) -> bool:
+    told = (entry.born, entry.service, entry.address)
+    return told == (upstream.born, upstream.service, upstream.address)
+
+
 class Directory:
     """Upstreams by id.
 
@@ -96,21 +169,24 @@
         self.by_id: dict[UpstreamId, Upstream] = {}
         self._tolerant_until = 0.0
         self._probed_at_by_service: dict[str, float] = {}
+        self._latest_by_id: dict[UpstreamId, _LatestStart] = {}
 
     def announce(self, entry: Announcement) -> None:
         """Take an upstream's entry, a first one or a changed one."""
         upstream = self.by_id.get(entry.id)
+        if upstream is not None and upstream.born and entry.born is None:
+            # Another writer's: this upstream tells when it was started.
+            self.hold_back(entry.id)
+            return
+        if self._is_late(entry):
+            return
+        if upstream is not None and not _is_same_start(upstream, entry):
+            self._drop(upstream, "upstream started again")
+            upstream = None
         if upstream is None:
-            upstream = Upstream(
-                id=entry.id,
-                service=entry.service,
-                address=entry.address,
-                data_center=entry.data_center,
-                concurrency=entry.slots,
-            )
-            self.by_id[entry.id] = upstream
-            self._log("upstream announced", upstream)
+            upstream = self._add(entry)
         upstream.missing = False
+        upstream.unreadable = False
         upstream.concurrency = entry.slots
         upstream.warm_at = self._now() + entry.warm_up
         if entry.leaving and not upstream.leaving:
@@ -118,6 +194,16 @@
             self._log("upstream leaving", upstream)
             self._on_gone(upstream)
 
+    def hold_back(self, upstream_id: UpstreamId) -> None:
+        """Take note that an entry names no upstream that can be used.
+
+        Calls that run there go on; the next good entry makes it usable.
+        """
+        upstream = self.by_id.get(upstream_id)
+        if upstream is not None and not upstream.unreadable:
+            upstream.unreadable = True
+            self._log("upstream held back", upstream)
+
     def withdraw(self, upstream_id: UpstreamId) -> None:
         """Take note that an entry was removed."""
         upstream = self.by_id.get(upstream_id)
@@ -129,14 +215,21 @@
         else:
             self._drop(upstream)
 
-    def replace_all(self, entries: Iterable[Announcement]) -> None:
+    def replace_all(
+        self,
+        entries: Iterable[Announcement],
+        unreadable: Iterable[UpstreamId] = (),
+    ) -> None:
         """Take all entries that there are; others were removed."""
         entries = list(entries)
         for entry in entries:
             self.announce(entry)
-        announced = {entry.id for entry in entries}
+        unreadable = set(unreadable)
+        for upstream_id in unreadable:
+            self.hold_back(upstream_id)
+        present = unreadable | {entry.id for entry in entries}
         for upstream_id in list(self.by_id):
-            if upstream_id not in announced:
+            if upstream_id not in present:
                 self.withdraw(upstream_id)
 
     def tolerate_missing(self) -> None:
@@ -145,6 +238,7 @@
 
     def drop_missing(self) -> None:
         """Drop what is still missing some time after the log's return."""
+        self._forget_starts()
         if self._now() < self._tolerant_until:
             return
         for upstream in list(self.by_id.values()):
@@ -156,8 +250,8 @@
         now = self._now()
         return [
             upstream
-            for upstream in self.by_id.values()
-            if upstream.service == service and upstream.accepts(now)
+            for upstream in self._staying(service)
+            if upstream.accepts(now)
         ]
 
     def last_resort(self, service: str) -> list[Upstream]:
@@ -211,15 +305,54 @@
         return [
             upstream
             for upstream in self.by_id.values()
-            if upstream.service == service and not upstream.leaving
+            if upstream.service == service
+            and not upstream.leaving
+            and not upstream.unreadable
         ]
 
-    def _drop(self, upstream: Upstream) -> None:
+    def _add(self, entry: Announcement) -> Upstream:
+        upstream = Upstream(
+            id=entry.id,
+            service=entry.service,
+            address=entry.address,
+            data_center=entry.data_center,
+            concurrency=entry.slots,
+            born=entry.born,
+        )
+        self.by_id[entry.id] = upstream
+        self._log("upstream announced", upstream)
+        return upstream
+
+    def _drop(self, upstream: Upstream, text: str = "upstream gone") -> None:
         del self.by_id[upstream.id]
         upstream.leaving = True
-        self._log("upstream gone", upstream)
+        self._log(text, upstream)
         self._on_gone(upstream)
 
+    def _is_late(self, entry: Announcement) -> bool:
+        """Return whether a later start has written an entry lately."""
+        if entry.born is None:
+            return False
+        now = self._now()
+        latest = self._latest_by_id.get(entry.id)
+        if (
+            latest is not None
+            and entry.born < latest.born
+            and now - latest.read_at < LATE_ENTRY_SECONDS
+        ):
+            return True
+        self._latest_by_id[entry.id] = _LatestStart(entry.born, now)
+        return False
+
+    def _forget_starts(self) -> None:
+        """Drop the starts of upstreams that nobody hears of any more."""
+        oldest = self._now() - LATE_ENTRY_SECONDS
+        self._latest_by_id = {
+            upstream_id: latest
+            for upstream_id, latest in self._latest_by_id.items()
+            if upstream_id in self.by_id or latest.read_at > oldest
+        }
+
     @staticmethod
     def _log(text: str, upstream: Upstream) -> None:
         LOG.info(
--- a/postspring/upstreams/state.py
+++ b/postspring/upstreams/state.py
@@ -40,6 +40,11 @@
             leaving=configured.draining,
         )
 
+    @property
+    def incarnation(self) -> str:
+        """What places are known by; here starts can't be told apart."""
+        return self.id
+
     def reconfigure(self, other: UpstreamState) -> None:
         """Take over what is configured; keep what was observed."""
         self.kind = other.kind
--- a/postspring/upstreams/tests/test_directory.py
+++ b/postspring/upstreams/tests/test_directory.py
@@ -122,3 +122,116 @@
         self.assertEqual([], self.directory.last_resort("s"))
         self.now += 0.6
         self.assertEqual(1, len(self.directory.last_resort("s")))
+
+
+class StartedAgainTest(DirectoryCase):
+    """An upstream that starts again under its id knows nothing of before."""
+
+    def setUp(self):
+        super().setUp()
+        self.announce("a", born=1000)
+        self.former = self.directory.by_id["a"]
+        self.former.note_pace(0.5, self.now)
+        self.former.suspend(self.now, 30.0)
+        self.former.in_flight = 3
+
+    @property
+    def current(self):
+        """What is known of the upstream now."""
+        return self.directory.by_id["a"]
+
+    def test_what_was_observed_ends_with_the_start(self):
+        self.announce("a", born=2000)
+        self.assertEqual(["a"], self.usable())
+        self.assertEqual(0, self.current.in_flight)
+        self.assertEqual(0.0, self.current.pace)
+        self.assertEqual(["a"], self.gone)
+
+    def test_a_call_that_is_still_open_counts_for_the_former_start(self):
+        self.announce("a", born=2000)
+        self.former.in_flight -= 1
+        self.assertEqual(0, self.current.in_flight)
+
+    def test_places_and_loads_are_not_mixed_up(self):
+        self.announce("a", born=2000)
+        self.assertNotEqual(self.former.incarnation, self.current.incarnation)
+
+    def test_the_same_start_keeps_what_was_observed(self):
+        self.announce("a", born=1000, slots=9)
+        self.assertIs(self.former, self.current)
+        self.assertEqual(9, self.current.concurrency)
+
+    def test_a_late_entry_of_the_former_start_changes_nothing(self):
+        self.announce("a", born=2000)
+        latest = self.current
+        self.announce("a", born=1000, leaving=True)
+        self.assertIs(latest, self.current)
+        self.assertEqual(["a"], self.usable())
+
+    def test_it_does_not_bring_a_gone_one_back(self):
+        self.announce("a", born=2000)
+        self.directory.withdraw("a")
+        self.announce("a", born=1000)
+        self.assertEqual([], self.usable())
+
+    def test_an_older_start_that_alone_goes_on_writing_counts(self):
+        # The machine's clock was set back between the two starts.
+        self.announce("a", born=2000)
+        for _ in range(12):
+            self.now += 1
+            self.announce("a", born=1500)
+        self.assertEqual(1500, self.current.born)
+
+    def test_starts_of_gone_ones_are_forgotten(self):
+        self.directory.withdraw("a")
+        self.now += 11
+        self.directory.drop_missing()
+        self.assertEqual({}, self.directory._latest_by_id)
+
+    def test_another_address_or_service_is_another_start(self):
+        self.announce("b")
+        former = self.directory.by_id["b"]
+        entry = upstreams.Announcement("b", "s", ("10.0.0.7", 81))
+        self.directory.announce(entry)
+        self.assertEqual(("10.0.0.7", 81), self.directory.by_id["b"].address)
+        self.assertTrue(former.leaving)
+
+
+class HeldBackTest(DirectoryCase):
+    """Entries that name no upstream, in place of good ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.announce("a", born=1000)
+        self.announce("b", born=1000)
+        self.upstream = self.directory.by_id["a"]
+
+    def test_it_gets_no_new_work_and_is_not_gone(self):
+        self.directory.hold_back("a")
+        self.assertEqual(["b"], self.usable())
+        self.assertEqual([], self.gone)
+
+    def test_nor_as_a_last_resort(self):
+        for name in ("a", "b"):
+            self.directory.hold_back(name)
+        self.assertEqual([], self.directory.last_resort("s"))
+
+    def test_a_good_entry_makes_it_usable_again(self):
+        self.directory.hold_back("a")
+        self.announce("a", born=1000)
+        self.assertEqual(["a", "b"], self.usable())
+        self.assertIs(self.upstream, self.directory.by_id["a"])
+
+    def test_an_entry_without_its_start_is_another_writers(self):
+        self.announce("a")
+        self.assertEqual(["b"], self.usable())
+
+    def test_an_unknown_one_is_nothing(self):
+        self.directory.hold_back("c")
+        self.assertEqual(["a", "b"], self.usable())
+
+    def test_in_a_whole_list_it_is_held_back_and_not_gone(self):
+        entry = self.announce("b", born=1000)
+        self.directory.replace_all([entry], ["a"])
+        self.assertEqual(["b"], self.usable())
+        self.assertEqual([], self.gone)
