Every decoder that reads from outside is fuzzed; what that found is mended

Found by hypothesis, each with a test that failed first: a digit of another script or 5,000 digits in a header field, an event's id or a keep-alive ended in an exception and the request got no answer; a deadline of 'nan' was taken; a member's entry that holds a map, and a store's answer that is nested too deep or has another form, raised errors that nobody catches. Numbers of fields have at most 18 digits; a deadline that is over counts as 0 s.

--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -323,6 +323,13 @@
             (str(peers[0]), int(peers[1])),
             (str(callers[0]), int(callers[1])),
         )
-    except (cbor2.CBORDecodeError, IndexError, TypeError, ValueError) as error:
+    except (
+        cbor2.CBORDecodeError,
+        LookupError,
+        OverflowError,
+        RecursionError,
+        TypeError,
+        ValueError,
+    ) as error:
         LOG.warning("member skipped", extra={"error": str(error)})
         return None
--- a/postspring/platform/headers.py
+++ b/postspring/platform/headers.py
@@ -1,6 +1,7 @@
 """Header fields of calls and answers, decoded once."""
 
 from collections.abc import Iterable
+import math
 
 from postspring import forwarding
 from postspring import histories
@@ -40,6 +41,9 @@
     )
 )
 
+# Of a number in a header: more than any count of tokens or events has, and
+# few enough that none takes long to read.
+_MOST_DIGITS = 18
 _LAST_EVENT = names.LAST_EVENT_ID.lower()
 _EVENT_ID = b"id"
 _EVENT_WEIGHTS = names.WEIGHT_VERSIONS.lower().encode()
@@ -109,8 +113,7 @@
         for line in event.splitlines():
             name, _, value = line.partition(b":")
             if name == _EVENT_ID:
-                text = value.strip()
-                number = int(text) if text.isdigit() else None
+                number = _integer(value.strip().decode("latin-1"))
             elif name == _EVENT_WEIGHTS:
                 weights = value.strip().decode("latin-1")
         return forwarding.EventFacts(number, weights)
@@ -147,15 +150,30 @@
 
 
 def _seconds(text: str) -> float | None:
-    """Return milliseconds in a header as seconds; None if there are none."""
+    """Return milliseconds in a header as seconds; None if there are none.
+
+    Examples
+    --------
+    >>> _seconds("2500"), _seconds("-1"), _seconds("nan"), _seconds("")
+    (2.5, 0.0, None, None)
+    """
     try:
-        return float(text) / 1000 if text else None
+        seconds = float(text) / 1000 if text else math.nan
     except ValueError:
         return None
+    return max(0.0, seconds) if math.isfinite(seconds) else None
 
 
 def _integer(text: str) -> int | None:
-    return int(text) if text.isdigit() else None
+    """Return the number that a field holds; None if it holds none.
+
+    Examples
+    --------
+    >>> _integer("80"), _integer("-1"), _integer("\\xb2"), _integer("9" * 99)
+    (80, None, None, None)
+    """
+    is_number = text.isascii() and text.isdigit()
+    return int(text) if is_number and len(text) <= _MOST_DIGITS else None
 
 
 def _pair(text: str) -> tuple[int, int]:
@@ -167,7 +185,8 @@
     """Return the parts of a prompt: id and tokens of each, in order."""
     parts = []
     for item in text.split(","):
-        part, _, tokens = item.strip().rpartition(":")
-        if part and tokens.isdigit():
-            parts.append((part, int(tokens)))
+        part, _, text = item.strip().rpartition(":")
+        tokens = _integer(text)
+        if part and tokens is not None:
+            parts.append((part, tokens))
     return tuple(parts)
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -31,6 +31,16 @@
 # Told to another VM when its call had no answer.
 NO_ANSWER_STATUS = 502
 
+# What reading an answer of another form ends in.
+_BAD_ANSWER_ERRORS = (
+    AttributeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    struct.error,
+)
 _LENGTH = struct.Struct(">I")
 _OFFSETS = struct.Struct(">QQ")
 _CONTENT_TYPE = ("Content-Type", "application/octet-stream")
@@ -250,7 +260,7 @@
                 on_answer(body)
             except keyedlog.KeyedLogError as error:
                 fail(error)
-            except (KeyError, TypeError, ValueError, struct.error):
+            except _BAD_ANSWER_ERRORS:
                 fail(keyedlog.LogUnavailable("bad_answer"))
             else:
                 self._on_call(name, "ok")
@@ -289,6 +299,8 @@
         key = ""
         for item in answer["items"]:
             key = item["key"]
+            if not isinstance(key, str):
+                raise TypeError("a key is no text")
             value = base64.b64decode(item["value"] or "")
             entry = keyedlog.LogEntry(key, value)
             self._items.append((int(item["offset"]), entry))
--- a/postspring/transport/kept_connections.py
+++ b/postspring/transport/kept_connections.py
@@ -10,6 +10,8 @@
 # A server that says "Keep-Alive: timeout=N" counts whole seconds; we close
 # this much earlier, so that no request crosses its close.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
+# Of a timeout that is read, in whole seconds.
+MOST_DIGITS = 9
 MAX_HEADER_BYTES = 16 * 1024
 
 
@@ -54,9 +56,23 @@
 
 
 def idle_seconds(headers: dict[str, str]) -> float:
-    """Return how long the connection may be kept idle, in seconds."""
+    """Return how long the connection may be kept idle, in seconds.
+
+    A timeout that is no number says nothing; one with many digits is longer
+    than any connection is kept.
+
+    Examples
+    --------
+    >>> [
+    ...     idle_seconds({"keep-alive": f"timeout={text}"})
+    ...     for text in ("2", "\\xb2", "9" * 5000)
+    ... ]
+    [1.5, 30.0, 30.0]
+    """
     for part in headers.get("keep-alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() != "timeout" or not value.isascii():
+            continue
+        if value.isdigit() and len(value) <= MOST_DIGITS:
             return min(IDLE_SECONDS, int(value) - KEEP_ALIVE_MARGIN_SECONDS)
     return IDLE_SECONDS
