Dead upstreams are told among VMs, with the loads

Change: a broken connection leaves an upstream alone at once unless it answers others; breaks are told to the collector, two of them make it suspected in all data centres, whoever has heard from it since clears it, and VMs try it again after 1 to 2 s, not all at once. A connection that ends without an answer is now told apart from an answer that can't be read (the parser's error hid it). Ruled out: 'turn_uncertain' (165 refusals) is of 37 turns that never existed; no program that was owed ended with it.

--- a/postspring/errors.py
+++ b/postspring/errors.py
@@ -52,14 +52,21 @@
         request with ``sent=False`` certainly did not run.
     is_unreachable : bool
         Whether the other side's machine does not even acknowledge.
+    is_broken : bool
+        Whether the connection ended, by the other side or on the way.
     """
 
     def __init__(
-        self, message: str, sent: bool = True, is_unreachable: bool = False
+        self,
+        message: str,
+        sent: bool = True,
+        is_unreachable: bool = False,
+        is_broken: bool = False,
     ):
         super().__init__(message)
         self.sent = sent
         self.is_unreachable = is_unreachable
+        self.is_broken = is_broken
 
 
 class PlatformError(PostspringError):
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -77,6 +77,7 @@
             self._silent,
         )
         self._timer: transport.TimerHandle | None = None
+        self._sent_at = 0.0
         self._holds_place = False
         self._has_begun = False
         self.upstream: upstreams.Upstream | None = None
@@ -129,6 +130,7 @@
         self._splitter = event_splitter.EventSplitter()
         self._pace = pace.StreamPace()
         self._silence_timer.start()
+        self._sent_at = self._dispatcher.timers.now()
         self._exchange = self._dispatcher.http.send(
             self._request(upstream), self
         )
@@ -174,11 +176,13 @@
 
     def head(self, status: int, headers: dict[str, str]) -> None:
         """Take the answer's head."""
+        self.upstream.note_answer(self._dispatcher.timers.now())
         self._status = status
         self._answer = self._dispatcher.wire.decode_answer(status, headers)
 
     def data(self, chunk: bytes) -> None:
         """Take a part of the answer's body."""
+        self.upstream.note_answer(self._dispatcher.timers.now())
         if self._is_stream:
             self._relay(self._splitter.feed(chunk))
         else:
@@ -209,6 +213,8 @@
     def _note_failure(self, error: errors.TransportError) -> None:
         """Count a failure; an address that is silent is left alone."""
         now = self._dispatcher.timers.now()
+        if error.sent and error.is_broken:
+            self.upstream.note_break(self._sent_at, now)
         if error.is_unreachable:
             self._dispatcher.directory.note_unreachable(self.upstream)
         else:
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -81,7 +81,7 @@
         self.http = transport.HttpClient(self._hub, self.timers)
         self._peer_http = transport.HttpClient(self._hub, self.timers)
         self.store = platform.Store(
-            self._peer_http, vm.store, vm.partitions, self._count_store_call
+            self._peer_http, vm.store, vm.partitions, self.metrics.store_called
         )
         self.log = peering.FailoverLog(
             self.store,
@@ -173,7 +173,7 @@
         watch = upstream_watch.UpstreamWatch(
             self.directory,
             platform.decode_announcement,
-            lambda: self.metrics.entries_refused.add(1),
+            self.metrics.entry_refused,
         )
         self._configuration_follower = keyedlog.Follower(
             self.log,
@@ -392,9 +392,6 @@
         fields = [("Content-Type", "text/plain; version=0.0.4")]
         call.respond(200, fields, self.metrics.scrape())
 
-    def _count_store_call(self, name: str, outcome: str) -> None:
-        self.metrics.store_calls.add(1, {"call": name, "outcome": outcome})
-
     def _count_unreadable(self, status: int) -> None:
         self.metrics.refused(f"unreadable_{status}", "no")
         LOG.info("request not readable", extra={"status": status})
--- a/postspring/front/tests/test_loads.py
+++ b/postspring/front/tests/test_loads.py
@@ -87,3 +87,62 @@
             lambda: len(first.runs) + len(second.runs) == runs + 2
         )
         self.assertLessEqual(len(first.runs), 7)
+
+
+class DeadEngineTest(case.FleetCase):
+    """An engine crashes while its entry still stands."""
+
+    vms = 3
+    engines = 2
+
+    def setUp(self):
+        super().setUp()
+        for node in self.fleet.nodes:
+            self.fleet.turn_until(
+                lambda node=node: len(node.members.others) == 2
+            )
+        self.dead, self.sound = self.fleet.engines
+        for node in self.fleet.nodes:
+            self.upstream(node, self.sound).suspend(node.timers.now(), 0.5)
+
+    @staticmethod
+    def upstream(node, engine):
+        """Return what a VM knows of an engine."""
+        return node.directory.by_id[engine.id]
+
+    def lose_turn(self, vm):
+        """Let a VM lose a turn at the dead engine."""
+        answer = self.fleet.take_turn(
+            f"lost-{vm}", vm=vm, program_id=f"p-{vm}"
+        )
+        self.assertEqual(502, answer.status)
+
+    def test_the_third_vm_does_not_try_it(self):
+        self.dead.faults.resets = True
+        self.lose_turn(0)
+        self.lose_turn(1)
+        third = self.fleet.nodes[2]
+        # A VM hears of others while it has calls of its own.
+        self.fleet.call("GET", "/safe/x", "r1", vm=2)
+        upstream = self.upstream(third, self.dead)
+        self.fleet.turn_until(lambda: not upstream.accepts(third.timers.now()))
+        arrivals = self.dead.arrivals
+        self.fleet.turn_for(0.5)
+        answer = self.fleet.take_turn("t", vm=2, program_id="p-2")
+        self.assertEqual(200, answer.status)
+        self.assertEqual(arrivals, self.dead.arrivals)
+
+    def test_one_that_answers_somebody_is_trusted_again(self):
+        self.dead.events, self.dead.event_seconds = 60, 0.02
+        caller = self.fleet.caller(2)
+        fields = {"program_id": "p-2", "token_usage": "100,400"}
+        headers = self.fleet.headers("t", fields)
+        caller.send("POST", "/stream/x", headers, b"x")
+        self.fleet.turn_until(lambda: self.dead.runs)
+        self.dead.faults.resets = True
+        self.lose_turn(0)
+        self.lose_turn(1)
+        first = self.fleet.nodes[0]
+        upstream = self.upstream(first, self.dead)
+        self.fleet.turn_until(lambda: upstream.suspected_at > 0)
+        self.fleet.turn_until(lambda: upstream.suspected_at < 0)
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -73,6 +73,14 @@
         self.refusal_counts[reason, ran] += 1
         self.refusals.add(1, {"reason": reason, "ran": ran})
 
+    def store_called(self, name: str, outcome: str) -> None:
+        """Count a call to the store."""
+        self.store_calls.add(1, {"call": name, "outcome": outcome})
+
+    def entry_refused(self) -> None:
+        """Count an upstream's entry that can't be read."""
+        self.entries_refused.add(1)
+
     def observe(self, name: str, description: str, function: Any) -> None:
         """Add a gauge; ``function()`` returns its value when scraped."""
         self._meter.create_observable_gauge(
--- a/postspring/peering/loads.py
+++ b/postspring/peering/loads.py
@@ -17,6 +17,7 @@
 from postspring import errors
 from postspring.peering import members as members_module
 from postspring.peering import messages
+from postspring.peering import sightings as sightings_module
 from postspring import transport
 from postspring.transport import timers as timers_module
 from postspring import upstreams
@@ -136,6 +137,7 @@
         self._members = members
         self._directory = directory
         self._collector = LoadCollector(timers.now)
+        self._sightings = sightings_module.Sightings(directory, timers.now)
         self._busy_at = -math.inf
         self._collects_until = -math.inf
         self._avoided_until: dict[str, float] = {}
@@ -150,10 +152,11 @@
         self._collector.take(
             report.source, report.is_data_center, dict(report.calls)
         )
+        self._sightings.collect(report.sightings, report.is_data_center)
         if report.is_data_center:
             return messages.Loads([])
         calls = self._collector.others(report.source)
-        return messages.Loads(list(calls.items()))
+        return messages.Loads(list(calls.items()), self._sightings.suspects())
 
     # -- own ------------------------------------------------------------------
 
@@ -161,7 +164,8 @@
         now = self._timers.now()
         own = self._members.own
         calls = self._own_calls()
-        if calls:
+        sightings = self._sightings.own()
+        if calls or sightings or self._has_heard_since(now - EXCHANGE_SECONDS):
             self._busy_at = now
         if now - self._busy_at > IDLE_SECONDS and now > self._collects_until:
             return
@@ -172,9 +176,11 @@
         ]
         collector = collector_of(reachable, own.data_center)
         if collector is None or collector.name == own.name:
-            self._collect(calls, reachable)
+            self._collect(calls, sightings, reachable)
         elif now - self._busy_at <= IDLE_SECONDS:
-            report = messages.LoadsReport(own.name, False, list(calls.items()))
+            report = messages.LoadsReport(
+                own.name, False, list(calls.items()), sightings
+            )
             self._send(collector, report, self._answered)
 
     def _own_calls(self) -> Calls:
@@ -184,13 +190,24 @@
             if upstream.in_flight
         }
 
-    def _collect(self, calls: Calls, reachable) -> None:
+    def _has_heard_since(self, moment: float) -> bool:
+        """Return whether there was a call that may have ended already."""
+        return any(
+            upstream.answered_at >= moment
+            for upstream in self._directory.by_id.values()
+        )
+
+    def _collect(self, calls: Calls, sightings, reachable) -> None:
         """This VM is the collector: tell those of other data centres."""
         own = self._members.own
         self._collector.take(own.name, False, calls)
+        self._sightings.collect(sightings, False)
         self._note(self._collector.others(own.name))
+        self._sightings.heed(self._sightings.suspects())
         total = list(self._collector.own_sum().items())
-        report = messages.LoadsReport(own.data_center, True, total)
+        report = messages.LoadsReport(
+            own.data_center, True, total, self._sightings.to_pass_on()
+        )
         places = {member.data_center for member in reachable}
         for place in places - {own.data_center}:
             other = collector_of(reachable, place)
@@ -215,6 +232,7 @@
             # It may run another version; its answer is no use.
             return
         self._note(dict(loads.calls))
+        self._sightings.heed(loads.suspects)
 
     def _note(self, calls: Calls) -> None:
         now = self._timers.now()
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -160,18 +160,35 @@
         The calls are those of all VMs of a data centre.
     calls : list of (str, int)
         Upstream's incarnation and calls there; others have none.
+    sightings : list of (str, float, int)
+        Of upstreams whose calls broke, or that are suspected: incarnation,
+        seconds since then, broken calls (0: something came from it).
     """
 
     source: str
     is_data_center: bool
     calls: list[tuple[str, int]]
+    sightings: list[tuple[str, float, int]] = dataclasses.field(
+        default_factory=list
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Loads:
-    """The answer to :class:`LoadsReport`: what all others have in flight."""
+    """The answer to :class:`LoadsReport`.
+
+    Parameters
+    ==========
+
+    calls : list of (str, int)
+        What all others have in flight.
+    suspects : list of (str, float)
+        Upstreams that are probably dead, and seconds since calls last broke
+        there.
+    """
 
     calls: list[tuple[str, int]]
+    suspects: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
 
 def request_to(
--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -37,6 +37,8 @@
         Requests run and are never answered.
     starts_again : bool
         Streams begin with their first event, whichever was asked for.
+    resets : bool
+        Connections are reset when a request comes; nothing runs.
     memory : int
         Tokens for which there is room; a larger request is refused as if
         the engine were full.
@@ -52,6 +54,7 @@
     wrong_instance: bool = False
     hang: bool = False
     starts_again: bool = False
+    resets: bool = False
     memory: int = 1_000_000
 
     def take(self, name: str) -> bool:
@@ -103,6 +106,7 @@
         self.weights = 1
         self.new_weights_at = 0
         self.runs: list[Arrival] = []
+        self.arrivals = 0
         self.gone = 0
         # When it was started, Unix ms; None on deployments without.
         self.born: int | None = None
@@ -144,6 +148,10 @@
     # -- requests -------------------------------------------------------------
 
     def _handle(self, call: transport.IncomingCall) -> None:
+        self.arrivals += 1
+        if self.faults.resets:
+            call.abort()
+            return
         request = call.header(names.REQUEST_ID)
         target = call.header(names.TARGET_INSTANCE)
         if self.faults.wrong_instance or target not in ("", self.id):
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -140,7 +140,7 @@
         self._client.discard(self.request.address)
         if self.done or self._retry_on_fresh():
             return
-        self._fail("connection reset", is_unreachable)
+        self._fail("connection reset", is_unreachable, is_broken=True)
 
     def closed(self) -> None:
         """Take note that the connection is gone."""
@@ -151,11 +151,11 @@
             return
         try:
             self._connection.receive_data(b"")
-            self._parse()
+            self._parse_events()
         except h11.RemoteProtocolError:
             pass
         if not self.done:
-            self._fail("connection closed")
+            self._fail("connection closed", is_broken=True)
 
     # -- own ------------------------------------------------------------------
 
@@ -232,13 +232,16 @@
         )
         listener.end()
 
-    def _fail(self, text: str, is_unreachable: bool = False) -> None:
+    def _fail(
+        self, text: str, is_unreachable: bool = False, is_broken: bool = False
+    ) -> None:
         host, port = self.request.address
         self._finish_with(
             errors.TransportError(
                 f"{self.request.method} {host}:{port}: {text}",
                 self.sent,
                 is_unreachable,
+                is_broken,
             )
         )
 
--- a/postspring/upstreams/__init__.py
+++ b/postspring/upstreams/__init__.py
@@ -7,11 +7,15 @@
 from postspring.upstreams.directory import UpstreamId
 from postspring.upstreams.load import UpstreamLoad
 from postspring.upstreams.state import UpstreamState
+from postspring.upstreams.suspicion import Sighting
+from postspring.upstreams.suspicion import SuspicionBoard
 
 __all__ = [
     "Announcement",
     "Directory",
     "IncarnationId",
+    "Sighting",
+    "SuspicionBoard",
     "Upstream",
     "UpstreamId",
     "UpstreamLoad",
--- a/postspring/upstreams/load.py
+++ b/postspring/upstreams/load.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import math
+import random
 
 __all__ = ["UpstreamLoad"]
 
@@ -13,6 +14,12 @@
 # What the other VMs have in flight is told four times a second; a figure that
 # is older than this says nothing, in seconds.
 OTHERS_SECONDS = 1.0
+# For how long an upstream whose calls break gets no work, in seconds.  Those
+# that start again take seconds.  Each VM waits up to twice as long, so that
+# some of them find out whether it is back, and not all of them at once.
+SUSPECT_SECONDS = 1.0
+# So many broken calls in a row mean that an upstream is gone.
+BREAKS_IN_A_ROW = 2
 # After this long nothing is left of what a pace says, in seconds: bursts and
 # slow spells of upstreams take about as long.
 PACE_SECONDS = 4.0
@@ -41,6 +48,16 @@
         Calls that other VMs had in flight there when they last told.
     others_at : float
         When that was; seconds.
+    answered_at : float
+        When anything of an answer came from it last; seconds.
+    broken_at : float
+        When a call's connection broke last; seconds.
+    untold_breaks : int
+        Broken calls that the other VMs have not been told of.
+    suspected_at : float
+        When calls of any VMs broke that make it suspected; seconds.
+    suspected_until : float
+        Until when it gets no work because of that; seconds.
     """
 
     concurrency: int
@@ -52,6 +69,12 @@
     paced_at: float = -math.inf
     others: int = 0
     others_at: float = -math.inf
+    answered_at: float = -math.inf
+    broken_at: float = -math.inf
+    breaks_in_a_row: int = 0
+    untold_breaks: int = 0
+    suspected_at: float = -math.inf
+    suspected_until: float = 0.0
 
     @property
     def load(self) -> float:
@@ -60,7 +83,8 @@
 
     def accepts(self, now: float) -> bool:
         """Return whether the upstream may get new work."""
-        return not self.leaving and now >= self.suspended_until
+        free_at = max(self.suspended_until, self.suspected_until)
+        return not self.leaving and now >= free_at
 
     def has_room(self, now: float) -> bool:
         """Return whether one more call fits now."""
@@ -79,6 +103,59 @@
         """Send no work for a while, whatever the failures so far."""
         self.suspended_until = max(self.suspended_until, now + seconds)
 
+    def note_answer(self, now: float) -> None:
+        """Take note that anything of an answer came."""
+        self.answered_at = now
+        self.breaks_in_a_row = 0
+
+    def note_break(self, sent_at: float, now: float) -> None:
+        """Take note that a call's connection broke; leave it alone for long.
+
+        Unless something came from it since the call was sent: then it is
+        one call or one connection, and not the upstream.
+
+        Examples
+        --------
+        >>> upstream = UpstreamLoad(concurrency=8)
+        >>> upstream.note_answer(now=1.0)
+        >>> upstream.note_break(sent_at=0.9, now=1.1)
+        >>> upstream.accepts(now=1.1)
+        True
+        >>> upstream.note_break(sent_at=0.9, now=1.1)
+        >>> upstream.accepts(now=1.9), upstream.accepts(now=3.2)
+        (False, True)
+        """
+        self.broken_at = now
+        self.untold_breaks += 1
+        self.breaks_in_a_row += 1
+        in_a_row = self.breaks_in_a_row >= BREAKS_IN_A_ROW
+        if in_a_row or self.answered_at <= sent_at:
+            self.suspend(now, _spread(SUSPECT_SECONDS))
+
+    def suspect(self, broken_at: float) -> None:
+        """Heed that calls of other VMs broke there, unless it answers here.
+
+        Examples
+        --------
+        >>> upstream = UpstreamLoad(concurrency=8)
+        >>> upstream.suspect(broken_at=1.0)
+        >>> upstream.accepts(now=1.9), upstream.accepts(now=3.1)
+        (False, True)
+        >>> upstream.trust()
+        >>> upstream.accepts(now=1.9)
+        True
+        """
+        if broken_at > self.suspected_at:
+            self.suspected_at = broken_at
+            self.suspected_until = broken_at + _spread(SUSPECT_SECONDS)
+        if self.answered_at > broken_at:
+            self.suspected_until = 0.0
+
+    def trust(self) -> None:
+        """Take note that it is not suspected any more."""
+        self.suspected_at = -math.inf
+        self.suspected_until = 0.0
+
     def note_pace(self, seconds: float, now: float) -> None:
         """Take note of the pause between two events of a stream."""
         if self.pace_trust(now):
@@ -115,3 +192,8 @@
     def note_success(self) -> None:
         """Count a call that was answered."""
         self.failures = 0
+
+
+def _spread(seconds: float) -> float:
+    """Return up to twice a time, another one for each VM."""
+    return seconds * (1.0 + random.random())
