Runs of real daemons with stand-ins, faults and a verdict

The incident was seen with real processes only. bin/soak starts the daemons as the deploy file says, with the store, upstreams and callers as processes, plays a seeded plan (stops, reloads, configurations; kills, pauses and store faults in other profiles) and judges callers' and upstreams' lines: LOST in its shapes, TWICE, REFUSED, MIXED, UNASKED, DENIED, daemons that end by themselves.

--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -96,9 +96,17 @@
         Version of the weights.
     new_weights_at : int
         Number of the event at which they change, for all engines alike.
+    bind : tuple of (str, int)
+        Where to listen; port 0 for a free one.
     """
 
-    def __init__(self, parent, timers: transport.Timers, name: str):
+    def __init__(
+        self,
+        parent,
+        timers: transport.Timers,
+        name: str,
+        bind: tuple[str, int] = ("127.0.0.1", 0),
+    ):
         self.id = name
         self.faults = EngineFaults()
         self.events = 3
@@ -112,7 +120,7 @@
         self.born: int | None = None
         self._timers = timers
         self._server = transport.HttpServer(timers, self._handle, LIMITS)
-        self._server.listen(parent, ("127.0.0.1", 0), f"engine-{name}")
+        self._server.listen(parent, bind, f"engine-{name}")
 
     @property
     def address(self) -> str:
--- a/postspring/testing/fleet/store_service.py
+++ b/postspring/testing/fleet/store_service.py
@@ -33,9 +33,16 @@
 
     parent : Component
         Whose loop it runs on.
+    bind : tuple of (str, int)
+        Where to listen; port 0 for a free one.
     """
 
-    def __init__(self, parent, timers: transport.Timers):
+    def __init__(
+        self,
+        parent,
+        timers: transport.Timers,
+        bind: tuple[str, int] = ("127.0.0.1", 0),
+    ):
         self.data = memory_log.LogData()
         self.refuse = 0
         self.silent = False
@@ -43,7 +50,7 @@
         self.calls: list[str] = []
         self._timers = timers
         self._server = transport.HttpServer(timers, self._handle, LIMITS)
-        self._server.listen(parent, ("127.0.0.1", 0), "store-service")
+        self._server.listen(parent, bind, "store-service")
 
     @property
     def address(self) -> tuple[str, int]:
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -88,10 +88,20 @@
 
 
 class ProcessGroup:
-    """Processes that end together, by their ids."""
+    """Processes that end together, by their ids.
 
-    def __init__(self):
-        self.directory = pathlib.Path(tempfile.mkdtemp(prefix="postspring-"))
+    Parameters
+    ==========
+
+    directory : pathlib.Path, optional
+        Where logs stay; without it they are removed with the processes.
+    """
+
+    def __init__(self, directory: pathlib.Path | None = None):
+        self._keeps_logs = directory is not None
+        self.directory = directory or pathlib.Path(
+            tempfile.mkdtemp(prefix="postspring-")
+        )
         self.process_by_name: dict[str, subprocess.Popen] = {}
 
     def start(
@@ -131,9 +141,11 @@
         self.process_by_name[name].send_signal(signal.SIGCONT)
 
     def close(self) -> None:
-        """End all processes and remove their logs."""
+        """End all processes and remove their logs, unless they stay."""
         for name in list(self.process_by_name):
             self.kill(name)
+        if self._keeps_logs:
+            return
         for log in self.directory.iterdir():
             log.unlink()
         self.directory.rmdir()
--- /dev/null
+++ b/postspring/testing/soak/plan.py
@@ -0,0 +1,138 @@
+"""Plans of a run: what is done to whom and when, drawn from a seed."""
+
+import dataclasses
+import enum
+import random
+
+__all__ = ["Action", "PROFILES", "Profile", "Step", "draw_plan"]
+
+
+class Action(enum.StrEnum):
+    """What a step does."""
+
+    STOP = "stop"
+    RELOAD = "reload"
+    CONFIGURE = "configure"
+    KILL = "kill"
+    PAUSE = "pause"
+    STORE = "store"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Step:
+    """One step of a plan; times in seconds from the beginning.
+
+    Parameters
+    ==========
+
+    vm : int
+        Number of the VM, for steps that concern one.
+    seconds : float
+        How long it lasts, where it lasts.
+    faults : dict
+        What the store is told, for its steps.
+    """
+
+    at: float
+    action: Action
+    vm: int = 0
+    seconds: float = 0.0
+    faults: dict = dataclasses.field(default_factory=dict)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Profile:
+    """How often what happens; means in seconds, 0 for never.
+
+    Parameters
+    ==========
+
+    stops : float
+        From the end of one series of stops to the beginning of the next.
+    """
+
+    stops: float = 0.0
+    reloads: float = 0.0
+    configures: float = 0.0
+    kills: float = 0.0
+    pauses: float = 0.0
+    store: float = 0.0
+
+
+PROFILES = {
+    "quiet": Profile(),
+    "stops": Profile(stops=3.0, reloads=15.0, configures=20.0),
+    "outages": Profile(stops=4.0, store=6.0),
+    "mixed": Profile(
+        stops=6.0,
+        reloads=20.0,
+        configures=25.0,
+        kills=12.0,
+        pauses=10.0,
+        store=12.0,
+    ),
+}
+# Nothing is done before this, nor in the last seconds.
+CALM_SECONDS = 4.0
+LAST_SECONDS = 10.0
+# Pauses between the stops of a series: one after the other, overlapping, at
+# once; seconds.
+SERIES_PAUSES = ((4.5, 6.0), (0.5, 3.5), (0.0, 0.1))
+PAUSE_SECONDS = (0.3, 3.0)
+STORE_SECONDS = (0.5, 8.0)
+STORE_FAULTS = (
+    {"slow": 60.0},
+    {"slow": 10.0, "tail": True},
+    {"refuse": 503},
+    {"silent": True},
+    {"lose_answers": 40},
+)
+
+
+def draw_plan(
+    seed: int, profile: Profile, seconds: float, vms: int
+) -> list[Step]:
+    """Return the steps in their order."""
+    draw = random.Random(seed)
+    steps = _series(draw, profile.stops, seconds, vms)
+    last = seconds - LAST_SECONDS
+    for action, mean in (
+        (Action.RELOAD, profile.reloads),
+        (Action.CONFIGURE, profile.configures),
+        (Action.KILL, profile.kills),
+        (Action.PAUSE, profile.pauses),
+        (Action.STORE, profile.store),
+    ):
+        at = CALM_SECONDS
+        while mean and (at := at + draw.expovariate(1 / mean)) < last:
+            steps.append(_single(draw, action, at, vms))
+    return sorted(steps, key=lambda step: step.at)
+
+
+def _series(draw, mean: float, seconds: float, vms: int) -> list[Step]:
+    """Return series of stops: single ones, rolls, overlapping ones."""
+    steps = []
+    last = seconds - LAST_SECONDS
+    at = CALM_SECONDS
+    while mean and (at := at + draw.expovariate(1 / mean)) < last:
+        count = draw.choice((1, 2, 3, vms // 2, vms))
+        pauses = draw.choice(SERIES_PAUSES)
+        order = draw.sample(range(vms), max(1, min(count, vms)))
+        if pauses == SERIES_PAUSES[-1]:
+            # More at once would leave callers nobody to turn to.
+            order = order[: max(1, vms // 3)]
+        for vm in order:
+            if at < last:
+                steps.append(Step(at, Action.STOP, vm))
+            at += draw.uniform(*pauses)
+    return steps
+
+
+def _single(draw, action: Action, at: float, vms: int) -> Step:
+    vm = draw.randrange(vms)
+    if action is Action.PAUSE:
+        return Step(at, action, vm, draw.uniform(*PAUSE_SECONDS))
+    if action is Action.STORE:
+        faults = draw.choice(STORE_FAULTS)
+        return Step(at, action, 0, draw.uniform(*STORE_SECONDS), faults)
+    return Step(at, action, vm)
--- /dev/null
+++ b/postspring/testing/soak/stage.py
@@ -0,0 +1,268 @@
+"""A run on real processes: starts them, plays the plan, collects lines."""
+
+import dataclasses
+import json
+import pathlib
+import shlex
+import signal
+import sys
+import time
+import tomllib
+
+from postspring.platform import names
+from postspring.testing.fleet import fleet
+from postspring.testing import processes
+from postspring.testing.soak import events as events_module
+from postspring.testing.soak import plan as plan_module
+from postspring.testing.soak import records
+from postspring.testing.soak import world as world_module
+
+__all__ = ["Lines", "Stage"]
+
+MODULE = "postspring.testing.soak"
+TICK_SECONDS = 0.02
+# From a process's end to its next start.
+RESTART_SECONDS = 0.3
+START_SECONDS = 60.0
+# After the end of traffic callers finish what is under way.
+FINISH_SECONDS = 60.0
+DEPLOY_FILE = "deploy/system.toml"
+BURNER = "while True: pass"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Lines:
+    """What a run left behind."""
+
+    attempts: list[records.Attempt]
+    runs: list[records.Run]
+    events: list[events_module.Event]
+
+
+@dataclasses.dataclass(slots=True)
+class _Daemon:
+    """A VM's process; times are monotonic, 0 for never."""
+
+    vm: world_module.Vm
+    stopped_at: float = 0.0
+    killed: bool = False
+    thaw_at: float = 0.0
+    start_at: float = 0.0
+    starts: int = 0
+
+
+class Stage(processes.ProcessGroup):
+    """All processes of a run.
+
+    Parameters
+    ==========
+
+    burners : int
+        Processes that only use up processor time.
+    """
+
+    def __init__(self, world: world_module.World, burners: int = 0):
+        folder = pathlib.Path(world.folder)
+        super().__init__(folder)
+        self.world = world
+        self._folder = folder
+        self._world_path = world.save()
+        self._daemons = [_Daemon(vm) for vm in world.vms]
+        self._events = open(folder / "events.jsonl", "a")
+        self._undo: list[tuple[float, dict]] = []
+        self._version = 0
+        self._burners = burners
+        self._words = _daemon_words()
+
+    def play(self, plan: list[plan_module.Step], seconds: float) -> Lines:
+        """Run a plan from the first caller to the last answer."""
+        text = json.dumps([dataclasses.asdict(s) for s in plan], indent=1)
+        (self._folder / "plan.json").write_text(text)
+        try:
+            self._start_all()
+            self._play(plan, seconds)
+        finally:
+            self._events.close()
+            self.close()
+        return self._lines()
+
+    # -- starting -------------------------------------------------------------
+
+    def _start_all(self) -> None:
+        self._start_own("store", self._world_path)
+        host, port = self.world.control
+        self._control = f"{host}:{port}"
+        processes.wait_until(
+            "the store",
+            lambda: (
+                processes.fetch(self._control, "POST", "/faults", {})
+                is not None
+            ),
+        )
+        self._configure()
+        for service in (fleet.TURNS_SERVICE, fleet.PLAIN_SERVICE):
+            self._start_own("upstreams", self._world_path, service)
+        for daemon in self._daemons:
+            self._start_daemon(daemon)
+        for number in range(self._burners):
+            self._start_burner(f"burner-{number}")
+
+    def _start_own(self, command: str, *arguments: str) -> None:
+        name = "-".join([command, *arguments[1:]])
+        self.start(name, [MODULE, command, *arguments], {})
+
+    def _start_burner(self, name: str) -> None:
+        self.process_by_name[name] = processes.subprocess.Popen(
+            [sys.executable, "-c", BURNER]
+        )
+
+    def _start_daemon(self, daemon: _Daemon) -> None:
+        path = self.world.write_settings(daemon.vm, not daemon.starts)
+        variables = {names.SETTINGS_VARIABLE: path}
+        self.start(daemon.vm.name, self._words, variables)
+        daemon.starts += 1
+        daemon.start_at = daemon.stopped_at = 0.0
+        daemon.killed = False
+
+    # -- playing --------------------------------------------------------------
+
+    def _play(self, plan: list[plan_module.Step], seconds: float) -> None:
+        self._start_own("callers", self._world_path, str(seconds))
+        log = self._folder / f"callers-{seconds}.log"
+        processes.wait_until(
+            "callers", lambda: "ready" in log.read_text(), START_SECONDS
+        )
+        began = time.monotonic()
+        steps = list(plan)
+        callers = self.process_by_name[f"callers-{seconds}"]
+        while callers.poll() is None:
+            now = time.monotonic()
+            while steps and steps[0].at <= now - began:
+                self._do(steps.pop(0))
+            self._look_after(now)
+            if now - began > seconds + FINISH_SECONDS:
+                raise TimeoutError("callers did not finish")
+            time.sleep(TICK_SECONDS)
+        if callers.returncode:
+            raise RuntimeError("callers failed; see their log")
+
+    def _do(self, step: plan_module.Step) -> None:
+        """Do a step, if its VM is up."""
+        if step.action is plan_module.Action.STORE:
+            self._disturb_store(step)
+            return
+        if step.action is plan_module.Action.CONFIGURE:
+            self._configure()
+            return
+        daemon = self._daemons[step.vm]
+        if daemon.start_at or daemon.stopped_at or daemon.thaw_at:
+            return
+        process = self.process_by_name[daemon.vm.name]
+        if step.action is plan_module.Action.STOP:
+            daemon.stopped_at = time.monotonic()
+            self._tell(step.action, daemon)
+            process.terminate()
+        elif step.action is plan_module.Action.KILL:
+            daemon.killed = True
+            self._tell(step.action, daemon)
+            process.kill()
+        elif step.action is plan_module.Action.PAUSE:
+            daemon.thaw_at = time.monotonic() + step.seconds
+            self._tell(step.action, daemon, daemon.thaw_at)
+            self.freeze(daemon.vm.name)
+        else:
+            self.world.write_settings(daemon.vm, False, reloads=step.at)
+            self._tell(step.action, daemon)
+            process.send_signal(signal.SIGHUP)
+
+    def _disturb_store(self, step: plan_module.Step) -> None:
+        now = time.monotonic()
+        self._record(
+            events_module.Event(now, step.action, "", now + step.seconds)
+        )
+        processes.fetch(self._control, "POST", "/faults", step.faults)
+        normal = {
+            "slow": 1.0,
+            "tail": False,
+            "refuse": 0,
+            "silent": False,
+            "lose_answers": 0,
+        }
+        self._undo.append((now + step.seconds, normal))
+
+    def _configure(self) -> None:
+        """Publish the next version, with other times in it."""
+        self._version += 1
+        patience = 5000 + self._version % 2
+        record = {
+            "topic": names.OPERATOR_TOPIC,
+            "key": names.CONFIGURATION_KEY,
+            "value": world_module.configuration(self._version, patience),
+        }
+        now = time.monotonic()
+        processes.fetch(self._control, "POST", "/put", record)
+        action = plan_module.Action.CONFIGURE
+        if self._version > 1:
+            self._record(
+                events_module.Event(now, action, "", time.monotonic())
+            )
+
+    def _look_after(self, now: float) -> None:
+        """Do what the platform does: end, start again, mend."""
+        while self._undo and self._undo[0][0] <= now:
+            normal = self._undo.pop(0)[1]
+            processes.fetch(self._control, "POST", "/faults", normal)
+        for daemon in self._daemons:
+            if daemon.thaw_at and daemon.thaw_at <= now:
+                daemon.thaw_at = 0.0
+                self.thaw(daemon.vm.name)
+            elif daemon.start_at:
+                if daemon.start_at <= now:
+                    self._start_daemon(daemon)
+            else:
+                self._look_at_process(daemon, now)
+
+    def _look_at_process(self, daemon: _Daemon, now: float) -> None:
+        process = self.process_by_name[daemon.vm.name]
+        status = process.poll()
+        grace = world_module.BOUNDS["grace_s"]
+        if status is not None:
+            daemon.start_at = now + RESTART_SECONDS
+            if not (daemon.stopped_at or daemon.killed):
+                self._tell("own_end", daemon, now, status)
+            elif daemon.stopped_at:
+                self._tell("stopped", daemon, now, status)
+        elif daemon.stopped_at and now - daemon.stopped_at > grace:
+            process.kill()
+
+    # -- telling --------------------------------------------------------------
+
+    def _tell(self, action, daemon, until=0.0, status=None) -> None:
+        now = time.monotonic()
+        self._record(
+            events_module.Event(
+                now, str(action), daemon.vm.name, until or now, status
+            )
+        )
+
+    def _record(self, event: events_module.Event) -> None:
+        self._events.write(json.dumps(dataclasses.asdict(event)) + "\n")
+        self._events.flush()
+
+    def _lines(self) -> Lines:
+        folder = self._folder
+        upstreams = sorted(folder.glob("upstream-*.jsonl"))
+        return Lines(
+            records.load_records([folder / "attempts.jsonl"], records.Attempt),
+            records.load_records(upstreams, records.Run),
+            events_module.load_events(folder / "events.jsonl"),
+        )
+
+
+def _daemon_words() -> list[str]:
+    """Return what follows ``python3 -m`` in the deploy file."""
+    deploy = tomllib.loads(pathlib.Path(DEPLOY_FILE).read_text())
+    words = shlex.split(deploy["roles"]["entry"]["run"])
+    if words[:2] != ["python3", "-m"]:
+        raise ValueError(f"{DEPLOY_FILE}: not python3 -m: {words}")
+    return words[2:]
