--- a/postspring/testing/soak/tests/test_verdict.py
+++ b/postspring/testing/soak/tests/test_verdict.py
@@ -220,7 +220,9 @@
 
     def test_five_tries_of_which_one_ran(self):
         lines = [self.turn(f"r{i}", status=503, seal="") for i in range(4)]
-        self.assertEqual(self.rules([*lines, self.turn("r9")], [run("r9")]), [])
+        self.assertEqual(
+            self.rules([*lines, self.turn("r9")], [run("r9")]), []
+        )
 
     def test_five_tries_at_a_vm_that_stops(self):
         lines = [self.turn(f"r{i}", status=503, seal="") for i in range(5)]
