--- a/postspring/testing/soak/__main__.py
+++ b/postspring/testing/soak/__main__.py
@@ -25,12 +25,19 @@
     programs.run_callers(path, float(seconds))
 
 
+def burn() -> None:
+    """Use processor time, and nothing else, until ended."""
+    while True:
+        pass
+
+
 COMMANDS = {
     "run": report.run,
     "series": report.run_series,
     "store": store,
     "upstreams": upstreams,
     "callers": callers,
+    "burn": burn,
 }
 
 if __name__ == "__main__":
--- a/postspring/testing/soak/programs.py
+++ b/postspring/testing/soak/programs.py
@@ -46,7 +46,7 @@
 LARGE_SHARE = 0.1
 SLOW_SHARE = 0.5
 # Pause of a slow caller after each read, seconds.
-SLOW_REST = (0.001, 0.02)
+SLOW_REST = (0.01, 0.05)
 # Kept connections rest up to so long between two plain calls, seconds.
 PLAIN_PAUSE = 3.0
 PROGRAM_PAUSE = 1.0
@@ -111,7 +111,9 @@
             name, self._world, self._balancer, self._lines, draw
         )
         places = sorted({vm.data_center for vm in self._world.vms})
-        user = _User(caller, places, number % len(places), self._turns)
+        place = number % len(places)
+        half_close = self._world.half_close
+        user = _User(caller, places, place, self._turns, half_close)
         await asyncio.sleep(draw.uniform(0, PROGRAM_PAUSE))
         while time.monotonic() < self._until:
             if number % PLAIN_USERS:
@@ -126,12 +128,13 @@
 class _User:
     """One user's doings."""
 
-    def __init__(self, caller, places, place: int, turns):
+    def __init__(self, caller, places, place: int, turns, half_close: float):
         self._caller = caller
         self._draw = caller.draw
         self._places = places
         self._place = place
         self._turns = turns
+        self._half_close = half_close
 
     # -- programs -------------------------------------------------------------
 
@@ -256,7 +259,11 @@
                 pace = connection.Pace(rest=self._draw.uniform(*SLOW_REST))
         elif self._draw.random() < LARGE_SHARE:
             body = b"b" * self._draw.randint(*LARGE_BODIES)
-        await self._plain_call(self._draw.random() < 0.5, path, {}, body, pace)
+        if self._draw.random() < self._half_close:
+            pace = dataclasses.replace(pace, half_close=True)
+        # The other route's time-out is too short for reading slowly.
+        is_safe = self._draw.random() < 0.5 and not pace.rest
+        await self._plain_call(is_safe, path, {}, body, pace)
 
     async def _plain_call(
         self, is_safe, path, headers, body, pace=connection.Pace()
--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -3,6 +3,7 @@
 import collections
 import pathlib
 import shutil
+import signal
 import sys
 import tempfile
 
@@ -71,6 +72,7 @@
     shape: world_module.Shape,
     folder: pathlib.Path,
     burners: int = 0,
+    stalls: int = 0,
 ) -> Outcome:
     """Play one run in a folder and judge it."""
     folder.mkdir(parents=True)
@@ -78,7 +80,7 @@
     steps = plan_module.draw_plan(
         seed, plan_module.PROFILES[profile], seconds, shape.vms
     )
-    stage = stage_module.Stage(world, burners)
+    stage = stage_module.Stage(world, burners, stalls)
     return Outcome(seed, folder, stage.play(steps, seconds))
 
 
@@ -89,11 +91,13 @@
     vms: int = 11,
     users: int = 60,
     burners: int = 0,
+    stalls: int = 0,
+    half_close: float = 0.0,
     keep: str = DEFAULT_FOLDER,
 ) -> None:
     """Play one run; exit with 1 if a rule was broken."""
-    shape = world_module.Shape(vms=vms, users=users)
-    outcome = _run(seed, seconds, profile, shape, burners, keep)
+    shape = world_module.Shape(vms=vms, users=users, half_close=half_close)
+    outcome = _run(seed, seconds, profile, shape, burners, stalls, keep)
     sys.exit(1 if outcome.verdict.findings else 0)
 
 
@@ -104,16 +108,18 @@
     vms: int = 11,
     users: int = 60,
     burners: int = 0,
+    stalls: int = 0,
+    half_close: float = 0.0,
     keep: str = DEFAULT_FOLDER,
 ) -> None:
     """Play runs one after another; ``seeds`` is FIRST-LAST."""
     first, _, last = str(seeds).partition("-")
     counts = collections.Counter()
     rules = collections.Counter()
-    shape = world_module.Shape(vms=vms, users=users)
+    shape = world_module.Shape(vms=vms, users=users, half_close=half_close)
     runs = range(int(first), int(last or first) + 1)
     for seed in runs:
-        outcome = _run(seed, seconds, profile, shape, burners, keep)
+        outcome = _run(seed, seconds, profile, shape, burners, stalls, keep)
         counts.update(outcome.counts, requests=len(outcome.lines.attempts))
         rules.update(outcome.rules)
     done = ", ".join(f"{n} {a}" for a, n in sorted(counts.items()))
@@ -121,11 +127,13 @@
     sys.exit(1 if rules else 0)
 
 
-def _run(seed, seconds, profile, shape, burners, keep) -> Outcome:
+def _run(seed, seconds, profile, shape, burners, stalls, keep) -> Outcome:
+    # Told to end, a run ends its processes first.
+    signal.signal(signal.SIGTERM, lambda number, frame: sys.exit(1))
     pathlib.Path(keep).mkdir(parents=True, exist_ok=True)
     name = f"{profile}-{seed}-"
     folder = pathlib.Path(tempfile.mkdtemp(prefix=name, dir=keep), "run")
-    outcome = play(seed, seconds, profile, shape, folder, burners)
+    outcome = play(seed, seconds, profile, shape, folder, burners, stalls)
     print(outcome.summary(), flush=True)
     if outcome.verdict.findings:
         print("\n".join(outcome.details()))
--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -3,9 +3,9 @@
 import dataclasses
 import json
 import pathlib
+import random
 import shlex
 import signal
-import sys
 import time
 import tomllib
 
@@ -27,7 +27,9 @@
 # After the end of traffic callers finish what is under way.
 FINISH_SECONDS = 60.0
 DEPLOY_FILE = "deploy/system.toml"
-BURNER = "while True: pass"
+# Stalls of a VM that others' processes hold up, and pauses between them;
+# seconds.
+STALL_SECONDS = (0.01, 0.15)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -47,6 +49,7 @@
     stopped_at: float = 0.0
     killed: bool = False
     thaw_at: float = 0.0
+    stall_until: float = 0.0
     start_at: float = 0.0
     starts: int = 0
 
@@ -59,9 +62,14 @@
 
     burners : int
         Processes that only use up processor time.
+    stalls : int
+        VMs that are held up at any moment, each for a short time.  That is
+        no step of the plan: on a busy machine it happens all the time.
     """
 
-    def __init__(self, world: world_module.World, burners: int = 0):
+    def __init__(
+        self, world: world_module.World, burners: int = 0, stalls: int = 0
+    ):
         folder = pathlib.Path(world.folder)
         super().__init__(folder)
         self.world = world
@@ -72,6 +80,8 @@
         self._undo: list[tuple[float, dict]] = []
         self._version = 0
         self._burners = burners
+        self._stalls = stalls
+        self._draw = random.Random(world.seed)
         self._words = _daemon_words()
 
     def play(self, plan: list[plan_module.Step], seconds: float) -> Lines:
@@ -105,23 +115,19 @@
         for daemon in self._daemons:
             self._start_daemon(daemon)
         for number in range(self._burners):
-            self._start_burner(f"burner-{number}")
+            self.start(f"burn-{number}", [MODULE, "burn"], {})
 
     def _start_own(self, command: str, *arguments: str) -> None:
         name = "-".join([command, *arguments[1:]])
         self.start(name, [MODULE, command, *arguments], {})
 
-    def _start_burner(self, name: str) -> None:
-        self.process_by_name[name] = processes.subprocess.Popen(
-            [sys.executable, "-c", BURNER]
-        )
-
     def _start_daemon(self, daemon: _Daemon) -> None:
         path = self.world.write_settings(daemon.vm, not daemon.starts)
         variables = {names.SETTINGS_VARIABLE: path}
         self.start(daemon.vm.name, self._words, variables)
         daemon.starts += 1
         daemon.start_at = daemon.stopped_at = 0.0
+        daemon.stall_until = 0.0
         daemon.killed = False
 
     # -- playing --------------------------------------------------------------
@@ -140,6 +146,7 @@
             while steps and steps[0].at <= now - began:
                 self._do(steps.pop(0))
             self._look_after(now)
+            self._stall(now)
             if now - began > seconds + FINISH_SECONDS:
                 raise TimeoutError("callers did not finish")
             time.sleep(TICK_SECONDS)
@@ -167,6 +174,7 @@
             self._tell(step.action, daemon)
             process.kill()
         elif step.action is plan_module.Action.PAUSE:
+            daemon.stall_until = 0.0
             daemon.thaw_at = time.monotonic() + step.seconds
             self._tell(step.action, daemon, daemon.thaw_at)
             self.freeze(daemon.vm.name)
@@ -222,6 +230,21 @@
             else:
                 self._look_at_process(daemon, now)
 
+    def _stall(self, now: float) -> None:
+        """Hold up some VMs for a short time, as a busy machine does."""
+        for daemon in self._daemons:
+            if daemon.stall_until and daemon.stall_until <= now:
+                daemon.stall_until = 0.0
+                self.thaw(daemon.vm.name)
+        stalled = sum(1 for item in self._daemons if item.stall_until)
+        if stalled >= self._stalls:
+            return
+        daemon = self._draw.choice(self._daemons)
+        if daemon.stall_until or daemon.thaw_at or daemon.start_at:
+            return
+        daemon.stall_until = now + self._draw.uniform(*STALL_SECONDS)
+        self.freeze(daemon.vm.name)
+
     def _look_at_process(self, daemon: _Daemon, now: float) -> None:
         process = self.process_by_name[daemon.vm.name]
         status = process.poll()
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -128,7 +128,8 @@
             elif attempt.end in records.BROKEN_ENDS:
                 self._judge_broken(attempt, runs)
             else:
-                self.verdict.note(str(attempt.end), attempt.id, attempt.vm)
+                name = f"{attempt.end}{'_slowly' if attempt.slow else ''}"
+                self.verdict.note(name, attempt.id, attempt.vm)
         self._judge_runs()
         self._judge_denials()
         self._judge_tries()
