--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -27,9 +27,11 @@
 # After the end of traffic callers finish what is under way.
 FINISH_SECONDS = 60.0
 DEPLOY_FILE = "deploy/system.toml"
-# Stalls of a VM that others' processes hold up, and pauses between them;
-# seconds.
-STALL_SECONDS = (0.01, 0.15)
+# Stalls of a VM that others' processes hold up, in seconds: one in twelve
+# is eight times the least, and few are the longest.
+SHORTEST_STALL = 0.02
+LONGEST_STALL = 0.8
+STALL_SHAPE = 1.2
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -242,7 +244,8 @@
         daemon = self._draw.choice(self._daemons)
         if daemon.stall_until or daemon.thaw_at or daemon.start_at:
             return
-        daemon.stall_until = now + self._draw.uniform(*STALL_SECONDS)
+        seconds = SHORTEST_STALL * self._draw.paretovariate(STALL_SHAPE)
+        daemon.stall_until = now + min(seconds, LONGEST_STALL)
         self.freeze(daemon.vm.name)
 
     def _look_at_process(self, daemon: _Daemon, now: float) -> None:
