A planned stop ends when nothing is owed, not when no request is open

Cause: "no request is under way" left out what the kernel held unread (a turn of the loop runs timers before sockets, so after a pause the stop was decided on old knowledge), connections in the accept queue, and bytes that callers had not taken yet.

A connection is read once more before it is closed as idle or overdue, and not closed as idle with unsent bytes; the end is when no connection of a caller is left, what peers were answered has left, and all is recorded. A refused body that is not read to its end is followed by a bounded lingering close. A caller that stops sending once it was answered whole still gets what is unsent; with a request open it counts as gone, as before (work for one that closed has to end within half a second, and a FIN says no more).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -118,6 +118,8 @@
             vm.grace,
             self._leave_when_recorded,
             on_stopped,
+            lambda: self.journal.unrecorded,
+            self.peers,
         )
 
     def start(self) -> None:
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -7,6 +7,8 @@
 from postspring.transport.http_messages import HttpRequest
 from postspring.transport.http_messages import integer_in
 from postspring.transport.http_server import HttpServer
+from postspring.transport.incoming import Cut
+from postspring.transport.incoming import EndedBy
 from postspring.transport.incoming import IncomingCall
 from postspring.transport.incoming import ServerLimits
 from postspring.transport.sockets import ConnectionHandler
@@ -17,6 +19,8 @@
 __all__ = [
     "AnswerCollector",
     "ConnectionHandler",
+    "Cut",
+    "EndedBy",
     "Exchange",
     "HttpClient",
     "HttpListener",
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -3,9 +3,19 @@
 from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
+import enum
 from typing import Protocol
 
-__all__ = ["AnswerSender", "Fields", "IncomingCall", "ServerLimits"]
+__all__ = [
+    "AnswerSender",
+    "Cut",
+    "EndedBy",
+    "Fields",
+    "IncomingCall",
+    "ServerLimits",
+]
+
+BAD_GATEWAY = 502
 
 Fields = Iterable[tuple[str | bytes, str | bytes]]
 
@@ -29,6 +39,35 @@
     connections: int = 4000
 
 
+class EndedBy(enum.Enum):
+    """Who ended a connection on which something was owed."""
+
+    CALLER = "caller"
+    VM = "vm"
+    ERROR = "error"
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cut:
+    """The end of a connection on which something was owed.
+
+    Parameters
+    ==========
+
+    call : IncomingCall or None
+        The request that was open, or whose answer had not wholly left.
+    unsent : int
+        Bytes of its answer that were still here.
+    seconds : float
+        Since the request's last byte.
+    """
+
+    ended_by: EndedBy
+    call: "IncomingCall | None"
+    unsent: int
+    seconds: float
+
+
 class AnswerSender(Protocol):
     """The connection that a request came on."""
 
@@ -72,6 +111,8 @@
 
     close_after : bool
         The answer ends the connection: the caller is to make a new one.
+    on_out_of_time : callable or None
+        Called when this VM is about to end: the final answer is due now.
     """
 
     def __init__(
@@ -93,6 +134,7 @@
         self.close_after = False
         self.answered = False
         self.on_gone: Callable[[], None] | None = None
+        self.on_out_of_time: Callable[[], None] | None = None
         self._value_by_name: dict[str, str] = {}
         for name, value in fields:
             self._value_by_name.setdefault(name.lower(), value)
@@ -126,6 +168,19 @@
         if not self.gone:
             self._connection.send_end()
 
+    def run_out(self) -> None:
+        """Have the final answer given, or break off what has begun.
+
+        Whoever knows whether the request has run says so; of another one
+        nothing is promised.
+        """
+        was_answered = self.answered
+        if self.on_out_of_time is not None:
+            self.on_out_of_time()
+        elif was_answered:
+            self.abort()
+        self.respond(BAD_GATEWAY, [])
+
     def abort(self) -> None:
         """Close the connection without completing the answer."""
         self.answered = True
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -18,39 +18,26 @@
 from circuits.net import sockets
 
 from postspring import errors
+from postspring.transport import connecting as connecting_module
+from postspring.transport import connection_handler
 from postspring.transport import timers
 
 __all__ = ["ConnectionHandler", "SocketHub"]
 
+ConnectionHandler = connection_handler.ConnectionHandler
+
 LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
 PACE_SECONDS = 0.01
+# Reads at once before a connection is judged: more than the longest request
+# that may come.
+MOST_READS = 128
 # Bytes that the other side does not acknowledge for this long mean that the
 # path is gone; a partition otherwise hangs the connection for minutes.  A
 # round trip takes a few ms, and a crowded link holds packets up for 500.
 UNACKNOWLEDGED_MILLISECONDS = 800
 
 
-class ConnectionHandler:
-    """What a connection's user implements."""
-
-    def received(self, data: bytes) -> None:
-        """Take bytes from the other side."""
-
-    def closed(self) -> None:
-        """Take note that the connection is gone, from either side."""
-
-    def was_reset(self, is_unreachable: bool) -> None:
-        """Take note that the connection broke; by default as closed.
-
-        Parameters
-        ----------
-        is_unreachable : bool
-            Whether the other side did not acknowledge what was sent.
-        """
-        self.closed()
-
-
 class SocketHub(sockets.TCPServer):
     """Opens, accepts, reads and writes TCP connections.
 
@@ -79,8 +66,11 @@
         self._timers = timers
         self._on_accept = on_accept
         self._handler_by_socket: dict[socket.socket, ConnectionHandler] = {}
-        self._connecting: dict[socket.socket, _Connecting] = {}
+        self._connecting: dict[
+            socket.socket, connecting_module.Connecting
+        ] = {}
         self._paced: dict[socket.socket, None] = {}
+        self._ending: dict[socket.socket, None] = {}
         self._pump: timers.TimerHandle | None = None
         super().__init__(bind, bufsize=READ_BYTES, channel=channel)
 
@@ -120,7 +110,7 @@
             self._timers.call_later(0, on_error, error)
             return
         deadline = self._timers.call_later(timeout, self._timed_out, sock)
-        self._connecting[sock] = _Connecting(
+        self._connecting[sock] = connecting_module.Connecting(
             address, on_open, on_error, deadline
         )
         self._poller.addWriter(self, sock)
@@ -146,6 +136,16 @@
         """Return how many bytes wait to be sent."""
         return sum(len(data) for data in self._buffers.get(sock, ()))
 
+    @property
+    def all_unsent_bytes(self) -> int:
+        """How many bytes wait to be sent, on all connections."""
+        return sum(map(self.unsent_bytes, self._handler_by_socket))
+
+    @property
+    def unread_count(self) -> int:
+        """On how many connections the kernel holds bytes."""
+        return sum(map(self.has_unread, self._handler_by_socket))
+
     def pace(self, sock: socket.socket) -> None:
         """Read this connection at intervals instead of at each packet.
 
@@ -185,7 +185,44 @@
 
     def shut(self, sock: socket.socket) -> None:
         """Close a connection once what was sent has left."""
-        self.close(sock)
+        if sock.fileno() >= 0:
+            self.close(sock)
+
+    def cut(self, sock: socket.socket) -> None:
+        """Close a connection at once, whatever is unsent."""
+        if sock in self._handler_by_socket:
+            self._close(sock)
+
+    def end_sending(self, sock: socket.socket) -> None:
+        """Say that nothing more follows, once what was sent has left."""
+        if sock not in self._handler_by_socket:
+            return
+        self._ending[sock] = None
+        if not self._buffers.get(sock):
+            self._say_end(sock)
+
+    def read_now(self, sock: socket.socket) -> None:
+        """Read what the kernel holds, before a connection is judged.
+
+        In a turn of the loop timers run before sockets: after a pause what
+        a timer's function knows of a connection is as old as the pause.
+        """
+        for _ in range(MOST_READS):
+            if not self._read(sock):
+                return
+
+    def has_unread(self, sock: socket.socket) -> bool:
+        """Return whether the kernel holds bytes of a connection."""
+        try:
+            return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
+        except OSError:
+            return False
+
+    def accept_now(self) -> None:
+        """Accept what waits: closing the listener would reset it."""
+        for _ in range(self._backlog):
+            if not self._accept():
+                return
 
     def refuse_new(self) -> None:
         """Stop accepting; open connections go on."""
@@ -219,7 +256,10 @@
     def _on_write(self, sock):
         connecting = self._connecting.get(sock)
         if connecting is None:
-            return super()._on_write(sock)
+            super()._on_write(sock)
+            if sock in self._ending and not self._buffers.get(sock):
+                self._say_end(sock)
+            return None
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
             self._connect_failed(sock, errno.errorcode.get(code, str(code)))
@@ -240,6 +280,17 @@
         else:
             self._close(sock)
 
+    def _accept(self) -> bool:
+        """Accept a connection, at once; return whether there was one."""
+        if self._sock is None:
+            return False
+        try:
+            sock, address = self._sock.accept()
+        except OSError:
+            return False
+        self._on_accept_done(sock)
+        return True
+
     def _on_accept_done(self, sock, fire_connect_event=True):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
@@ -251,32 +302,48 @@
         self._handler_by_socket[sock] = connection
         self._poller.addReader(self, sock)
 
-    def _read(self, sock):
+    def _read(self, sock) -> bool:
+        """Read once; return whether bytes came."""
         connection = self._handler_by_socket.get(sock)
         if connection is None:
-            return
+            return False
         try:
             data = sock.recv(READ_BYTES)
         except BlockingIOError:
-            return
+            return False
         except OSError as error:
             self._close(sock, broken_by=error)
-            return
+            return False
         if not data:
-            self._close(sock)
-            return
+            self._ended_by_other_side(sock, connection)
+            return False
         try:
             connection.received(data)
         except Exception:
             LOG.exception("a connection's handler failed")
             self._close(sock)
+        return True
+
+    def _ended_by_other_side(self, sock, connection) -> None:
+        """Close; whoever only stopped sending still gets what is unsent."""
+        if connection.is_answered and self._buffers.get(sock):
+            self._poller.removeReader(sock)
+            self.close(sock)
+        else:
+            self._close(sock)
 
     def _close(self, sock, broken_by=None):
         connection = self._handler_by_socket.pop(sock, None)
         self._paced.pop(sock, None)
+        self._ending.pop(sock, None)
+        if sock in self._closeq:
+            self._closeq.remove(sock)
+        unsent = self.unsent_bytes(sock)
         super()._close(sock)
         if connection is None:
             return
+        if unsent:
+            connection.left_unsent(unsent)
         if broken_by is not None:
             timed_out = broken_by.errno == errno.ETIMEDOUT
             connection.was_reset(is_unreachable=timed_out)
@@ -285,6 +352,13 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _say_end(self, sock: socket.socket) -> None:
+        self._ending.pop(sock, None)
+        try:
+            sock.shutdown(socket.SHUT_WR)
+        except OSError:
+            self._close(sock)
+
     def _read_paced(self) -> None:
         self._pump = None
         for sock in list(self._paced):
@@ -316,15 +390,3 @@
         sent=False,
         is_unreachable=text in ("timeout", "ETIMEDOUT", "EHOSTUNREACH"),
     )
-
-
-class _Connecting:
-    """A connection that is being opened."""
-
-    __slots__ = ("address", "on_open", "on_error", "deadline")
-
-    def __init__(self, address, on_open, on_error, deadline):
-        self.address = address
-        self.on_open = on_open
-        self.on_error = on_error
-        self.deadline = deadline
