--- /dev/null
+++ b/postspring/front/tests/test_out_of_time.py
@@ -0,0 +1,68 @@
+"""A stop whose grace ends while requests are open.
+
+Seen: a stop that reached the end of its grace ended the process, and what
+was open got no answer.  Cause: only the connection's end was left to tell.
+Proof: each has its final answer in time, and 503 only if it has not run.
+"""
+
+from postspring.testing.fleet import case
+
+TURN = {"program_id": "p", "token_usage": "1,16", "token_budget": "100"}
+GRACE_USED_SECONDS = 7.5
+
+
+class OutOfTimeTest(case.FleetCase):
+    """What is open gets its final answer."""
+
+    def setUp(self):
+        super().setUp()
+        self.node = self.fleet.nodes[0]
+        self.caller = self.fleet.caller()
+
+    def send(self, target, body=b"x"):
+        """Send a request that is a turn if its route has programs."""
+        headers = self.fleet.headers("r", TURN)
+        self.caller.send("POST", target, headers, body)
+
+    def run_out(self):
+        """Let the grace come to its end; return what the caller has."""
+        self.node.shutdown.begin()
+        self.node.shutdown._began -= GRACE_USED_SECONDS
+        with self.assertLogs("postspring.calls", "INFO") as lines:
+            self.fleet.turn_until(lambda: self.caller.answer.settled)
+        self.lines = lines.records
+        return self.caller.answer
+
+    def test_what_may_have_run_is_answered_without_a_promise(self):
+        tool = self.fleet.tools[0]
+        tool.faults.hang = True
+        self.send("/once/x")
+        self.fleet.turn_until(lambda: tool.runs)
+        answer = self.run_out()
+        self.assertEqual((502, True), (answer.status, answer.whole))
+        self.fleet.turn_until(lambda: tool.gone)
+        self.fleet.turn_until(lambda: self.fleet.stopped)
+
+    def test_what_has_not_run_is_refused_and_never_runs(self):
+        self.fleet.store.silent = True
+        self.send("/stream/x")
+        self.fleet.turn_until(lambda: self.node.callers.active)
+        answer = self.run_out()
+        self.assertEqual((503, True), (answer.status, answer.whole))
+        self.assertIn("retry-after", answer.headers)
+        self.fleet.store.silent = False
+        self.fleet.turn_until(lambda: self.fleet.stopped)
+        self.fleet.turn_for(0.3)
+        self.assertEqual([], self.fleet.engines[0].runs)
+
+    def test_a_turn_that_waits_for_its_record_is_not_whole(self):
+        self.fleet.engines[0].event_seconds = 0.1
+        self.send("/stream/x")
+        self.fleet.turn_until(lambda: self.caller.answer.body)
+        self.fleet.store.silent = True
+        self.fleet.turn_until(lambda: case.EVENTS == self.caller.answer.body)
+        answer = self.run_out()
+        self.assertFalse(answer.whole)
+        line = self.lines[-1]
+        self.assertEqual("broken_off", line.getMessage())
+        self.assertEqual("unrecorded", line.reason)
