Requests that are open when the grace ends have their final answer

0.6 s before SIGKILL what is open is answered where it is known whether it ran: not sent, 503 with a time to come back (its opening is given up, so it never runs); sent, 502, and the run is broken off; a stream that has begun, and a turn that waits for its record, end without looking complete. Each has its line (refused / broken_off, reason shutting_down or unrecorded).

--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -111,6 +111,19 @@
         """Let the upstream finish; the receiver hears nothing more."""
         self._receiver = dispatch.Receiver()
 
+    def run_out(self) -> None:
+        """Give the final answer now: this VM is about to end."""
+        if self._phase is _Phase.DONE:
+            return
+        may_have_run = self.attempts.may_have_run or self._was_sent
+        if self._exchange is not None:
+            self._exchange.cancel()
+        self._settle()
+        refusal = refusals.Refusal.SHUTTING_DOWN
+        if may_have_run:
+            refusal = refusals.Refusal.UNKNOWN_OUTCOME
+        self._give_up(refusal, refusals.Refusal.SHUTTING_DOWN.reason)
+
     # -- sending --------------------------------------------------------------
 
     def _send(self) -> None:
@@ -337,15 +350,18 @@
                 choice.DEADLINE_SLACK_SECONDS, self._stream_overdue
             )
             return
-        sent = self._exchange is not None and self._exchange.sent
         timed_out = refusals.Refusal.TIMED_OUT_UNSENT
-        if sent or self.attempts.may_have_run:
+        if self._was_sent or self.attempts.may_have_run:
             timed_out = refusals.Refusal.TIMED_OUT
         if self._exchange is not None:
             self._exchange.cancel()
         self._settle()
         self._give_up(timed_out)
 
+    @property
+    def _was_sent(self) -> bool:
+        return self._exchange is not None and self._exchange.sent
+
     def _stream_overdue(self) -> None:
         if self._phase is _Phase.DONE:
             return
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -25,6 +25,7 @@
         self._facts = facts
         self._outcome = outcome
         self._status = 0
+        call.on_out_of_time = self.out_of_time
         self.delivery: delivery_module.Delivery | None = None
 
     def answered(self, status: int, fields: list, body: bytes) -> None:
@@ -62,6 +63,11 @@
         self._add_delivery()
         self._outcome.report_refusal(refusal, now)
 
+    def out_of_time(self) -> None:
+        """Have the final answer given: this VM is about to end."""
+        if self.delivery is not None:
+            self.delivery.run_out()
+
     def report(self, text: str, **fields) -> None:
         """Log and count the call's outcome."""
         self._add_delivery()
--- a/postspring/front/tests/test_out_of_time.py
+++ b/postspring/front/tests/test_out_of_time.py
@@ -55,6 +55,15 @@
         self.fleet.turn_for(0.3)
         self.assertEqual([], self.fleet.engines[0].runs)
 
+    def test_a_stream_that_has_begun_does_not_look_complete(self):
+        engine = self.fleet.engines[0]
+        engine.faults.stop_between = 1
+        self.send("/plain-stream/x")
+        self.fleet.turn_until(lambda: self.caller.answer.body)
+        answer = self.run_out()
+        self.assertFalse(answer.whole)
+        self.fleet.turn_until(lambda: engine.gone)
+
     def test_a_turn_that_waits_for_its_record_is_not_whole(self):
         self.fleet.engines[0].event_seconds = 0.1
         self.send("/stream/x")
--- a/postspring/testing/callers_edge.py
+++ b/postspring/testing/callers_edge.py
@@ -32,6 +32,8 @@
 
     application : callable, optional
         Takes each call; without it calls are kept in ``calls``.
+    options : dict
+        Further arguments of the server.
 
     Attributes
     ==========
@@ -45,6 +47,7 @@
     def __init__(
         self,
         application: Callable[[transport.IncomingCall], None] | None = None,
+        **options,
     ):
         super().__init__()
         pollers.EPoll().register(self)
@@ -52,7 +55,10 @@
         self.calls: list[transport.IncomingCall] = []
         self.limits = transport.ServerLimits()
         self.callers = transport.HttpServer(
-            self.timers, application or self.calls.append, self.limits
+            self.timers,
+            application or self.calls.append,
+            self.limits,
+            **options,
         )
         self.callers.listen(self, ("127.0.0.1", 0))
         self.is_recorded = True
--- a/postspring/testing/fleet/caller.py
+++ b/postspring/testing/fleet/caller.py
@@ -7,6 +7,8 @@
 
 __all__ = ["Caller", "CallerAnswer"]
 
+KEPT_BYTES = 1000
+
 
 @dataclasses.dataclass(slots=True)
 class CallerAnswer:
@@ -25,13 +27,21 @@
 
 
 class Caller:
-    """One connection to an entry VM."""
+    """One connection to an entry VM.
+
+    Attributes
+    ==========
+
+    received : bytes
+        The beginning of what came last, also if no answer was expected.
+    """
 
     def __init__(self, address: tuple[str, int]):
         self._socket = socket.create_connection(address)
         self._socket.setblocking(False)
         self._http = h11.Connection(our_role=h11.CLIENT)
         self.answer = CallerAnswer()
+        self.received = b""
 
     def send(
         self,
@@ -68,6 +78,8 @@
             return
         if not data:
             self.answer.closed = True
+        else:
+            self.received = data[:KEPT_BYTES]
         try:
             self._http.receive_data(data)
             self._parse()
@@ -90,6 +102,10 @@
             else:
                 return
 
+    def end_sending(self) -> None:
+        """Say that no more follows, and go on reading."""
+        self._socket.shutdown(socket.SHUT_WR)
+
     def close(self) -> None:
         """Leave."""
         self._socket.close()
