--- a/postspring/front/tests/test_reload.py
+++ b/postspring/front/tests/test_reload.py
@@ -48,6 +48,15 @@
         self.assertIn("settings not read", self.hang_up())
         self.assertIs(before, self.node.vm)
 
+    def test_a_file_that_is_being_written_is_read_again(self):
+        """Seen: "settings not read", and the old ones stayed in force."""
+        self.path.write_text("{")
+        self.assertIn("settings not read", self.hang_up())
+        self.path.write_text(json.dumps(test_settings.RAW))
+        with self.assertLogs("postspring", "INFO") as lines:
+            self.fleet.turn_until(lambda: lines.records)
+        self.assertIn("settings read again", lines.output[-1])
+
     def test_what_may_change_is_in_force(self):
         changed = dataclasses.replace(self.node.vm, grace=3.0)
         self.node.reconfigure(changed)
