Signals during the start are kept, and settings are read again

Signals are caught before the long imports and kept until someone can act on them: a stop before the listeners are opened ends the process with 0 and a line, one behind it is a planned stop, a reload is done once its handler stands. A settings file that can't be read at SIGHUP is tried again every 0.2 s for 10 s. What is left: the interpreter's own start, before the first line of the program; nothing has been accepted by then.

--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -7,6 +7,14 @@
 import sys
 import types
 
+from postspring.daemon import early_signals
+
+# The imports below take a good part of the start; a signal meanwhile would
+# end the process by its default action.
+EARLY_SIGNALS = early_signals.EarlySignals()
+if __name__ == "__main__":
+    EARLY_SIGNALS.install()
+
 # circuits asks pkg_resources only to declare a namespace package, and
 # importing it costs 9 MB on each VM.
 _namespaces = types.ModuleType("pkg_resources")
@@ -19,11 +27,16 @@
 from postspring.front import settings  # noqa: E402
 from postspring import logs  # noqa: E402
 from postspring import platform  # noqa: E402
+from postspring import transport  # noqa: E402
 
 __all__ = ["main", "reload_on_hangup", "run_front"]
 
 LOG = logging.getLogger(__name__)
 
+# A file that is just being written is whole soon after; in seconds.
+READ_AGAIN_SECONDS = 0.2
+MOST_READS = 50
+
 
 def run_front(flags: dict[str, str]) -> None:
     """Run a front VM until it is told to stop."""
@@ -35,8 +48,11 @@
         vm=vm.vm,
         data_center=vm.data_center,
     )
+    if EARLY_SIGNALS.has(signal.SIGTERM, signal.SIGINT):
+        LOG.info("stopped before the start")
+        return
     node = node_module.FrontNode(vm, own, on_stopped=process.end_process)
-    process.Process(node, node.shutdown.begin)
+    process.Process(node, node.shutdown.begin, EARLY_SIGNALS)
     reload_on_hangup(node, os.environ)
     node.run()
 
@@ -44,18 +60,39 @@
 def reload_on_hangup(
     node: node_module.FrontNode, environment: Mapping[str, str]
 ) -> None:
-    """Read the settings again at SIGHUP; without this it ends the process."""
+    """Read the settings again at SIGHUP; without this it ends the process.
 
-    def read_again() -> None:
+    A file that can't be read is tried again for a while, as it may be half
+    written; meanwhile the settings that are known stay in force.
+    """
+    pending: list[transport.TimerHandle] = []
+
+    def read_again(left: int) -> None:
+        pending.clear()
         try:
-            node.reconfigure(platform.load_settings(environment))
+            vm = platform.load_settings(environment)
         except errors.SettingsError as error:
-            LOG.error("settings not read", extra={"error": str(error)})
+            is_last = not left
+            if is_last or left == MOST_READS:
+                LOG.error(
+                    "settings not read",
+                    extra={"error": str(error), "given_up": is_last},
+                )
+            if not is_last:
+                plan(READ_AGAIN_SECONDS, left - 1)
+        else:
+            node.reconfigure(vm)
 
-    signal.signal(
-        signal.SIGHUP,
-        lambda number, frame: node.timers.call_later(0, read_again),
-    )
+    def plan(seconds: float, left: int) -> None:
+        for handle in pending:
+            handle.cancel()
+        pending[:] = [node.timers.call_later(seconds, read_again, left)]
+
+    def hang_up() -> None:
+        plan(0, MOST_READS)
+
+    signal.signal(signal.SIGHUP, lambda number, frame: hang_up())
+    EARLY_SIGNALS.replay(signal.SIGHUP, hang_up)
 
 
 def main() -> None:
