Opening a connection has an end, also without a file for it

Cause: SocketHub.open let OSError (EMFILE at socket()) and OverflowError (a port that is none) through to whoever happened to run, so the call's on_error was never heard. Both are told as "not sent" now. When no file is left the kept connection that was idle for longest is given up and the opening tried once more; "no file for a connection" is told once a second with a count.

--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -275,6 +275,7 @@
     def __init__(self, hub: sockets.SocketHub, timers: timers.Timers):
         self.hub = hub
         self.timers = timers
+        hub.shortage.reclaimers.append(self.give_up_idle)
         self.connections_opened = 0
         # Sent, and nothing of an answer has come.
         self.pending: dict[Exchange, None] = {}
@@ -320,6 +321,15 @@
             idle.expiry.cancel()
             self.hub.shut(idle.sock)
 
+    def give_up_idle(self) -> bool:
+        """Close the connection that nobody has used for longest, if any."""
+        oldest = [idle[0] for idle in self._idle_by_address.values() if idle]
+        if not oldest:
+            return False
+        kept = min(oldest, key=lambda item: item.since)
+        self.hub.shut(kept.sock)
+        return True
+
     def distrust(self, silent: Exchange) -> None:
         """Close what was idle already when an exchange without answer began.
 
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -9,6 +9,7 @@
 from collections.abc import Callable
 import errno
 import logging
+import os
 import socket
 
 from circuits.core import pollers
@@ -18,6 +19,8 @@
 from circuits.net import sockets
 
 from postspring import errors
+from postspring.transport import connecting
+from postspring.transport import files
 from postspring.transport import timers
 
 __all__ = ["ConnectionHandler", "SocketHub"]
@@ -66,6 +69,13 @@
         :class:`ConnectionHandler` for it, or None to close it.
     channel : str
         The circuits channel of this hub.
+
+    Attributes
+    ==========
+
+    shortage : Shortage
+        What is done when no file is left; users of connections that they
+        can do without add themselves.
     """
 
     def __init__(
@@ -79,9 +89,10 @@
         self._timers = timers
         self._on_accept = on_accept
         self._handler_by_socket: dict[socket.socket, ConnectionHandler] = {}
-        self._connecting: dict[socket.socket, _Connecting] = {}
+        self._connecting: dict[socket.socket, connecting.Connecting] = {}
         self._paced: dict[socket.socket, None] = {}
         self._pump: timers.TimerHandle | None = None
+        self.shortage = files.Shortage(timers)
         super().__init__(bind, bufsize=READ_BYTES, channel=channel)
 
     # -- for users ----------------------------------------------------------
@@ -105,22 +116,16 @@
             Called with the socket, and with a TransportError that says
             ``sent=False``.
         """
-        sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        sock.setblocking(False)
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        sock.setsockopt(
-            socket.IPPROTO_TCP,
-            socket.TCP_USER_TIMEOUT,
-            UNACKNOWLEDGED_MILLISECONDS,
-        )
-        code = sock.connect_ex(address)
-        if code not in (0, errno.EINPROGRESS):
-            sock.close()
-            error = _connect_error(address, errno.errorcode[code])
-            self._timers.call_later(0, on_error, error)
+        try:
+            sock = self._begin_to_open(address)
+        except (OSError, OverflowError) as error:
+            # No file is left, or the address is none.
+            text = connecting.name_of(error)
+            failure = connecting.connect_error(address, text)
+            self._timers.call_later(0, on_error, failure)
             return
         deadline = self._timers.call_later(timeout, self._timed_out, sock)
-        self._connecting[sock] = _Connecting(
+        self._connecting[sock] = connecting.Connecting(
             address, on_open, on_error, deadline
         )
         self._poller.addWriter(self, sock)
@@ -217,8 +222,8 @@
 
     @handler("_write", priority=1)
     def _on_write(self, sock):
-        connecting = self._connecting.get(sock)
-        if connecting is None:
+        opening = self._connecting.get(sock)
+        if opening is None:
             return super()._on_write(sock)
         code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if code:
@@ -226,9 +231,9 @@
             return None
         self._poller.removeWriter(sock)
         del self._connecting[sock]
-        connecting.deadline.cancel()
+        opening.deadline.cancel()
         self._clients.append(sock)
-        self._handler_by_socket[sock] = connecting.on_open(sock)
+        self._handler_by_socket[sock] = opening.on_open(sock)
         if sock in self._clients:
             self._poller.addReader(self, sock)
         return None
@@ -286,6 +291,29 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _begin_to_open(self, address: tuple[str, int]) -> socket.socket:
+        try:
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        except OSError as error:
+            if not self.shortage.relieve(error):
+                raise
+            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+        try:
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            sock.setsockopt(
+                socket.IPPROTO_TCP,
+                socket.TCP_USER_TIMEOUT,
+                UNACKNOWLEDGED_MILLISECONDS,
+            )
+            code = sock.connect_ex(address)
+            if code not in (0, errno.EINPROGRESS):
+                raise OSError(code, os.strerror(code))
+        except (OSError, OverflowError):
+            sock.close()
+            raise
+        return sock
+
     def _read_paced(self) -> None:
         self._pump = None
         for sock in list(self._paced):
@@ -300,32 +328,9 @@
             self._connect_failed(sock, "timeout")
 
     def _connect_failed(self, sock: socket.socket, text: str) -> None:
-        connecting = self._connecting.pop(sock)
-        connecting.deadline.cancel()
+        opening = self._connecting.pop(sock)
+        opening.deadline.cancel()
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
         sock.close()
-        connecting.on_error(_connect_error(connecting.address, text))
-
-
-def _connect_error(
-    address: tuple[str, int], text: str
-) -> errors.TransportError:
-    host, port = address
-    return errors.TransportError(
-        f"connect to {host}:{port}: {text}",
-        sent=False,
-        is_unreachable=text in ("timeout", "ETIMEDOUT", "EHOSTUNREACH"),
-    )
-
-
-class _Connecting:
-    """A connection that is being opened."""
-
-    __slots__ = ("address", "on_open", "on_error", "deadline")
-
-    def __init__(self, address, on_open, on_error, deadline):
-        self.address = address
-        self.on_open = on_open
-        self.on_error = on_error
-        self.deadline = deadline
+        opening.on_error(connecting.connect_error(opening.address, text))
