--- a/postspring/testing/soak/events.py
+++ b/postspring/testing/soak/events.py
@@ -60,12 +60,15 @@
         For so long after a disruption nothing is judged.
     configuration : float
         Within this a configuration, or new settings, are in force.
+    recovery : float
+        Within this all is served again after the final fault.
     """
 
     events: list[Event]
     grace: float = 8.0
     stability: float = 3.0
     configuration: float = 2.0
+    recovery: float = 12.0
 
     def stop_of(self, vm: str, at: float) -> Event | None:
         """Return the stop that was under way at a VM."""
@@ -82,15 +85,27 @@
             return "stop"
         for event in self.events:
             if event.action == plan_module.Action.RELOAD and event.vm == vm:
-                if sent <= event.at + self.configuration <= ended + 1e9:
-                    if event.at <= ended:
-                        return "reload"
+                is_sent = sent <= event.at + self.configuration
+                if is_sent and event.at <= ended:
+                    return "reload"
             elif event.action == plan_module.Action.CONFIGURE:
                 over = event.until + self.configuration + 1
                 if event.at <= ended <= over:
                     return "configuration"
         return ""
 
+    def final_fault(self) -> float:
+        """Return when all VMs were killed for the last time; 0 for never."""
+        kills = [e for e in self.events if e.action == plan_module.Action.KILL]
+        names = {e.vm for e in self.events if e.vm}
+        for event in reversed(kills):
+            together = {
+                kill.vm for kill in kills if 0 <= event.at - kill.at < 1
+            }
+            if together == names:
+                return event.at
+        return 0.0
+
     def is_disturbed(self, begin: float, end: float) -> bool:
         """Whether anything unplanned was going on, or had been lately."""
         return any(
--- a/postspring/testing/soak/plan.py
+++ b/postspring/testing/soak/plan.py
@@ -49,6 +49,9 @@
 
     stops : float
         From the end of one series of stops to the beginning of the next.
+    final : float
+        So long before the end all VMs are killed at once; nothing is done
+        after that.
     """
 
     stops: float = 0.0
@@ -57,6 +60,7 @@
     kills: float = 0.0
     pauses: float = 0.0
     store: float = 0.0
+    final: float = 0.0
 
 
 PROFILES = {
@@ -71,6 +75,8 @@
         pauses=10.0,
         store=12.0,
     ),
+    "herds": Profile(kills=6.0, store=8.0),
+    "final": Profile(stops=6.0, store=8.0, final=25.0),
 }
 # Nothing is done before this, nor in the last seconds.
 CALM_SECONDS = 4.0
@@ -94,8 +100,8 @@
 ) -> list[Step]:
     """Return the steps in their order."""
     draw = random.Random(seed)
-    steps = _series(draw, profile.stops, seconds, vms)
-    last = seconds - LAST_SECONDS
+    last = seconds - max(LAST_SECONDS, profile.final)
+    steps = _series(draw, profile.stops, last, vms)
     for action, mean in (
         (Action.RELOAD, profile.reloads),
         (Action.CONFIGURE, profile.configures),
@@ -105,14 +111,15 @@
     ):
         at = CALM_SECONDS
         while mean and (at := at + draw.expovariate(1 / mean)) < last:
-            steps.append(_single(draw, action, at, vms))
+            steps.extend(_single(draw, action, at, vms))
+    if profile.final:
+        steps.extend(Step(last, Action.KILL, vm) for vm in range(vms))
     return sorted(steps, key=lambda step: step.at)
 
 
-def _series(draw, mean: float, seconds: float, vms: int) -> list[Step]:
+def _series(draw, mean: float, last: float, vms: int) -> list[Step]:
     """Return series of stops: single ones, rolls, overlapping ones."""
     steps = []
-    last = seconds - LAST_SECONDS
     at = CALM_SECONDS
     while mean and (at := at + draw.expovariate(1 / mean)) < last:
         count = draw.choice((1, 2, 3, vms // 2, vms))
@@ -128,11 +135,15 @@
     return steps
 
 
-def _single(draw, action: Action, at: float, vms: int) -> Step:
-    vm = draw.randrange(vms)
+def _single(draw, action: Action, at: float, vms: int) -> list[Step]:
     if action is Action.PAUSE:
-        return Step(at, action, vm, draw.uniform(*PAUSE_SECONDS))
+        seconds = draw.uniform(*PAUSE_SECONDS)
+        return [Step(at, action, draw.randrange(vms), seconds)]
     if action is Action.STORE:
         faults = draw.choice(STORE_FAULTS)
-        return Step(at, action, 0, draw.uniform(*STORE_SECONDS), faults)
-    return Step(at, action, vm)
+        return [Step(at, action, 0, draw.uniform(*STORE_SECONDS), faults)]
+    count = 1
+    if action is Action.KILL:
+        # one alone most often, or many at the same moment
+        count = draw.choice((1, 1, 2, max(1, vms // 2), vms))
+    return [Step(at, action, vm) for vm in draw.sample(range(vms), count)]
--- a/postspring/testing/soak/programs.py
+++ b/postspring/testing/soak/programs.py
@@ -40,15 +40,16 @@
 PREFIX = "5c1e07a2:2560,{own:x}:1030"
 BUDGET = "100000"
 # Every so many users makes plain calls only.
-PLAIN_USERS = 3
+PLAIN_USERS = 2
 LARGE_ANSWERS = (100_000, 3_000_000)
 LARGE_BODIES = (50_000, 1_500_000)
 LARGE_SHARE = 0.1
 SLOW_SHARE = 0.5
 # Pause of a slow caller after each read, seconds.
 SLOW_REST = (0.01, 0.05)
-# Kept connections rest up to so long between two plain calls, seconds.
-PLAIN_PAUSE = 3.0
+# Kept connections rest for so long between two plain calls, or for longer
+# than a VM that stops leaves them open; seconds.
+PLAIN_PAUSES = ((0.0, 1.0), (1.0, 10.0))
 PROGRAM_PAUSE = 1.0
 # Turns that others may go on from.
 REMEMBERED_TURNS = 400
@@ -121,7 +122,8 @@
                 await asyncio.sleep(draw.uniform(0, PROGRAM_PAUSE))
             else:
                 await user.make_plain_call()
-                await asyncio.sleep(draw.uniform(0, PLAIN_PAUSE))
+                pause = draw.uniform(*draw.choice(PLAIN_PAUSES))
+                await asyncio.sleep(pause)
         caller.close()
 
 
--- a/postspring/testing/soak/tests/test_plan.py
+++ b/postspring/testing/soak/tests/test_plan.py
@@ -32,6 +32,12 @@
             actions = {step.action for step in self.draw(seed, "stops")}
             self.assertLessEqual(actions, planned)
 
+    def test_the_final_fault_is_the_last_step(self):
+        steps = self.draw(5, "final")
+        final = steps[-11:]
+        self.assertEqual({step.vm for step in final}, set(range(11)))
+        self.assertEqual({step.at for step in final}, {35.0})
+
     def test_steps_are_in_their_order(self):
         times = [step.at for step in self.draw(7, "mixed")]
         self.assertEqual(times, sorted(times))
--- a/postspring/testing/soak/tests/test_verdict.py
+++ b/postspring/testing/soak/tests/test_verdict.py
@@ -228,6 +228,16 @@
         lines = [self.turn(f"r{i}", status=503, seal="") for i in range(5)]
         self.assertEqual(self.rules(lines, [], [STOP]), [])
 
+    def test_after_the_final_fault(self):
+        killed = events.Event(at=80.0, action="kill", vm="vm1", until=80.0)
+        lines = [self.turn(status=503, seal="", previous_ended=75.0)]
+        rules = self.rules(lines, [], [killed])
+        self.assertEqual(rules, ["LOST final"])
+        other = dataclasses.replace(killed, at=10.0, vm="vm2")
+        self.assertEqual(self.rules(lines, [], [other, killed]), [])
+        late = dataclasses.replace(killed, at=90.0)
+        self.assertEqual(self.rules(lines, [], [late]), [])
+
 
 class ProcessTest(VerdictCase):
     """Processes that end by themselves."""
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import math
 
 from postspring.testing.soak import events as events_module
 from postspring.testing.soak import records
@@ -248,21 +249,26 @@
         for attempt in self._attempts:
             if attempt.kind is records.Kind.TURN and attempt.previous_ended:
                 tries_by_work[attempt.work].append(attempt)
+        final = self._history.final_fault()
+        recovered = final + self._history.recovery if final else math.inf
         for tries in tries_by_work.values():
             if any(self._runs_by_id.get(attempt.id) for attempt in tries):
                 continue
             self.verdict.note("turn_reached_nobody")
-            counted = [
-                attempt
-                for attempt in tries
-                if self._history.is_in_touch(attempt.vm, attempt.ended)
-            ]
-            if len(counted) >= TRIES:
-                where = ", ".join(
-                    f"{attempt.vm} {attempt.status or attempt.end}"
-                    for attempt in counted
-                )
-                self.verdict.add("LOST tries", counted[-1].id, where)
+            self._judge_vain_tries(tries, recovered)
+
+    def _judge_vain_tries(self, tries, recovered: float) -> None:
+        counted = [
+            attempt
+            for attempt in tries
+            if self._history.is_in_touch(attempt.vm, attempt.ended)
+        ]
+        if len(counted) >= TRIES:
+            self.verdict.add("LOST tries", tries[-1].id, _told(counted))
+        elif tries[0].began > recovered and not self._history.is_disturbed(
+            tries[0].began, tries[-1].ended
+        ):
+            self.verdict.add("LOST final", tries[-1].id, _told(tries))
 
     def _judge_counts(self) -> None:
         """Judge what may happen a few times in a run."""
@@ -277,3 +283,10 @@
         if len(closed) > ALLOWED_CLOSINGS:
             for attempt in closed:
                 self.verdict.add("LOST kept", attempt.id, attempt.vm)
+
+
+def _told(tries: list[records.Attempt]) -> str:
+    """Return where a turn was tried and what came."""
+    return ", ".join(
+        f"{attempt.vm} {attempt.status or attempt.end}" for attempt in tries
+    )
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -57,7 +57,7 @@
     vms: int = 11
     engines: int = 6
     services: int = 13
-    users: int = 60
+    users: int = 80
     half_close: float = 0.0
 
 
