--- a/postspring/testing/soak/plan.py
+++ b/postspring/testing/soak/plan.py
@@ -84,6 +84,8 @@
 # Pauses between the stops of a series: one after the other, overlapping, at
 # once; seconds.
 SERIES_PAUSES = ((4.5, 6.0), (0.5, 3.5), (0.0, 0.1))
+# The final fault comes right after the acknowledgement of a configuration.
+ACKNOWLEDGED_SECONDS = 0.05
 PAUSE_SECONDS = (0.3, 3.0)
 STORE_SECONDS = (0.5, 8.0)
 STORE_FAULTS = (
@@ -113,6 +115,8 @@
         while mean and (at := at + draw.expovariate(1 / mean)) < last:
             steps.extend(_single(draw, action, at, vms))
     if profile.final:
+        steps = [step for step in steps if step.at < last - STORE_SECONDS[1]]
+        steps.append(Step(last - ACKNOWLEDGED_SECONDS, Action.CONFIGURE))
         steps.extend(Step(last, Action.KILL, vm) for vm in range(vms))
     return sorted(steps, key=lambda step: step.at)
 
