--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -9,6 +9,7 @@
 from circuits.core import pollers
 
 from postspring import forwarding
+from postspring.front import callers_report
 from postspring.front import configuration
 from postspring.front import gauges
 from postspring.front import settings as settings_module
@@ -153,9 +154,8 @@
             "settings read again",
             extra={"changed": changed, "need_restart": restart},
         )
-        if restart:
-            return
-        self.vm = vm
+        kept = {name: getattr(self.vm, name) for name in restart}
+        self.vm = dataclasses.replace(vm, **kept)
         self.store.move_to(vm.store)
         self.shutdown.grace = vm.grace
 
@@ -199,11 +199,15 @@
 
     def _listen(self) -> None:
         limits = transport.ServerLimits()
+        report = callers_report.CallersReport(
+            self.metrics, platform.PlatformWireFormat()
+        )
         self.callers = transport.HttpServer(
             self.timers,
             lambda call: self.forwarder.handle(call),
             self._limits,
-            self._count_unreadable,
+            report.unreadable,
+            report.cut,
         )
         self.callers.listen(self, self.vm.callers, "callers")
         self.readiness = transport.HttpServer(
@@ -393,7 +397,3 @@
     def _answer_metrics(self, call: transport.IncomingCall) -> None:
         fields = [("Content-Type", "text/plain; version=0.0.4")]
         call.respond(200, fields, self.metrics.scrape())
-
-    def _count_unreadable(self, status: int) -> None:
-        self.metrics.refused(f"unreadable_{status}", "no")
-        LOG.info("request not readable", extra={"status": status})
--- a/postspring/front/tests/test_reload.py
+++ b/postspring/front/tests/test_reload.py
@@ -12,6 +12,7 @@
 from postspring.platform import names
 from postspring.platform.tests import test_settings
 from postspring.testing.fleet import fleet as fleet_module
+from postspring.testing.fleet import store_service
 
 
 class ReloadTest(unittest.TestCase):
@@ -63,6 +64,29 @@
         self.assertEqual(3.0, self.node.shutdown.grace)
 
     def test_what_needs_a_restart_is_not_taken(self):
-        changed = dataclasses.replace(self.node.vm, callers=("1.2.3.4", 5))
+        changed = dataclasses.replace(
+            self.node.vm, callers=("1.2.3.4", 5), grace=3.0
+        )
         self.node.reconfigure(changed)
         self.assertNotEqual(("1.2.3.4", 5), self.node.vm.callers)
+        # What else has changed is in force all the same.
+        self.assertEqual(3.0, self.node.shutdown.grace)
+
+    def test_another_store_cuts_nothing_that_is_under_way(self):
+        caller = self.fleet.caller()
+        engine = self.fleet.engines[0]
+        engine.event_seconds = 0.1
+        fields = {"program_id": "p", "token_usage": "1,16"}
+        headers = self.fleet.headers("a", fields)
+        caller.send("POST", "/stream/x", headers, b"x")
+        self.fleet.turn_until(lambda: caller.answer.body)
+        other = store_service.StoreService(
+            self.fleet._world, self.fleet.timers
+        )
+        other.data = self.fleet.store.data
+        vm = dataclasses.replace(self.node.vm, store=other.address)
+        self.node.reconfigure(vm)
+        self.fleet.turn_until(lambda: caller.answer.settled)
+        self.assertTrue(caller.answer.whole)
+        self.assertEqual(0, self.node.journal.unrecorded)
+        self.fleet.turn_until(lambda: other.calls)
--- a/postspring/front/tests/test_shutdown.py
+++ b/postspring/front/tests/test_shutdown.py
@@ -87,3 +87,22 @@
         self.edge.turn_until(lambda: caller.answer.settled)
         self.assertEqual(len(body), len(caller.answer.body))
         self.edge.turn_until(lambda: self.edge.stopped)
+
+    def test_a_connection_that_was_just_opened_is_no_idle_one(self):
+        self.edge.shutdown.begin()
+        self.edge.pass_time(PAUSE_SECONDS)
+        self.edge.turn()
+        caller = self.edge.connect()
+        self.edge.turn()
+        self.edge.shutdown._check()
+        self.edge.ask(caller)
+        self.serve_until(lambda: caller.answer.settled)
+        self.assertTrue(caller.answer.whole)
+        self.serve_until(lambda: self.edge.stopped)
+
+    def test_one_that_asks_nothing_does_not_hold_the_stop_up(self):
+        self.edge.connect()
+        self.edge.turn()
+        self.edge.shutdown.begin()
+        self.edge.pass_time(PAUSE_SECONDS)
+        self.edge.turn_until(lambda: self.edge.stopped)
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -40,6 +40,10 @@
         self.held = self._counter(
             "held_answers", "Answers given before they were in the log"
         )
+        self.cuts = self._counter(
+            "connections_cut",
+            "Callers' connections that ended with something owed, by whom",
+        )
         self.appends = self._counter("log_appends", "Batches appended")
         self.records = self._counter(
             "log_records", "Records folded, by verdict"
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -21,6 +21,10 @@
 
 LOG = logging.getLogger(__name__)
 
+# Whoever opens a connection sends its request at once; until then a new
+# connection is not idle.  In seconds, above a round trip to a busy machine.
+NEW_SECONDS = 0.5
+
 
 class Server(Protocol):
     """What a connection asks of its server."""
@@ -64,6 +68,7 @@
         self.call: incoming.IncomingCall | None = None
         self.since = server.timers.now()
         self.receiving = False
+        self._is_new = True
         self._is_over = False
         # The call whose answer had not wholly left when it was last seen.
         self._owed_call: incoming.IncomingCall | None = None
@@ -173,6 +178,9 @@
         hub = self._server.hub
         hub.read_now(self._sock)
         is_idle = self.call is None and not self.receiving
+        if self._is_new:
+            age = self._server.timers.now() - self.since
+            is_idle = is_idle and age > NEW_SECONDS
         if is_idle and not hub.unsent_bytes(self._sock):
             hub.shut(self._sock)
 
@@ -266,6 +274,7 @@
         self._body.clear()
         self._body_bytes = 0
         self.receiving = False
+        self._is_new = False
         self._owed_call = None
         fields = [
             (name.decode("latin-1"), value.decode("latin-1"))
