--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -51,6 +51,7 @@
     if EARLY_SIGNALS.has(signal.SIGTERM, signal.SIGINT):
         LOG.info("stopped before the start")
         return
+    process.raise_file_limit(vm.max_files)
     node = node_module.FrontNode(vm, own, on_stopped=process.end_process)
     process.Process(node, node.shutdown.begin, EARLY_SIGNALS)
     reload_on_hangup(node, os.environ)
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -6,6 +6,8 @@
 import enum
 from typing import Protocol
 
+from postspring.transport import files
+
 __all__ = [
     "AnswerSender",
     "Cut",
@@ -36,7 +38,14 @@
     header_seconds: float = 5.0
     body_seconds: float = 30.0
     idle_seconds: float = 60.0
-    connections: int = 4000
+    connections: int = dataclasses.field(
+        default_factory=files.connection_bound
+    )
+
+    @classmethod
+    def within(cls, most_files: int) -> "ServerLimits":
+        """Return limits for a process that may open so many files."""
+        return cls(connections=files.connection_bound(most_files))
 
 
 class EndedBy(enum.Enum):
