A VM that stops hands over what the log lacks, and keeps nothing more

Cause: the end of a stop at its grace took what stood only here; whoever was asked for copies did not know that it would be gone in seconds. Now the signal itself ends the taking of copies, VMs that refuse are replaced at once by the next ones, and what is owed (whole turns, copies, ends of homes) goes to two VMs that stay. KEEP questions that fail are remembered for 1 s, apart from questions for turns, which a VM that stops still answers.

Weighed: ending the stop once all is handed over (the log may come back within the grace, and copies are less than a record); leaving the list then (the log is away). Not covered, as before: VMs that are killed with all copies.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -137,6 +137,7 @@
         self.timers.call_every(
             MISSING_SWEEP_SECONDS, self.directory.drop_missing
         )
+        self.journal.hand_over_while(lambda: self.shutdown.leaving)
 
     def reconfigure(self, vm: platform.VmSettings) -> None:
         """Take changed settings; what we listen on needs a restart."""
@@ -256,7 +257,7 @@
             self._is_complete,
             self._view_of,
             self.members.introduce,
-            takes_copies=lambda: not self.members.is_leaving,
+            takes_copies=lambda: not self.shutdown.leaving,
             is_direct=lambda: self.log.is_direct,
             take_loads=self.loads.answer,
         )
--- a/postspring/histories/copies.py
+++ b/postspring/histories/copies.py
@@ -140,6 +140,11 @@
     def __len__(self) -> int:
         return len(self._kept)
 
+    @property
+    def kept(self) -> list[records.EndedTurn]:
+        """The records that are kept."""
+        return list(self._kept)
+
     def knows(self, program: records.ProgramId) -> bool:
         """Return whether a turn of a program is among them."""
         return any(record.program == program for record in self._kept)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -17,10 +17,10 @@
 from postspring.histories import copies
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
+from postspring.histories import handover
 from postspring.histories import openings
 from postspring.histories import partitions
 from postspring.histories import ports
-from postspring.histories import program as program_module
 from postspring.histories import reading
 from postspring.histories import recording
 from postspring.histories import records
@@ -79,8 +79,14 @@
             ),
             self._record_end_copy,
         )
-        self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
-        self._settling: set[records.TurnRef] = set()
+        self._held_by_ref: dict[records.TurnRef, records.WholeTurn] = {}
+        self._settling: dict[records.TurnRef, records.EndedTurn] = {}
+        self._handover = handover.Handover(
+            lambda: self._owed,
+            lambda data, on_done: self.replica_holders.hand_over(
+                data, on_done
+            ),
+        )
 
     @property
     def held(self) -> int:
@@ -93,6 +99,21 @@
         held = len(self._held_by_ref)
         return held + len(self._settling) + len(self._end_copies)
 
+    @property
+    def _owed(self) -> list[records.WholeTurn | records.EndedTurn]:
+        return [
+            *self._held_by_ref.values(),
+            *self._settling.values(),
+            *self._end_copies.kept,
+        ]
+
+    def hand_over_while(self, is_stopping: Callable[[], bool]) -> None:
+        """Give what the log lacks to VMs that stay, while this one stops."""
+        self._timers.call_every(
+            handover.LOOK_SECONDS,
+            lambda: is_stopping() and self._handover.go_on(),
+        )
+
     def log_is_back(self) -> None:
         """Do at once what waits for the log."""
         self._partitions.log_is_back()
@@ -163,10 +184,10 @@
         )
         self.accounts.spent(ticket, tokens)
         # Lost, one of a home is not charged at all, and others too much.
-        self._settling.add(ref)
+        self._settling[ref] = record
 
         def settled(fold: fold_module.ProgramFold) -> None:
-            self._settling.discard(ref)
+            self._settling.pop(ref, None)
             self._claims.settled(fold, record, ticket)
 
         lost = self._lost(ticket)
@@ -230,7 +251,7 @@
         ref = records.TurnRef(record.program, record.turn)
         is_held = ref in self._held_by_ref
         if not is_held and not self._partitions.is_recorded(ref):
-            self._held_by_ref[ref] = program_module.Turn.of(record)
+            self._held_by_ref[ref] = record
             lost = self._lost(record)
             copies.CopyCheck(self, self._timers, record, lost).start()
 
@@ -260,7 +281,7 @@
     ) -> bool:
         """Append a whole turn and its place; tell if that looks possible."""
         ref = records.TurnRef(record.program, record.turn)
-        self._held_by_ref[ref] = program_module.Turn.of(record)
+        self._held_by_ref[ref] = record
 
         def logged() -> None:
             # Without its place no other program finds it in the log.
@@ -278,7 +299,7 @@
         def report(error: errors.HistoryError) -> None:
             ref = records.TurnRef(item.program, item.turn)
             self._held_by_ref.pop(ref, None)
-            self._settling.discard(ref)
+            self._settling.pop(ref, None)
             where = {"program": item.program, "request": item.turn}
             LOG.error("record lost", extra=where | {"reason": str(error)})
 
--- a/postspring/histories/ports.py
+++ b/postspring/histories/ports.py
@@ -13,6 +13,15 @@
     def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
         """Give a copy to some VMs; hand over how many have it."""
 
+    def hand_over(
+        self, records: list[bytes], on_done: Callable[[bool], None]
+    ) -> None:
+        """Give records to VMs that stay; tell if enough have all of them.
+
+        Nobody takes them, unless this is overridden.
+        """
+        on_done(False)
+
 
 class NoReplicaHolders(ReplicaHolders):
     """A VM alone."""
--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -22,7 +22,7 @@
 
     accounts: accounts.LocalAccounts
     _partitions: partitions.Partitions
-    _held_by_ref: dict[records.TurnRef, program_module.Turn]
+    _held_by_ref: dict[records.TurnRef, records.WholeTurn]
     _end_copies: copies.EndCopies
 
     def charged(self, program: records.ProgramId) -> int:
@@ -109,7 +109,11 @@
 
     def known_turn(self, ref: records.TurnRef) -> program_module.Turn | None:
         """Return a whole turn if this VM has it in memory."""
-        return self._partitions.whole_turn(ref) or self._held_by_ref.get(ref)
+        whole = self._partitions.whole_turn(ref)
+        held = self._held_by_ref.get(ref)
+        if whole is None and held is not None:
+            whole = program_module.Turn.of(held)
+        return whole
 
     def is_logged(self, ref: records.TurnRef) -> bool:
         """Return whether a whole turn is known to stand in the log."""
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -13,6 +13,7 @@
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
+from postspring.peering import replicas
 from postspring.peering import search as search_module
 from postspring import transport
 
@@ -24,20 +25,17 @@
 # or cut off.  In seconds.
 FIND_SECONDS = 0.15
 KEEP_SECONDS = 0.25
+# Nobody waits for what a VM that stops hands over; in seconds.
+HAND_OVER_SECONDS = 1.0
 VIEW_SECONDS = 0.5
 # A VM that did not answer is not asked again for this long, in seconds: in a
 # cut each turn would otherwise open a connection to every VM behind it.
 AVOID_SECONDS = 1.0
 # VMs that are asked for their view at the same time.
 VIEW_VMS = 3
-# VMs that are asked to keep a record at the same time, and how many copies
-# are waited for while more may come.  VMs are killed one after the other,
-# also while the log is away.
-REPLICAS_ASKED = 4
 # After an outage of the log its homes are recorded within seconds; a VM that
 # was started meanwhile asks for them for this long, in seconds.
 NEW_SECONDS = 8.0
-ENOUGH_COPIES = 2
 
 
 class PeerClient(forwarding.Peers, histories.ReplicaHolders):
@@ -72,6 +70,7 @@
         self._promises = promises
         self._started_at = timers.now()
         self._avoided_until: dict[str, float] = {}
+        self._keeps_nothing_until: dict[str, float] = {}
         self._http = http
         self._members = members
         self._is_complete = is_complete
@@ -85,24 +84,46 @@
 
     def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
         """Give a copy to the nearest VM and to others elsewhere."""
-        body = messages.encode(messages.KeepRequest([record]))
         holders = self._replica_holders()
         # Of a turn that others keep its author is asked, if they know it.
         if not holders or not self._members.is_announced:
             on_done(0)
             return
-        _Copies(len(holders), on_done).send(
-            self._http, holders, body, KEEP_SECONDS
+        first, rest = (
+            holders[: replicas.REPLICAS_ASKED],
+            holders[replicas.REPLICAS_ASKED :],
         )
+        rest = [member for member in rest if not self._keeps_nothing(member)]
+        replicas.Replicas(
+            self._http, first + rest, False, self._not_kept, on_done
+        ).send([record], KEEP_SECONDS)
+
+    def hand_over(
+        self, records: list[bytes], on_done: Callable[[bool], None]
+    ) -> None:
+        """Give records to two VMs that stay, or to the only one."""
+        replicas.Replicas(
+            self._http,
+            self._replica_holders(),
+            True,
+            self._not_kept,
+            lambda copies: on_done(copies > 0),
+        ).send(records, HAND_OVER_SECONDS)
 
     def _replica_holders(self) -> list[members_module.Member]:
-        """One of this data centre, the others from elsewhere if possible."""
-        found = sorted(self._members.nearest_first(), key=self._is_avoided)
         here = self._members.own.data_center
-        near = [member for member in found if member.data_center == here]
-        far = [member for member in found if member.data_center != here]
-        chosen = near[:1] + far[: REPLICAS_ASKED - 1]
-        return chosen + near[1 : 1 + REPLICAS_ASKED - len(chosen)]
+        return replicas.in_order(
+            self._members.others, here, self._keeps_nothing
+        )
+
+    def _not_kept(self, member: members_module.Member) -> None:
+        until = self._timers.now() + AVOID_SECONDS
+        self._keeps_nothing_until[member.name] = until
+
+    def _keeps_nothing(self, member: members_module.Member) -> bool:
+        """Whether a VM did not keep a record a moment ago: it may stop."""
+        until = self._keeps_nothing_until.get(member.name, 0.0)
+        return until > self._timers.now() or self._is_avoided(member)
 
     # -- questions ------------------------------------------------------------
 
@@ -259,35 +280,3 @@
         LOG.warning("peer's view", extra={"error": str(error)})
         return
     on_page(page)
-
-
-class _Copies:
-    """Counts copies; reports once, when there are enough or no more come."""
-
-    def __init__(self, asked: int, on_done: Callable[[int], None]):
-        self._open = asked
-        self._kept = 0
-        self._on_done: Callable[[int], None] | None = on_done
-
-    def send(self, http, holders, body: bytes, seconds: float) -> None:
-        """Ask all holders."""
-        for member in holders:
-            http.send(
-                messages.request_to(
-                    member.peers, messages.KEEP_PATH, body, seconds
-                ),
-                transport.AnswerCollector(
-                    lambda status, body: self.answered(status == 200),
-                    lambda error: self.answered(False),
-                ),
-            )
-
-    def answered(self, is_kept: bool) -> None:
-        """Take one answer."""
-        self._open -= 1
-        self._kept += is_kept
-        if self._on_done is None:
-            return
-        if self._kept >= ENOUGH_COPIES or not self._open:
-            on_done, self._on_done = self._on_done, None
-            on_done(self._kept)
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -36,7 +36,8 @@
     is_complete : callable
         Returns whether this VM knows all that began here lately.
     takes_copies : callable
-        Returns whether this VM stays long enough to keep something.
+        Returns whether this VM stays: one that was told to stop keeps
+        nothing more, and others are asked at once.
     is_direct : callable
         Returns whether this VM reaches the log itself.
     take_loads : callable
