The answer of a whole turn that can't be kept is broken off at its deadline

Cause: Completion gave up after a time of its own (15 s) and told nobody. Its timeout is what the call has left now, at least 0.1 s; then the connection is closed without an end, line broken_off with the reason unrecorded. The record is still offered to the log, and handed over by a VM that stops; the turn is charged once, by it.

Ruled out: settling the turn as ended beside its record (two charges); ending it as whole (nobody but this VM has it).

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -324,8 +324,7 @@
 
     def stream_broken(self, reason: str) -> None:
         """Break the answer off, and settle the turn."""
-        self._closed = True
-        super().stream_broken(reason)
+        self._cut(reason)
         self._settle()
 
     def refused(self, refusal: refusals.Refusal) -> None:
@@ -335,6 +334,11 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _cut(self, reason: str) -> None:
+        """Break the answer off."""
+        self._closed = True
+        super().stream_broken(reason)
+
     @property
     def _tokens(self) -> int:
         return self._events * self._tokens_per_event
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -12,6 +12,10 @@
 __all__ = ["TurnCall"]
 
 OPEN_TIMEOUT_SECONDS = budgeted_call.OPEN_TIMEOUT_SECONDS
+# A turn whose upstream was late has this long to be recorded all the same,
+# in seconds: the platform charges what is held 0.25 s beyond a timeout, and
+# an upstream may be late by 0.15 s.
+LEAST_SAFE_SECONDS = 0.1
 
 
 class TurnCall(budgeted_call.BudgetedCall):
@@ -21,7 +25,8 @@
     ===========
 
     A turn is recorded as whole, or kept by other VMs, before the end of its
-    answer is passed on.
+    answer is passed on.  If neither can be done by the deadline, the answer
+    is broken off: it must not look complete.
     """
 
     def __init__(self, *arguments, **options):
@@ -112,7 +117,12 @@
         super()._pass_events(events)
 
     def stream_ended(self) -> None:
-        """Record the turn; only then the answer is complete."""
+        """Record the turn; only then the answer is complete.
+
+        Its caller doesn't wait beyond the deadline: an answer that had never
+        ended was held until somebody closed the connection.
+        """
+        left = self._deadline - self._dispatcher.timers.now()
         self._journal.complete_turn(
             self._ticket,
             self._chain.head,
@@ -121,11 +131,16 @@
             b"".join(self._output),
             self.delivery.upstream.incarnation,
             self._safe,
+            max(LEAST_SAFE_SECONDS, left),
         )
 
     def _safe(self, how: str) -> None:
         if self._closed:
             return
+        if how == histories.NOWHERE:
+            # It may get into the log; its caller has not had it whole.
+            self._cut("unrecorded")
+            return
         self._closed = True
         self._call.finish()
         self.report("answered", tokens=self._tokens, kept=how)
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -4,6 +4,7 @@
 from postspring.histories.accounts import Origin
 from postspring.histories.accounts import Ticket
 from postspring.histories.chains import Chain
+from postspring.histories.completion import NOWHERE
 from postspring.histories.errors import HistoryError
 from postspring.histories.errors import JournalUnavailable
 from postspring.histories.errors import MalformedRecord
@@ -29,6 +30,7 @@
 from postspring.histories.shares import TurnState
 
 __all__ = [
+    "NOWHERE",
     "Chain",
     "Claim",
     "EndedTurn",
--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -5,15 +5,26 @@
 from postspring.histories import ports
 from postspring.transport import timers as timers_module
 
-__all__ = ["Both", "Completion"]
+__all__ = [
+    "HELD",
+    "LOGGED",
+    "NOWHERE",
+    "TIMEOUT_SECONDS",
+    "Both",
+    "Completion",
+]
 
 # The log's usual answer takes 4 ms; a turn that is not recorded by then is
 # given to other VMs as well.  In seconds.
 HOLD_AFTER_SECONDS = 0.1
 # Pause before other VMs are asked again, in seconds.
 AGAIN_SECONDS = 0.25
-# After this long nobody waits for the end of the answer any more.
-GIVE_UP_SECONDS = 15.0
+# How long a caller waits that has named no deadline, in seconds.
+TIMEOUT_SECONDS = 15.0
+# How a turn is kept.
+LOGGED = "logged"
+HELD = "held"
+NOWHERE = "nowhere"
 
 
 class Both:
@@ -47,6 +58,8 @@
 
     record : bytes
         The record of the whole turn.
+    timeout : float
+        Seconds after which its caller is told that it is kept nowhere.
     """
 
     def __init__(
@@ -54,6 +67,7 @@
         timers: timers_module.Timers,
         replica_holders: ports.ReplicaHolders,
         record: bytes,
+        timeout: float,
     ):
         self._timers = timers
         self._replica_holders = replica_holders
@@ -61,21 +75,25 @@
         self._on_done: Callable[[str], None] | None = None
         self._is_logged = False
         self._timer: timers_module.TimerHandle | None = None
-        self._give_up_at = timers.now() + GIVE_UP_SECONDS
+        self._timeout = timeout
+        self._expiry: timers_module.TimerHandle | None = None
 
     def start(self, on_done: Callable[[str], None], at_once: bool) -> None:
         """Report to ``on_done``; ask other VMs at once, or after a while."""
         if self._is_logged:
-            on_done("logged")
+            on_done(LOGGED)
             return
         self._on_done = on_done
+        self._expiry = self._timers.call_later(
+            self._timeout, self._finish, NOWHERE
+        )
         seconds = 0.0 if at_once else HOLD_AFTER_SECONDS
         self._timer = self._timers.call_later(seconds, self._hold)
 
     def logged(self) -> None:
         """Take note that the turn stands in the log."""
         self._is_logged = True
-        self._finish("logged")
+        self._finish(LOGGED)
 
     # -- own ------------------------------------------------------------------
 
@@ -85,14 +103,15 @@
 
     def _kept(self, copies: int) -> None:
         if copies:
-            self._finish("held")
-        elif self._timers.now() < self._give_up_at:
+            self._finish(HELD)
+        elif self._on_done is not None:
             self._timer = self._timers.call_later(AGAIN_SECONDS, self._hold)
 
     def _finish(self, how: str) -> None:
         on_done, self._on_done = self._on_done, None
         if on_done is None:
             return
-        if self._timer is not None:
-            self._timer.cancel()
+        for timer in (self._timer, self._expiry):
+            if timer is not None:
+                timer.cancel()
         on_done(how)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -206,11 +206,13 @@
         generated: bytes,
         upstream: str,
         on_done: Callable[[str], None],
+        timeout: float = completion.TIMEOUT_SECONDS,
     ) -> None:
         """Add a whole turn to the history, and note where it stands.
 
         ``on_done`` is told once that the turn is safe: ``logged``, or
-        ``held`` by other VMs until the log is back.
+        ``held`` by other VMs until the log is back; or, after the timeout,
+        that it is kept ``nowhere`` but here.  The log is offered it still.
         """
         record = records.WholeTurn(
             ticket.program,
@@ -224,8 +226,9 @@
         )
         self._openings.end(records.TurnRef(ticket.program, ticket.turn))
         self.accounts.spent(ticket, tokens)
+        data = records.encode_record(record)
         safe = completion.Completion(
-            self._timers, self.replica_holders, records.encode_record(record)
+            self._timers, self.replica_holders, data, timeout
         )
         logged = self._record_whole(
             record,
