Red: records and batches that the store will never take hold up a partition

The stand-in of the store now refuses (413) what is above the platform's record_bytes and call_bytes. Twelve turns of 200 KB that end in an outage stay unrecorded when the store is back; a turn of 300 KB runs, and the next one of its program ends without success.

--- a/postspring/testing/fleet/store_service.py
+++ b/postspring/testing/fleet/store_service.py
@@ -26,7 +26,8 @@
     ``refuse`` is a status with which calls are turned away, ``silent``
     leaves them unanswered, ``lose_answers`` appends are done and not
     answered.  ``refused_callers`` are IP numbers that alone get the
-    refusal.
+    refusal.  ``too_large`` counts appends whose records or whose sum of
+    records is above the bounds; they are refused.
 
     Parameters
     ==========
@@ -40,6 +41,9 @@
         self.refuse = 0
         self.silent = False
         self.lose_answers = 0
+        self.record_bytes = 262_144
+        self.call_bytes = 2_097_152
+        self.too_large = 0
         self.calls: list[str] = []
         self._timers = timers
         self._server = transport.HttpServer(timers, self._handle, LIMITS)
@@ -79,6 +83,11 @@
 
     def _append(self, call, place) -> None:
         entries = store_module.unpack_records(call.body)
+        sizes = [len(store_module.pack_records([entry])) for entry in entries]
+        if max(sizes) > self.record_bytes or sum(sizes) > self.call_bytes:
+            self.too_large += 1
+            call.respond(413, [])
+            return
         first = self.data.append(place, entries)
         if self.lose_answers:
             self.lose_answers -= 1
