Records and calls stay below what the log takes

Cause: all that waited for a partition went into one call, and a turn of any size into one record; a refusal for its size (413 in the stand-in, the platform's pages name none) was retried like an outage. Now a call takes what call_bytes allows (from the settings), the rest follows; a turn whose input leaves no room for an answer is refused before it runs (too_large, 503); one whose answer outgrows the record is broken off and settled.

Weighed: splitting a turn's record (turns have 45 KB at most in the shapes of the platform's sites, a record takes 256; parts would need a fold of their own).

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -323,7 +323,9 @@
         self._settle()
 
     def stream_broken(self, reason: str) -> None:
-        """Break the answer off, and settle the turn."""
+        """Break the answer off, and settle the turn, once."""
+        if self._closed:
+            return
         self._cut(reason)
         self._settle()
 
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -33,11 +33,16 @@
         super().__init__(*arguments, **options)
         self._chain = histories.Chain(None)
         self._output: list[bytes] = []
+        self._size = len(self._call.body)
 
     # -- before it runs -------------------------------------------------------
 
     def _prepare(self) -> None:
         """Find the chain that the turn continues."""
+        if len(self._call.body) > self._journal.sizes.input:
+            # The log would never take its record.
+            self._close(refusals.Refusal.TOO_LARGE)
+            return
         if self._facts.previous is None:
             self._open()
             return
@@ -112,8 +117,13 @@
     # -- from the delivery ----------------------------------------------------
 
     def _pass_events(self, events: list[bytes]) -> None:
-        for event in events:
-            self._output.append(event_splitter.event_data(event) + b"\n")
+        data = [event_splitter.event_data(event) + b"\n" for event in events]
+        self._size += sum(map(len, data))
+        if self._size > self._journal.sizes.turn:
+            self.delivery.cancel()
+            self.stream_broken("too_large")
+            return
+        self._output += data
         super()._pass_events(events)
 
     def stream_ended(self) -> None:
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -104,6 +104,7 @@
             self.timers,
             self.incarnation,
             catch_up_rate=self._catch_up_rate,
+            sizes=histories.Sizes(vm.record_bytes, vm.call_bytes),
         )
         self._started_at = self.timers.now()
         self._left_at: float | None = None
--- a/postspring/front/tests/test_sizes.py
+++ b/postspring/front/tests/test_sizes.py
@@ -8,6 +8,9 @@
 may be did the same to all turns beside it.
 """
 
+from unittest import mock
+
+from postspring.histories import sizes
 from postspring.testing.fleet import case
 
 BODY_BYTES = 200_000
@@ -53,3 +56,15 @@
         body = b"x" * 300_000
         answer = self.fleet.take_turn("a", body=body, route="carried-stream")
         self.assertTrue(answer.whole)
+
+
+class LargeAnswerTest(case.FleetCase):
+    """What comes out of a turn does not fit into its record any more."""
+
+    def test_it_is_broken_off_and_holds_up_nobody(self):
+        with mock.patch.object(sizes, "OUTPUT_BYTES", 4):
+            largest = self.fleet.nodes[0].journal.sizes.input
+            answer = self.fleet.take_turn("a", body=b"x" * largest)
+        self.assertFalse(answer.whole)
+        self.assertTrue(self.fleet.take_turn("b").whole)
+        self.assertEqual(0, self.fleet.store.too_large)
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -28,6 +28,7 @@
 from postspring.histories.records import TurnRef
 from postspring.histories.records import WholeTurn
 from postspring.histories.shares import TurnState
+from postspring.histories.sizes import Sizes
 
 __all__ = [
     "NOWHERE",
@@ -47,6 +48,7 @@
     "ProgramFold",
     "ProgramId",
     "ReplicaHolders",
+    "Sizes",
     "Ticket",
     "Turn",
     "TurnId",
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -25,6 +25,7 @@
 from postspring.histories import recording
 from postspring.histories import records
 from postspring.histories import shares
+from postspring.histories import sizes as sizes_module
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -50,6 +51,8 @@
     catch_up_rate : callable
         Returns with how many appends a second this VM may catch up when
         the log is back.
+    sizes : Sizes
+        What the log takes.
     """
 
     def __init__(
@@ -59,9 +62,13 @@
         author: str,
         replica_holders: ports.ReplicaHolders | None = None,
         catch_up_rate: Callable[[], float] = lambda: partitions.CATCH_UP_RATE,
+        sizes: sizes_module.Sizes = sizes_module.Sizes(),
     ):
+        self.sizes = sizes
         self._timers = timers
-        self._partitions = partitions.Partitions(log, timers, catch_up_rate)
+        self._partitions = partitions.Partitions(
+            log, timers, catch_up_rate, sizes
+        )
         self._commit = functools.partial(
             recording.append_record, self._partitions
         )
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -13,6 +13,7 @@
 
 from postspring.histories import errors
 from postspring.histories import reachability
+from postspring.histories import sizes
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -64,6 +65,8 @@
         in the log, and what others wrote is read when somebody asks.
     spread : callable
         Makes of a pause the one after which this partition's turn comes.
+    call_bytes : int
+        Most that is sent in one call: a larger one is refused for good.
     """
 
     def __init__(
@@ -76,7 +79,9 @@
         on_back: Callable[[], None] = lambda: None,
         is_ordered: bool = True,
         spread: Callable[[float], float] = lambda seconds: seconds,
+        call_bytes: int = sizes.Sizes().call,
     ):
+        self._call_bytes = call_bytes
         self._spread = spread
         self._is_ordered = is_ordered
         self._on_back = on_back
@@ -207,7 +212,7 @@
             self._busy = True
             self._reach.note_try()
             self._sent_at = self.used_at
-            _Append(self, self._commits[:]).start()
+            _Append(self, self._next_batch()).start()
         elif self._refreshes:
             self._busy = True
             self._reach.note_try()
@@ -216,6 +221,10 @@
                 None, lambda: self._release(self._refreshes, waiting)
             )
 
+    def _next_batch(self) -> list[_Waiter]:
+        entries = [commit.entry for commit in self._commits]
+        return self._commits[: sizes.first_batch(entries, self._call_bytes)]
+
     def appended(self, commits: list[_Waiter], first: int) -> None:
         """Take note that a batch stands in the log."""
         self._note_success()
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -11,6 +11,7 @@
 from postspring.histories import reachability
 from postspring.histories import records
 from postspring.histories import retry_pace
+from postspring.histories import sizes as sizes_module
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -57,6 +58,8 @@
 
     catch_up_rate : callable
         Returns with how many appends a second this VM may catch up.
+    sizes : Sizes
+        What the log takes.
     """
 
     def __init__(
@@ -64,7 +67,9 @@
         log: keyedlog.KeyedLog,
         timers: timers_module.Timers,
         catch_up_rate: Callable[[], float] = lambda: CATCH_UP_RATE,
+        sizes: sizes_module.Sizes = sizes_module.Sizes(),
     ):
+        self._sizes = sizes
         self._pace = retry_pace.RetryPace(timers, catch_up_rate)
         self._caught_up_at = -math.inf
         self._log = log
@@ -94,6 +99,7 @@
                 self.log_is_back,
                 is_ordered=place.subject is keyedlog.Subject.PROGRAMS,
                 spread=self._pace.pause,
+                call_bytes=self._sizes.call,
             )
             self._by_place[place] = partition
         return partition
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -32,6 +32,8 @@
         Where to listen for other VMs.
     partitions : int
         Partitions of each of the store's topics.
+    record_bytes, call_bytes : int
+        Most of one record, and of all records of one append.
     store_writes : float
         Appends a second that the store takes from all VMs together.
     seeds : tuple of (str, int)
@@ -59,6 +61,7 @@
     store_writes: float = 800.0
     memory_mb: int = 0
     first_start: bool = False
+    call_bytes: int = 2 * 1024 * 1024
 
 
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
@@ -109,6 +112,7 @@
         store_writes=float(store.get("writes_per_s") or 800.0),
         memory_mb=int(limits.get("memory_mb") or 0),
         first_start=bool(raw.get("bootstrap")),
+        call_bytes=int(store.get("call_bytes") or 2 * 1024 * 1024),
     )
 
 
