--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -12,6 +12,10 @@
 __all__ = ["TurnCall"]
 
 OPEN_TIMEOUT_SECONDS = budgeted_call.OPEN_TIMEOUT_SECONDS
+# A turn whose upstream was late has this long to be recorded all the same,
+# in seconds: the platform charges what is held 0.25 s beyond a timeout, and
+# an upstream may be late by 0.15 s.
+LEAST_SAFE_SECONDS = 0.1
 
 
 class TurnCall(budgeted_call.BudgetedCall):
@@ -21,18 +25,24 @@
     ===========
 
     A turn is recorded as whole, or kept by other VMs, before the end of its
-    answer is passed on.
+    answer is passed on.  If neither can be done by the deadline, the answer
+    is broken off: it must not look complete.
     """
 
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self._chain = histories.Chain(None)
         self._output: list[bytes] = []
+        self._size = len(self._call.body)
 
     # -- before it runs -------------------------------------------------------
 
     def _prepare(self) -> None:
         """Find the chain that the turn continues."""
+        if len(self._call.body) > self._journal.sizes.input:
+            # The log would never take its record.
+            self._close(refusals.Refusal.TOO_LARGE)
+            return
         if self._facts.previous is None:
             self._open()
             return
@@ -107,12 +117,22 @@
     # -- from the delivery ----------------------------------------------------
 
     def _pass_events(self, events: list[bytes]) -> None:
-        for event in events:
-            self._output.append(event_splitter.event_data(event) + b"\n")
+        data = [event_splitter.event_data(event) + b"\n" for event in events]
+        self._size += sum(map(len, data))
+        if self._size > self._journal.sizes.turn:
+            self.delivery.cancel()
+            self.stream_broken("too_large")
+            return
+        self._output += data
         super()._pass_events(events)
 
     def stream_ended(self) -> None:
-        """Record the turn; only then the answer is complete."""
+        """Record the turn; only then the answer is complete.
+
+        Its caller doesn't wait beyond the deadline: an answer that had never
+        ended was held until somebody closed the connection.
+        """
+        left = self._deadline - self._dispatcher.timers.now()
         self._journal.complete_turn(
             self._ticket,
             self._chain.head,
@@ -121,11 +141,16 @@
             b"".join(self._output),
             self.delivery.upstream.incarnation,
             self._safe,
+            max(LEAST_SAFE_SECONDS, left),
         )
 
     def _safe(self, how: str) -> None:
         if self._closed:
             return
+        if how == histories.NOWHERE:
+            # It may get into the log; its caller has not had it whole.
+            self._cut("unrecorded")
+            return
         self._closed = True
         self._call.finish()
         self.report("answered", tokens=self._tokens, kept=how)
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -105,6 +105,7 @@
             self.timers,
             self.incarnation,
             catch_up_rate=self._catch_up_rate,
+            sizes=histories.Sizes(vm.record_bytes, vm.call_bytes),
         )
         self._started_at = self.timers.now()
         self._left_at: float | None = None
@@ -140,6 +141,7 @@
         self.timers.call_every(
             MISSING_SWEEP_SECONDS, self.directory.drop_missing
         )
+        self.journal.hand_over_while(lambda: self.shutdown.leaving)
 
     def reconfigure(self, vm: platform.VmSettings) -> None:
         """Take changed settings; what we listen on needs a restart."""
@@ -262,7 +264,7 @@
             self._is_complete,
             self._view_of,
             self.members.introduce,
-            takes_copies=lambda: not self.members.is_leaving,
+            takes_copies=lambda: not self.shutdown.leaving,
             is_direct=lambda: self.log.is_direct,
             take_loads=self.loads.answer,
         )
