A VM past its rotation listens no more

Cause: while something held a stop up, new connections were taken and each request refused as not run; two such VMs of a data centre used all retries of a turn up. A refused connection costs a caller nothing but a new one. What had come by then is accepted and answered first. With it the phase that stopped listening at the end is the same as the one before and is gone.

Weighed: serving on if a request would end before the grace does (turns have deadlines of 4 and 5 s, longer than what is left); passing turns on to another VM (more to go wrong, for the same effect).

--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -30,18 +30,18 @@
     Explanation
     ===========
 
-    In ``ROTATION`` callers still come, and are served.  In ``DRAINING`` a
-    new request is sent elsewhere as not run: a VM that is not ready still
-    gets connections while most VMs of its data centre are not.  When no
-    request is open and all is recorded, ``CLOSING`` stops listening; what
-    had come by then is answered.  ``OUT_OF_TIME`` is for what is still open
-    at the end of the grace.
+    In ``ROTATION`` callers still come, and are served.  ``DRAINING`` listens
+    no more, as a VM that is not ready still gets connections while most VMs
+    of its data centre are not: refused at once, callers find another one,
+    where a refusal of each request used their retries up.  What had come by
+    then, and what comes on kept connections, is answered, as not run if it
+    is new.  ``OUT_OF_TIME`` is for what is still open at the end of the
+    grace.
     """
 
     SERVING = "serving"
     ROTATION = "rotation"
     DRAINING = "draining"
-    CLOSING = "closing"
     OUT_OF_TIME = "out_of_time"
     ENDED = "ended"
 
@@ -126,20 +126,12 @@
         elif self.phase is Phase.ROTATION:
             if self._elapsed > ROTATION_SECONDS:
                 self.phase = Phase.DRAINING
+                self._callers.refuse_new()
                 self._callers.close_idle()
         elif self.phase is Phase.DRAINING:
             self._drain()
-        elif self.phase is Phase.CLOSING:
-            self._close()
 
     def _drain(self) -> None:
-        self._callers.close_idle()
-        if not self._callers.active and self._is_recorded():
-            self.phase = Phase.CLOSING
-            self._callers.refuse_new()
-            self._callers.close_idle()
-
-    def _close(self) -> None:
         """End once every connection has: with that nothing is owed.
 
         "No request is under way" left out what the kernel held unread and
--- a/postspring/testing/callers_edge.py
+++ b/postspring/testing/callers_edge.py
@@ -79,10 +79,12 @@
         self._clock.start()
         self._running = True
         self.turn()
+        # A server that listens no more has none.
+        self._address = self.callers.address
 
     def connect(self) -> caller_module.Caller:
         """Connect a caller; the server has yet to accept it."""
-        caller = caller_module.Caller(self.callers.address)
+        caller = caller_module.Caller(self._address)
         self._connected.append(caller)
         return caller
 
