One that is alive and does not read for a while is borne

Cause: TCP_USER_TIMEOUT counts a closed window as bytes that nobody acknowledges. The bound stays at 800 ms; a connection that this VM opened and on which more than 16 KB are sent at once is looked at every 0.3 s until all has arrived, and while TCP_INFO shows a closed window whose probes are answered (nothing unacknowledged, one probe without an answer at most) the bound is 30 s: the call's own timeouts bound it. It comes back as soon as the other side has room or probes stay unanswered. Where the kernel does not tell, or tells what is no open connection's state, nothing changes.

Ruled out: a longer bound for all, since a path that is gone is noticed only by it; keep-alive probes, which are not sent while bytes wait; looking at the state after ETIMEDOUT, when the connection is gone.

Left: if this process itself does not run for the 0.8 s in which a window is closed, the connection still ends.

Measured: a long request to one that reads after 2.5 s, connection reset before, answered now (tests).

--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -22,6 +22,7 @@
 from postspring.transport import connecting
 from postspring.transport import files
 from postspring.transport import timers
+from postspring.transport import windows
 
 __all__ = ["ConnectionHandler", "SocketHub"]
 
@@ -31,10 +32,6 @@
 # How long a listener rests for which there is no file or no room, in seconds:
 # its connections wait in the kernel meanwhile, and callers hardly notice.
 REST_SECONDS = 0.05
-# Bytes that the other side does not acknowledge for this long mean that the
-# path is gone; a partition otherwise hangs the connection for minutes.  A
-# round trip takes a few ms, and a crowded link holds packets up for 500.
-UNACKNOWLEDGED_MILLISECONDS = 800
 
 
 class ConnectionHandler:
@@ -98,6 +95,7 @@
         self._paced: dict[socket.socket, None] = {}
         self._pump: timers.TimerHandle | None = None
         self.shortage = files.Shortage(timers)
+        self._windows = windows.WindowWatch(timers)
         self.has_room: Callable[[], bool] = lambda: True
         super().__init__(bind, bufsize=READ_BYTES, channel=channel)
 
@@ -140,6 +138,8 @@
         """Send bytes: at once if nothing is buffered, else in order."""
         if sock not in self._handler_by_socket:
             return
+        if len(data) > windows.LONG_BYTES:
+            self._windows.watch(sock)
         if not self._buffers[sock]:
             try:
                 sent = sock.send(data)
@@ -302,6 +302,7 @@
     def _close(self, sock, broken_by=None):
         connection = self._handler_by_socket.pop(sock, None)
         self._paced.pop(sock, None)
+        self._windows.forget(sock)
         super()._close(sock)
         if connection is None:
             return
@@ -332,15 +333,12 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNACKNOWLEDGED_MILLISECONDS,
-            )
+            self._windows.bind(sock)
             code = sock.connect_ex(address)
             if code not in (0, errno.EINPROGRESS):
                 raise OSError(code, os.strerror(code))
         except (OSError, OverflowError):
+            self._windows.forget(sock)
             sock.close()
             raise
         return sock
@@ -363,5 +361,6 @@
         opening.deadline.cancel()
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
+        self._windows.forget(sock)
         sock.close()
         opening.on_error(connecting.connect_error(opening.address, text))
--- a/postspring/transport/tests/test_windows.py
+++ b/postspring/transport/tests/test_windows.py
@@ -11,8 +11,10 @@
 import socket
 import threading
 import time
+import unittest
 
 from postspring.transport.tests import test_http_client
+from postspring.transport import windows
 
 BUSY_SECONDS = 2.5
 BODY = b"x" * 3_000_000
@@ -62,3 +64,68 @@
         self.turn_until(lambda: listener.settled)
         self.assertIn("timeout", str(listener.error))
         self.assertFalse(listener.error.is_unreachable)
+
+
+CLOSED = windows.SendState(probes=1, unacknowledged=0, unsent=100)
+UNDER_WAY = windows.SendState(probes=0, unacknowledged=3, unsent=100)
+UNANSWERED = windows.SendState(probes=2, unacknowledged=0, unsent=100)
+DONE = windows.SendState(probes=0, unacknowledged=0, unsent=0)
+
+
+class WindowWatchTest(test_http_client.LoopCase):
+    """When the bound is lifted, and when it is back."""
+
+    def bounds_after(self, *states):
+        """Return the connection's bound after each look, in ms."""
+        left = list(states)
+        watch = windows.WindowWatch(self.timers, lambda sock: left.pop(0))
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        watch.bind(sock)
+        watch.watch(sock)
+        bounds = []
+        for _ in states:
+            count = len(left)
+            self.turn_until(lambda: len(left) < count)
+            bounds.append(
+                sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT)
+            )
+        self.assertIs(states[-1] in (None, DONE), not watch._watched_by_socket)
+        return bounds
+
+    def test_it_is_lifted_while_the_window_is_closed(self):
+        bounds = self.bounds_after(UNDER_WAY, CLOSED, CLOSED, UNDER_WAY)
+        self.assertEqual([800, 30000, 30000, 800], bounds)
+
+    def test_unanswered_probes_bring_it_back(self):
+        self.assertEqual([30000, 800], self.bounds_after(CLOSED, UNANSWERED))
+
+    def test_what_arrived_is_not_looked_at_any_more(self):
+        self.assertEqual([30000, 800], self.bounds_after(CLOSED, DONE))
+
+    def test_it_stays_where_the_kernel_does_not_tell(self):
+        self.assertEqual([800], self.bounds_after(None))
+
+    def test_accepted_connections_have_none(self):
+        watch = windows.WindowWatch(self.timers, lambda sock: CLOSED)
+        sock = socket.socket()
+        self.addCleanup(sock.close)
+        watch.watch(sock)
+        self.assertEqual({}, watch._watched_by_socket)
+
+
+class ReadTest(unittest.TestCase):
+    """What is believed of the kernel's state."""
+
+    def test_an_open_connection(self):
+        with (
+            socket.create_server(("127.0.0.1", 0)) as listening,
+            socket.create_connection(listening.getsockname()) as sock,
+        ):
+            self.assertTrue(windows.read_send_state(sock).is_done)
+
+    def test_anything_else_says_nothing(self):
+        one, other = socket.socketpair()
+        with one, other, socket.socket() as unconnected:
+            self.assertIsNone(windows.read_send_state(one))
+            self.assertIsNone(windows.read_send_state(unconnected))
