The end of a whole turn waits for a log that is slow, up to what callers bear

Now copies are asked for as before, and while no place of the turn is known to fail the end waits for the log up to 1.2 s in all; callers stay with a silent stream for 2 s. That an append has not been answered for 0.4 s is no failure in this any more (it still is one for what waits to begin).

--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -17,10 +17,15 @@
 # The log's usual answer takes 4 ms; if it is known to be away by then, a turn
 # that is not recorded is given to other VMs.  In seconds.
 HOLD_AFTER_SECONDS = 0.1
-# Else the log may be slow, and is waited for: what VMs keep is lost if all
-# lose power, and with a log that takes 0.15 s they kept every turn.  In
-# seconds, below the pause that callers accept between events, 0.4 s.
+# Else the log may be slow: other VMs keep the turn, and the log is waited for
+# all the same.  In seconds.
 HOLD_SLOW_AFTER_SECONDS = 0.35
+# So long the log is waited for unless it is known to be away, though others
+# keep the turn: what VMs keep is lost if all lose power, and of a log that
+# takes 0.15 s they kept every turn.  Callers leave a stream that is silent
+# for 2 s.  In seconds.
+LONGEST_WAIT_SECONDS = 1.2
+LOOK_SECONDS = 0.05
 # Pause before other VMs are asked again, in seconds.
 AGAIN_SECONDS = 0.25
 # How long a caller waits that has named no deadline, in seconds.
@@ -83,6 +88,7 @@
         self._is_logged = False
         self._timer: timers_module.TimerHandle | None = None
         self._is_away = is_away
+        self._began = timers.now()
         self._timeout = timeout
         self._expiry: timers_module.TimerHandle | None = None
 
@@ -118,10 +124,20 @@
 
     def _kept(self, copies: int) -> None:
         if copies:
-            self._finish(HELD)
+            self._wait_for_log()
         elif self._on_done is not None:
             self._timer = self._timers.call_later(AGAIN_SECONDS, self._hold)
 
+    def _wait_for_log(self) -> None:
+        """End by copies if the log is away, or too slow for callers."""
+        waited = self._timers.now() - self._began
+        if self._is_away() or waited >= LONGEST_WAIT_SECONDS:
+            self._finish(HELD)
+        elif self._on_done is not None:
+            self._timer = self._timers.call_later(
+                LOOK_SECONDS, self._wait_for_log
+            )
+
     def _finish(self, how: str) -> None:
         on_done, self._on_done = self._on_done, None
         if on_done is None:
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -109,11 +109,16 @@
         """Whether the last call failed: then it is not sent twice."""
         return self._reach.has_failed
 
+    @property
+    def is_away(self) -> bool:
+        """Whether its last call failed, as far as known."""
+        return self._reach.is_failing
+
     @property
     def is_failing(self) -> bool:
         """Whether it can't be reached, or has not answered for long."""
         waited = self._timers.now() - self._sent_at
-        return self._reach.is_failing or waited > SLOW_SECONDS
+        return self.is_away or waited > SLOW_SECONDS
 
     @property
     def is_waiting(self) -> bool:
--- a/postspring/histories/partitions.py
+++ b/postspring/histories/partitions.py
@@ -128,6 +128,10 @@
         """Return whether a partition can't be reached, as far as known."""
         return self._log.is_down or self.get(place).is_failing
 
+    def is_away(self, place: keyedlog.LogPlace) -> bool:
+        """Return whether a partition is known to fail, not just slow."""
+        return self._log.is_down or self.get(place).is_away
+
     def log_is_back(self) -> None:
         """Do what waits for its next try, spread by the rate.
 
