--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -9,6 +9,7 @@
 from circuits.core import pollers
 
 from postspring import forwarding
+from postspring.front import callers_report
 from postspring.front import configuration
 from postspring.front import gauges
 from postspring.front import settings as settings_module
@@ -104,10 +105,11 @@
             self.timers,
             self.incarnation,
             catch_up_rate=self._catch_up_rate,
+            sizes=histories.Sizes(vm.record_bytes, vm.call_bytes),
         )
         self._started_at = self.timers.now()
         self._left_at: float | None = None
-        self._limits = transport.ServerLimits()
+        self._limits = transport.ServerLimits.within(vm.max_files)
         self._follow()
         self._listen()
         self._join()
@@ -118,6 +120,8 @@
             vm.grace,
             self._leave_when_recorded,
             on_stopped,
+            lambda: self.journal.unrecorded,
+            self.peers,
         )
 
     def start(self) -> None:
@@ -137,6 +141,7 @@
         self.timers.call_every(
             MISSING_SWEEP_SECONDS, self.directory.drop_missing
         )
+        self.journal.hand_over_while(lambda: self.shutdown.leaving)
 
     def reconfigure(self, vm: platform.VmSettings) -> None:
         """Take changed settings; what we listen on needs a restart."""
@@ -151,9 +156,8 @@
             "settings read again",
             extra={"changed": changed, "need_restart": restart},
         )
-        if restart:
-            return
-        self.vm = vm
+        kept = {name: getattr(self.vm, name) for name in restart}
+        self.vm = dataclasses.replace(vm, **kept)
         self.store.move_to(vm.store)
         self.shutdown.grace = vm.grace
 
@@ -197,11 +201,15 @@
 
     def _listen(self) -> None:
         limits = transport.ServerLimits()
+        report = callers_report.CallersReport(
+            self.metrics, platform.PlatformWireFormat()
+        )
         self.callers = transport.HttpServer(
             self.timers,
             lambda call: self.forwarder.handle(call),
             self._limits,
-            self._count_unreadable,
+            report.unreadable,
+            report.cut,
         )
         self.callers.listen(self, self.vm.callers, "callers")
         self.readiness = transport.HttpServer(
@@ -256,7 +264,7 @@
             self._is_complete,
             self._view_of,
             self.members.introduce,
-            takes_copies=lambda: not self.members.is_leaving,
+            takes_copies=lambda: not self.shutdown.leaving,
             is_direct=lambda: self.log.is_direct,
             take_loads=self.loads.answer,
         )
@@ -291,7 +299,9 @@
             self._configuration_follower,
             self._upstream_follower,
             self.http,
+            self.callers,
             self.journal,
+            self.timers,
         )
 
     # -- events ---------------------------------------------------------------
@@ -391,7 +401,3 @@
     def _answer_metrics(self, call: transport.IncomingCall) -> None:
         fields = [("Content-Type", "text/plain; version=0.0.4")]
         call.respond(200, fields, self.metrics.scrape())
-
-    def _count_unreadable(self, status: int) -> None:
-        self.metrics.refused(f"unreadable_{status}", "no")
-        LOG.info("request not readable", extra={"status": status})
