--- a/postspring/testing/soak/callers.py
+++ b/postspring/testing/soak/callers.py
@@ -146,8 +146,18 @@
             connection = kept.pop()
             if connection.is_kept():
                 return connection
+            if connection.surplus:
+                self._tell_surplus(connection)
         return None
 
+    def _tell_surplus(self, connection) -> None:
+        """Write a line for bytes that answer nothing."""
+        nothing = Request("", records.Kind.SAFE, "", "", {}, 0.0)
+        line = self._new_attempt(nothing, 0.0)
+        line.vm, line.connection = connection.vm.name, connection.name
+        line.end, line.size = records.End.SURPLUS, len(connection.surplus)
+        records.write_record(self._lines, line)
+
     async def _connect(self, data_center, last_vm, request, attempt):
         vm = self._balancer.choose(
             data_center, f"{self.name} {next(_numbers)}", last_vm
--- a/postspring/testing/soak/records.py
+++ b/postspring/testing/soak/records.py
@@ -31,6 +31,7 @@
     ``CUT`` one that ended in the middle of it; both by an end of stream or,
     in ``RESET`` and ``CUT_RESET``, by a reset.  ``GAVE_UP`` is the caller's
     own doing; ``UNREACHABLE`` and ``UNSENT`` come before the last byte.
+    ``SURPLUS`` is no request: bytes came on a kept connection.
     """
 
     WHOLE = "whole"
@@ -42,6 +43,7 @@
     GAVE_UP = "gave_up"
     UNREACHABLE = "unreachable"
     UNSENT = "unsent"
+    SURPLUS = "surplus"
 
 
 # Ends by the other side, with a request sent and no whole answer.
--- a/postspring/testing/soak/tests/test_verdict.py
+++ b/postspring/testing/soak/tests/test_verdict.py
@@ -79,6 +79,10 @@
     def test_a_success_without_a_run(self):
         self.assertEqual(self.rules([attempt(seal="")]), ["MIXED"])
 
+    def test_bytes_that_answer_nothing(self):
+        lines = [attempt(end=End.SURPLUS)]
+        self.assertEqual(self.rules(lines), ["MIXED"])
+
     def test_a_refusal_of_what_has_run(self):
         lines = [attempt(status=503, seal="")]
         self.assertEqual(self.rules(lines, [run()]), ["REFUSED"])
@@ -111,6 +115,18 @@
         lines = [run(key="e2-1", ran=False), run()]
         self.assertEqual(self.rules([attempt()], lines), [])
 
+    def test_many_that_run_too_often(self):
+        asked = [attempt(f"r{i}", kind=Kind.SAFE) for i in range(4)]
+        lines = [
+            run(f"r{i}", key=f"e{n}-{i}")
+            for i in range(4)
+            for n in range(1, 5)
+        ]
+        for i, line in enumerate(asked):
+            line.seal = f"e1-{i}.{line.id}"
+        self.assertEqual(self.rules(asked, lines), ["BUDGET"] * 4)
+        self.assertEqual(self.rules(asked[:3], lines[:12]), [])
+
     def test_what_nobody_asked_for(self):
         lines = [run(), run("r2", key="e1-2")]
         self.assertEqual(self.rules([attempt()], lines), ["UNASKED"])
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -14,6 +14,8 @@
 NO_SUCH_TURN = frozenset({404, 410})
 # Closings of kept connections that the rule allows in a run.
 ALLOWED_CLOSINGS = 3
+# Requests that may run on more upstreams than their route allows.
+ALLOWED_OVER_BUDGET = 3
 # Tries of a turn that have to reach an upstream.
 TRIES = 5
 # Refusals of one's own that are allowed: so many, and one in so many.
@@ -35,12 +37,15 @@
         upstream had the request.
     retention : float
         For so long a turn that was answered can be gone on from.
+    upstreams : int
+        On so many upstreams a request may run.
     patience_by_kind : dict
         Longest time that the routes keep a request.
     """
 
     slack: float = 0.2
     retention: float = 60.0
+    upstreams: int = 3
     patience_by_kind: dict = dataclasses.field(
         default_factory=lambda: {
             records.Kind.SAFE: 2.0,
@@ -126,6 +131,9 @@
             self._judge_repeats(attempt, runs)
             if attempt.end is records.End.WHOLE:
                 self._judge_answer(attempt, runs)
+            elif attempt.end is records.End.SURPLUS:
+                text = f"{attempt.size} bytes of no answer, {attempt.vm}"
+                self.verdict.add("MIXED", attempt.id, text)
             elif attempt.end in records.BROKEN_ENDS:
                 self._judge_broken(attempt, runs)
             else:
@@ -222,11 +230,6 @@
             elif run.body != attempt.expected:
                 text = f"{run.upstream} got another body"
                 self.verdict.add("UNASKED", run.id, text)
-            elif run.previous != attempt.previous and not (
-                attempt.kind is records.Kind.TURN
-            ):
-                text = f"{run.upstream} got another previous turn"
-                self.verdict.add("UNASKED", run.id, text)
 
     def _judge_denials(self) -> None:
         denied = [
@@ -283,6 +286,14 @@
         if len(closed) > ALLOWED_CLOSINGS:
             for attempt in closed:
                 self.verdict.add("LOST kept", attempt.id, attempt.vm)
+        most = self._bounds.upstreams
+        over = [
+            name for name, runs in self._runs_by_id.items() if len(runs) > most
+        ]
+        if len(over) > ALLOWED_OVER_BUDGET:
+            for name in over:
+                text = f"ran {len(self._runs_by_id[name])} times"
+                self.verdict.add("BUDGET", name, text)
 
 
 def _told(tries: list[records.Attempt]) -> str:
