--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -323,9 +323,10 @@
         self._settle()
 
     def stream_broken(self, reason: str) -> None:
-        """Break the answer off, and settle the turn."""
-        self._closed = True
-        super().stream_broken(reason)
+        """Break the answer off, and settle the turn, once."""
+        if self._closed:
+            return
+        self._cut(reason)
         self._settle()
 
     def refused(self, refusal: refusals.Refusal) -> None:
@@ -333,8 +334,29 @@
         self._close(refusal)
         self._settle()
 
+    def out_of_time(self) -> None:
+        """Have the final answer given: this VM is about to end.
+
+        An answer that only waits to be recorded is broken off: as a whole
+        one it would promise that the turn can be gone on from.
+        """
+        if self._closed:
+            return
+        if self.delivery is None:
+            self._close(refusals.Refusal.SHUTTING_DOWN)
+        elif self.delivery.is_done:
+            self._closed = True
+            super().stream_broken("unrecorded")
+        else:
+            self.delivery.run_out()
+
     # -- own ------------------------------------------------------------------
 
+    def _cut(self, reason: str) -> None:
+        """Break the answer off."""
+        self._closed = True
+        super().stream_broken(reason)
+
     @property
     def _tokens(self) -> int:
         return self._events * self._tokens_per_event
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -4,6 +4,7 @@
 from postspring.histories.accounts import Origin
 from postspring.histories.accounts import Ticket
 from postspring.histories.chains import Chain
+from postspring.histories.completion import NOWHERE
 from postspring.histories.errors import HistoryError
 from postspring.histories.errors import JournalUnavailable
 from postspring.histories.errors import MalformedRecord
@@ -27,8 +28,10 @@
 from postspring.histories.records import TurnRef
 from postspring.histories.records import WholeTurn
 from postspring.histories.shares import TurnState
+from postspring.histories.sizes import Sizes
 
 __all__ = [
+    "NOWHERE",
     "Chain",
     "Claim",
     "EndedTurn",
@@ -45,6 +48,7 @@
     "ProgramFold",
     "ProgramId",
     "ReplicaHolders",
+    "Sizes",
     "Ticket",
     "Turn",
     "TurnId",
