--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -23,6 +23,7 @@
 from postspring.transport import connection_handler
 from postspring.transport import files
 from postspring.transport import timers
+from postspring.transport import windows
 
 __all__ = ["ConnectionHandler", "SocketHub"]
 
@@ -37,10 +38,6 @@
 # How long a listener rests for which there is no file or no room, in seconds:
 # its connections wait in the kernel meanwhile, and callers hardly notice.
 REST_SECONDS = 0.05
-# Bytes that the other side does not acknowledge for this long mean that the
-# path is gone; a partition otherwise hangs the connection for minutes.  A
-# round trip takes a few ms, and a crowded link holds packets up for 500.
-UNACKNOWLEDGED_MILLISECONDS = 800
 
 
 class SocketHub(sockets.TCPServer):
@@ -85,6 +82,7 @@
         self._ending: dict[socket.socket, None] = {}
         self._pump: timers.TimerHandle | None = None
         self.shortage = files.Shortage(timers)
+        self._windows = windows.WindowWatch(timers)
         self.has_room: Callable[[], bool] = lambda: True
         super().__init__(bind, bufsize=READ_BYTES, channel=channel)
 
@@ -127,6 +125,8 @@
         """Send bytes: at once if nothing is buffered, else in order."""
         if sock not in self._handler_by_socket:
             return
+        if len(data) > windows.LONG_BYTES:
+            self._windows.watch(sock)
         if not self._buffers[sock]:
             try:
                 sent = sock.send(data)
@@ -357,6 +357,7 @@
         if sock in self._closeq:
             self._closeq.remove(sock)
         unsent = self.unsent_bytes(sock)
+        self._windows.forget(sock)
         super()._close(sock)
         if connection is None:
             return
@@ -396,15 +397,12 @@
         try:
             sock.setblocking(False)
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            sock.setsockopt(
-                socket.IPPROTO_TCP,
-                socket.TCP_USER_TIMEOUT,
-                UNACKNOWLEDGED_MILLISECONDS,
-            )
+            self._windows.bind(sock)
             code = sock.connect_ex(address)
             if code not in (0, errno.EINPROGRESS):
                 raise OSError(code, os.strerror(code))
         except (OSError, OverflowError):
+            self._windows.forget(sock)
             sock.close()
             raise
         return sock
@@ -427,5 +425,6 @@
         opening.deadline.cancel()
         self._poller.discard(sock)
         self._buffers.pop(sock, None)
+        self._windows.forget(sock)
         sock.close()
         opening.on_error(connecting.connect_error(opening.address, text))
