Tests of what a stop tells, and of the end of its grace

What is open, half read, unread by its caller or unrecorded when the grace ends is answered or told; a stop that owes nothing warns of nothing; a cut connection's line has the request's id, and the counter is on the page.

--- /dev/null
+++ b/postspring/front/tests/test_callers_report.py
@@ -0,0 +1,35 @@
+"""What a VM tells of connections that end with something owed."""
+
+from postspring import metrics
+from postspring.testing.fleet import case
+
+
+class CallersReportTest(case.FleetCase):
+    """One line and one count, with the request's id."""
+
+    def test_a_caller_that_leaves_with_its_request_open(self):
+        self.fleet.tools[0].faults.hang = True
+        node = self.fleet.nodes[0]
+        counted = []
+        node.metrics.cuts.add = lambda n, labels: counted.append(labels)
+        caller = self.fleet.caller()
+        headers = self.fleet.headers("request-1")
+        caller.send("GET", "/safe/x", headers)
+        self.fleet.turn_until(lambda: self.fleet.tools[0].runs)
+        with self.assertLogs("postspring.front", "INFO") as lines:
+            caller.close()
+            self.fleet.turn_until(lambda: lines.records)
+        record = lines.records[0]
+        self.assertEqual("connection cut", record.getMessage())
+        self.assertEqual("request-1", record.request)
+        self.assertEqual("caller", record.ended_by)
+        self.assertEqual(0, record.unsent)
+        self.assertEqual([{"ended_by": "caller"}], counted)
+
+    def test_it_is_on_the_metrics_page(self):
+        page = metrics.Metrics()
+        self.addCleanup(page.close)
+        page.cuts.add(1, {"ended_by": "vm"})
+        self.assertIn(
+            b'postspring_connections_cut_total{ended_by="vm"', page.scrape()
+        )
--- a/postspring/front/tests/test_shutdown.py
+++ b/postspring/front/tests/test_shutdown.py
@@ -13,10 +13,13 @@
 
 import unittest
 
+from postspring.front import shutdown
 from postspring.testing import callers_edge
 
 PAUSE_SECONDS = 3.5
 LONG_ANSWER_BYTES = 8_000_000
+# Of the grace of 8 s, the margin for answers being 0.6 s.
+NEAR_END_SECONDS = 7.5
 
 
 class EdgeCase(unittest.TestCase):
@@ -106,3 +109,56 @@
         self.edge.shutdown.begin()
         self.edge.pass_time(PAUSE_SECONDS)
         self.edge.turn_until(lambda: self.edge.stopped)
+
+
+class GraceTest(EdgeCase):
+    """What is still owed when the grace ends is answered, or told."""
+
+    def stop(self):
+        """Let a stop come near the end of its grace; return its lines."""
+        self.edge.shutdown.begin()
+        self.edge.turn()
+        self.edge.pass_time(NEAR_END_SECONDS)
+        with self.assertLogs("postspring.front", "INFO") as lines:
+            self.edge.turn_until(lambda: self.edge.stopped)
+        return {record.getMessage(): record for record in lines.records}
+
+    def test_a_call_that_nobody_answers_is_given_no_promise(self):
+        caller = self.edge.connect()
+        self.edge.ask(caller)
+        self.edge.turn_until(lambda: self.edge.calls)
+        self.assertEqual(1, self.stop()["out of time"].active)
+        self.assertEqual(502, caller.answer.status)
+        self.assertTrue(caller.answer.whole)
+
+    def test_what_was_never_read_whole_has_not_run(self):
+        caller = self.edge.connect()
+        caller.send_raw(b"POST / HTTP/1.1\r\nHost: a\r\n")
+        self.edge.turn()
+        self.stop()
+        self.assertTrue(caller.received.startswith(b"HTTP/1.1 503"))
+
+    def test_a_caller_that_does_not_read_is_named(self):
+        caller = self.edge.connect()
+        self.edge.ask(caller)
+        self.edge.turn_until(lambda: self.edge.calls)
+        self.edge.calls.pop().respond(200, [], b"x" * LONG_ANSWER_BYTES)
+        caller.poll = lambda: None
+        line = self.stop()["stopped"]
+        self.assertGreater(line.unsent, 0)
+        self.assertEqual("WARNING", line.levelname)
+
+    def test_records_that_the_log_lacks_are_told(self):
+        self.edge.is_recorded = False
+        line = self.stop()["stopped"]
+        self.assertEqual(1, line.unrecorded)
+        self.assertEqual("WARNING", line.levelname)
+
+    def test_a_stop_that_owes_nothing_warns_of_nothing(self):
+        self.kept_caller()
+        self.edge.shutdown.begin()
+        self.edge.pass_time(PAUSE_SECONDS)
+        with self.assertLogs("postspring.front", "INFO") as lines:
+            self.edge.turn_until(lambda: self.edge.stopped)
+        self.assertEqual(["INFO"], [line.levelname for line in lines.records])
+        self.assertIs(shutdown.Phase.ENDED, self.edge.shutdown.phase)
--- a/postspring/testing/callers_edge.py
+++ b/postspring/testing/callers_edge.py
@@ -69,6 +69,7 @@
             GRACE_SECONDS,
             lambda: self.is_recorded,
             self._end,
+            lambda: int(not self.is_recorded),
         )
         self._connected: list[caller_module.Caller] = []
         self._late = 0.0
