--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -17,14 +17,15 @@
 from postspring.histories import copies
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
+from postspring.histories import handover
 from postspring.histories import openings
 from postspring.histories import partitions
 from postspring.histories import ports
-from postspring.histories import program as program_module
 from postspring.histories import reading
 from postspring.histories import recording
 from postspring.histories import records
 from postspring.histories import shares
+from postspring.histories import sizes as sizes_module
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -50,6 +51,8 @@
     catch_up_rate : callable
         Returns with how many appends a second this VM may catch up when
         the log is back.
+    sizes : Sizes
+        What the log takes.
     """
 
     def __init__(
@@ -59,9 +62,13 @@
         author: str,
         replica_holders: ports.ReplicaHolders | None = None,
         catch_up_rate: Callable[[], float] = lambda: partitions.CATCH_UP_RATE,
+        sizes: sizes_module.Sizes = sizes_module.Sizes(),
     ):
+        self.sizes = sizes
         self._timers = timers
-        self._partitions = partitions.Partitions(log, timers, catch_up_rate)
+        self._partitions = partitions.Partitions(
+            log, timers, catch_up_rate, sizes
+        )
         self._commit = functools.partial(
             recording.append_record, self._partitions
         )
@@ -79,8 +86,14 @@
             ),
             self._record_end_copy,
         )
-        self._held_by_ref: dict[records.TurnRef, program_module.Turn] = {}
-        self._settling: set[records.TurnRef] = set()
+        self._held_by_ref: dict[records.TurnRef, records.WholeTurn] = {}
+        self._settling: dict[records.TurnRef, records.EndedTurn] = {}
+        self._handover = handover.Handover(
+            lambda: self._owed,
+            lambda data, on_done: self.replica_holders.hand_over(
+                data, on_done
+            ),
+        )
 
     @property
     def held(self) -> int:
@@ -93,6 +106,21 @@
         held = len(self._held_by_ref)
         return held + len(self._settling) + len(self._end_copies)
 
+    @property
+    def _owed(self) -> list[records.WholeTurn | records.EndedTurn]:
+        return [
+            *self._held_by_ref.values(),
+            *self._settling.values(),
+            *self._end_copies.kept,
+        ]
+
+    def hand_over_while(self, is_stopping: Callable[[], bool]) -> None:
+        """Give what the log lacks to VMs that stay, while this one stops."""
+        self._timers.call_every(
+            handover.LOOK_SECONDS,
+            lambda: is_stopping() and self._handover.go_on(),
+        )
+
     def log_is_back(self) -> None:
         """Do at once what waits for the log."""
         self._partitions.log_is_back()
@@ -163,10 +191,10 @@
         )
         self.accounts.spent(ticket, tokens)
         # Lost, one of a home is not charged at all, and others too much.
-        self._settling.add(ref)
+        self._settling[ref] = record
 
         def settled(fold: fold_module.ProgramFold) -> None:
-            self._settling.discard(ref)
+            self._settling.pop(ref, None)
             self._claims.settled(fold, record, ticket)
 
         lost = self._lost(ticket)
@@ -185,11 +213,13 @@
         generated: bytes,
         upstream: str,
         on_done: Callable[[str], None],
+        timeout: float = completion.TIMEOUT_SECONDS,
     ) -> None:
         """Add a whole turn to the history, and note where it stands.
 
         ``on_done`` is told once that the turn is safe: ``logged``, or
-        ``held`` by other VMs until the log is back.
+        ``held`` by other VMs until the log is back; or, after the timeout,
+        that it is kept ``nowhere`` but here.  The log is offered it still.
         """
         record = records.WholeTurn(
             ticket.program,
@@ -203,15 +233,20 @@
         )
         self._openings.end(records.TurnRef(ticket.program, ticket.turn))
         self.accounts.spent(ticket, tokens)
+        data = records.encode_record(record)
         safe = completion.Completion(
-            self._timers, self.replica_holders, records.encode_record(record)
+            self._timers,
+            self.replica_holders,
+            data,
+            lambda: recording.is_away(self._partitions, record),
+            timeout,
         )
-        logged = self._record_whole(
+        self._record_whole(
             record,
             lambda fold: self._claims.settled(fold, record, ticket),
             safe.logged,
         )
-        safe.start(on_done, at_once=not logged)
+        safe.start(on_done)
 
     def keep_copy(self, data: bytes) -> None:
         """Keep another VM's record; see to it that it gets into the log.
@@ -230,7 +265,7 @@
         ref = records.TurnRef(record.program, record.turn)
         is_held = ref in self._held_by_ref
         if not is_held and not self._partitions.is_recorded(ref):
-            self._held_by_ref[ref] = program_module.Turn.of(record)
+            self._held_by_ref[ref] = record
             lost = self._lost(record)
             copies.CopyCheck(self, self._timers, record, lost).start()
 
@@ -257,10 +292,10 @@
         on_folded: Callable[[fold_module.ProgramFold], None],
         on_logged: Callable[[], None],
         awaited: float = recording.AWAITED_SECONDS,
-    ) -> bool:
-        """Append a whole turn and its place; tell if that looks possible."""
+    ) -> None:
+        """Append a whole turn and its place."""
         ref = records.TurnRef(record.program, record.turn)
-        self._held_by_ref[ref] = program_module.Turn.of(record)
+        self._held_by_ref[ref] = record
 
         def logged() -> None:
             # Without its place no other program finds it in the log.
@@ -268,7 +303,7 @@
             on_logged()
 
         lost = self._lost(record)
-        return recording.append_whole(
+        recording.append_whole(
             self._partitions, record, on_folded, logged, lost, awaited
         )
 
@@ -278,7 +313,7 @@
         def report(error: errors.HistoryError) -> None:
             ref = records.TurnRef(item.program, item.turn)
             self._held_by_ref.pop(ref, None)
-            self._settling.discard(ref)
+            self._settling.pop(ref, None)
             where = {"program": item.program, "request": item.turn}
             LOG.error("record lost", extra=where | {"reason": str(error)})
 
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -32,6 +32,8 @@
         Where to listen for other VMs.
     partitions : int
         Partitions of each of the store's topics.
+    record_bytes, call_bytes : int
+        Most of one record, and of all records of one append.
     store_writes : float
         Appends a second that the store takes from all VMs together.
     seeds : tuple of (str, int)
@@ -42,6 +44,8 @@
         Within this time a new configuration is in force.
     grace : float
         Time from SIGTERM to SIGKILL.
+    max_files : int
+        Files that the process may open, connections too; 0: not told.
     """
 
     vm: str
@@ -58,7 +62,9 @@
     seeds: tuple[Address, ...] = ()
     store_writes: float = 800.0
     memory_mb: int = 0
+    max_files: int = 0
     first_start: bool = False
+    call_bytes: int = 2 * 1024 * 1024
 
 
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
@@ -108,7 +114,9 @@
         seeds=tuple(split_address(seed) for seed in raw.get("seeds") or ()),
         store_writes=float(store.get("writes_per_s") or 800.0),
         memory_mb=int(limits.get("memory_mb") or 0),
+        max_files=int(limits.get("max_fds") or 0),
         first_start=bool(raw.get("bootstrap")),
+        call_bytes=int(store.get("call_bytes") or 2 * 1024 * 1024),
     )
 
 
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -34,6 +34,9 @@
 # Reads at once before a connection is judged: more than the longest request
 # that may come.
 MOST_READS = 128
+# How long a listener rests for which there is no file or no room, in seconds:
+# its connections wait in the kernel meanwhile, and callers hardly notice.
+REST_SECONDS = 0.05
 # Bytes that the other side does not acknowledge for this long mean that the
 # path is gone; a partition otherwise hangs the connection for minutes.  A
 # round trip takes a few ms, and a crowded link holds packets up for 500.
@@ -62,6 +65,8 @@
     shortage : Shortage
         What is done when no file is left; users of connections that they
         can do without add themselves.
+    has_room : callable
+        Returns whether one more connection may be accepted.
     """
 
     def __init__(
@@ -80,6 +85,7 @@
         self._ending: dict[socket.socket, None] = {}
         self._pump: timers.TimerHandle | None = None
         self.shortage = files.Shortage(timers)
+        self.has_room: Callable[[], bool] = lambda: True
         super().__init__(bind, bufsize=READ_BYTES, channel=channel)
 
     # -- for users ----------------------------------------------------------
@@ -286,9 +292,18 @@
         """Accept a connection, at once; return whether there was one."""
         if self._sock is None:
             return False
+        if not self.has_room():
+            self.shortage.note("bound of connections")
+            self._rest()
+            return False
         try:
-            sock, address = self._sock.accept()
-        except OSError:
+            sock, _peer = self._sock.accept()
+        except (BlockingIOError, ConnectionAbortedError, PermissionError):
+            return False
+        except OSError as error:
+            # Asked again at once, it would fail in each turn of the loop.
+            if not self.shortage.relieve(error):
+                self._rest()
             return False
         self._on_accept_done(sock)
         return True
@@ -362,6 +377,15 @@
         except OSError:
             self._close(sock)
 
+    def _rest(self) -> None:
+        """Let connections wait in the kernel for a moment."""
+        self._poller.removeReader(self._sock)
+        self._timers.call_later(REST_SECONDS, self._listen_again)
+
+    def _listen_again(self) -> None:
+        if self._sock is not None and not self._poller.isReading(self._sock):
+            self._poller.addReader(self, self._sock)
+
     def _begin_to_open(self, address: tuple[str, int]) -> socket.socket:
         try:
             sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
