--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -146,6 +146,7 @@
         if self.phase is not Phase.OUT_OF_TIME:
             self.phase = Phase.OUT_OF_TIME
             LOG.warning("out of time", extra=self._owed())
+            self._callers.refuse_new()
         self._callers.give_up()
         self._callers.close_idle()
         if self._owes_nothing:
