A first start is believed only if nobody had the VM's name before

Cause: bootstrap in the settings stood for "nothing can be forgotten here"; with a settings file that stays the same it is told to each start. A VM now reads the list of VMs before it announces itself, and is restarted if its name stands there.

test_absence: a VM that is told to have been restarted 310 s ago is told to have been on the list since then, too; it asserts what it did.

Other premises of a 404, gone through by reading, with no test: an answer to a question that was asked before the copy came (the caller has the turn whole only after the acknowledgement, and names it after that); a VM that exits after its answer (what it kept then is in the log, which is read after, or it stands on the list and is missed); a successor at the same address (says that it was restarted); a place that is missing beside its record (held until both stand). Left: an old incarnation that is introduced late replaces its successor's entry until the next renewal.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -9,6 +9,7 @@
 from circuits.core import pollers
 
 from postspring import forwarding
+from postspring.front import completeness
 from postspring.front import configuration
 from postspring.front import gauges
 from postspring.front import settings as settings_module
@@ -40,11 +41,6 @@
 # Share of the store's rate for catching up; the rest is for other turns.
 CATCH_UP_SHARE = 0.5
 MISSING_SWEEP_SECONDS = 0.5
-# A VM that has been up for this long knows all that began here within the
-# retention of turns, 60 s on the users' routes; in seconds.  With a longer
-# retention it takes that, and the margin for turns that end meanwhile.
-COMPLETE_SECONDS = 65.0
-RETENTION_MARGIN_SECONDS = 5.0
 # How long a VM that stops waits for the log to take its leave, in seconds:
 # without it the VM counts as not heard for a while, no more.
 LEAVE_SECONDS = 1.0
@@ -338,9 +334,12 @@
         """Whether this VM knows all that began here lately."""
         snapshot = self.configuration.snapshot
         retention = 0.0 if snapshot is None else snapshot.longest_retention
-        needed = max(COMPLETE_SECONDS, retention + RETENTION_MARGIN_SECONDS)
-        uptime = self.timers.now() - self._started_at
-        return self.vm.first_start or uptime > needed
+        return completeness.is_complete(
+            self.vm.first_start and self.members.is_first,
+            self.timers.now() - self._started_at,
+            self.members.listed_seconds,
+            retention,
+        )
 
     def _store_through(self, member: peering.Member) -> platform.Store:
         return platform.Store(
--- a/postspring/front/tests/test_absence.py
+++ b/postspring/front/tests/test_absence.py
@@ -232,6 +232,7 @@
         """Let the VM here have been restarted some time ago."""
         self.here.vm = dataclasses.replace(self.here.vm, first_start=False)
         self.here._started_at = self.here.timers.now() - seconds
+        self.here.members._announced_at = self.here._started_at
 
     def configure(self, retention):
         """Put a configuration with this retention in force."""
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -91,6 +91,9 @@
         self._seen_at_by_name: dict[str, float] = {}
         self._expired_by_name: dict[str, Member] = {}
         self._struck_by_name: dict[str, str] = {}
+        self._is_read = False
+        self._has_predecessor = False
+        self._announced_at = math.inf
         self.is_announced = False
         self.is_leaving = False
         self.has_left = False
@@ -107,8 +110,10 @@
         )
 
     def start(self) -> None:
-        """Announce this VM, and follow the list."""
-        self._announce(_encode(self.own), self._announced)
+        """Follow the list; announce this VM when it was first read.
+
+        Who had its name before is told by nothing else.
+        """
         self._follower.start()
         self._heartbeat = self._timers.call_every(
             HEARTBEAT_SECONDS, self._renew
@@ -143,6 +148,20 @@
         else:
             self._read_from(page.next, on_done, on_error)
 
+    @property
+    def is_first(self) -> bool:
+        """Whether nobody had this VM's name before.
+
+        Settings say so too, but whoever starts VMs by hand gives them the
+        same ones again: a VM that had forgotten its turns was believed.
+        """
+        return self._is_read and not self._has_predecessor
+
+    @property
+    def listed_seconds(self) -> float:
+        """Seconds since this VM has been on the list; below 0 if it isn't."""
+        return self._timers.now() - self._announced_at
+
     @property
     def own_entry(self) -> bytes:
         """This VM's entry in the list."""
@@ -206,6 +225,8 @@
         self._log.append(PLACE, [entry], on_done, failed)
 
     def _announced(self, offset: int) -> None:
+        if not self.is_announced:
+            self._announced_at = self._timers.now()
         self.is_announced = True
 
     def _left(self, offset: int) -> None:
@@ -265,15 +286,26 @@
     def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
         self.by_name.clear()
         self._take(entries)
+        if not self._is_read:
+            self._is_read = True
+            self._announce(_encode(self.own), self._announced)
 
     def _take(self, entries: list[keyedlog.LogEntry]) -> None:
         for entry in entries:
             decoded = _decode(entry) if entry.value else ""
+            if entry.key == self.own.name and not self._is_own(decoded):
+                self._has_predecessor = True
             if isinstance(decoded, Member):
                 self._list(entry.key, decoded)
             elif decoded is not None:
                 self._strike(entry.key, decoded)
 
+    def _is_own(self, decoded: Member | str | None) -> bool:
+        """Return whether what stands under this VM's name is its own."""
+        if isinstance(decoded, Member):
+            decoded = decoded.incarnation
+        return decoded == self.own.incarnation
+
     def _list(self, name: str, member: Member) -> None:
         """Take a VM; a renewal may come behind the entry of its leaving."""
         if self._struck_by_name.get(name) == member.incarnation:
