Header fields are written as the bytes they were read as

Cause: as text they were taken for ASCII, and what raised then was heard by nobody. Fields go to h11 as latin-1 now, in requests and in answers; a request that still can't be written is told as not sent at once instead of after its timeout.

The stand-in of a caller writes such bytes now.

--- a/postspring/front/tests/test_plain_calls.py
+++ b/postspring/front/tests/test_plain_calls.py
@@ -43,6 +43,13 @@
                 self.assertEqual("", run.header(name), name)
         self.assertEqual("t0", run.header(names.TARGET_INSTANCE))
 
+    def test_bytes_above_127_in_a_field_are_passed_on(self):
+        odd = "caf\xe9"
+        answer = self.fleet.call("GET", "/safe/x", "r1", **{"X-Name": odd})
+        self.assertEqual(200, answer.status)
+        run = self.fleet.tools[0].runs[0]
+        self.assertEqual(odd, run.header("X-Name"))
+
     def test_the_deadline_that_is_left_is_passed_on(self):
         self.fleet.call("GET", "/safe/x", "r1", deadline_ms=2500)
         run = self.fleet.tools[0].runs[0]
--- a/postspring/testing/fleet/caller.py
+++ b/postspring/testing/fleet/caller.py
@@ -44,9 +44,12 @@
         if self._http.our_state is h11.DONE:
             self._http.start_next_cycle()
         self.answer = CallerAnswer()
-        fields = list(headers.items())
+        fields = [
+            (name.encode("ascii"), value.encode("latin-1"))
+            for name, value in headers.items()
+        ]
         if body:
-            fields.append(("Content-Length", str(len(body))))
+            fields.append((b"Content-Length", b"%d" % len(body)))
         request = h11.Request(method=method, target=target, headers=fields)
         data = self._http.send(request)
         if body:
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -89,7 +89,13 @@
         self._socket = sock
         self._connection = connection
         self._reused = reused
-        data = self._serialize(connection)
+        try:
+            data = http_messages.write_request(connection, self.request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            # Whoever sends hears it as an end; raised here, nobody would.
+            text = f"bad request: {error}"
+            self._client.timers.call_later(0, self._fail, text)
+            return self
         self.sent = True
         self.sent_at = self._client.timers.now()
         if self.request.silent_after < math.inf:
@@ -98,16 +104,6 @@
         self._client.timers.call_later(0, self._transmit, data)
         return self
 
-    def _serialize(self, connection: h11.Connection) -> bytes:
-        request = self.request
-        event = h11.Request(
-            method=request.method, target=request.path, headers=request.fields
-        )
-        data = connection.send(event)
-        if request.body:
-            data += connection.send(h11.Data(data=request.body))
-        return data + connection.send(h11.EndOfMessage())
-
     def _transmit(self, data: bytes) -> None:
         if self._socket is not None:
             self._client.hub.send(self._socket, data)
@@ -212,7 +208,7 @@
         self._skipping = False
         surplus, at_end = self._connection.trailing_data
         self._connection = kept_connections.new_connection()
-        self._serialize(self._connection)
+        http_messages.write_request(self._connection, self.request)
         if surplus:
             self._connection.receive_data(surplus)
 
--- a/postspring/transport/http_messages.py
+++ b/postspring/transport/http_messages.py
@@ -1,12 +1,22 @@
 """A request to send, and what is told of its answer."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 import dataclasses
 import math
 
+import h11
+
 from postspring import errors
 
-__all__ = ["AnswerCollector", "HttpListener", "HttpRequest", "integer_in"]
+__all__ = [
+    "AnswerCollector",
+    "HttpListener",
+    "HttpRequest",
+    "encode_fields",
+    "integer_in",
+    "write_request",
+]
 
 # Of a number in a header field: more than any count of seconds, tokens or
 # events has, and few enough that none takes long to read.
@@ -79,6 +89,43 @@
         return fields
 
 
+def encode_fields(
+    fields: Iterable[tuple[str | bytes, str | bytes]],
+) -> list[tuple[bytes, bytes]]:
+    """Return header fields as the bytes that were read as this text.
+
+    HTTP allows bytes above 127 in values; h11 takes text for ASCII.
+
+    Raises
+    ------
+    UnicodeEncodeError
+        If a character is none of HTTP's bytes.
+
+    Examples
+    --------
+    >>> encode_fields([("X-Name", "caf\\xe9"), (b"X-Same", b"caf\\xe9")])
+    [(b'X-Name', b'caf\\xe9'), (b'X-Same', b'caf\\xe9')]
+    """
+    return [(_encode(name), _encode(value)) for name, value in fields]
+
+
+def _encode(text: str | bytes) -> bytes:
+    return text.encode("latin-1") if isinstance(text, str) else text
+
+
+def write_request(connection: h11.Connection, request: HttpRequest) -> bytes:
+    """Return a request's bytes, and note them as sent on its connection."""
+    event = h11.Request(
+        method=request.method,
+        target=request.path,
+        headers=encode_fields(request.fields),
+    )
+    data = connection.send(event)
+    if request.body:
+        data += connection.send(h11.Data(data=request.body))
+    return data + connection.send(h11.EndOfMessage())
+
+
 class HttpListener:
     """What the user of an exchange implements."""
 
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
@@ -180,7 +181,8 @@
     def _head_bytes(self, status: int, fields: list) -> bytes:
         if self._server.closing or self.call.close_after:
             fields = [*fields, ("Connection", "close")]
-        event = h11.Response(status_code=status, headers=fields)
+        headers = http_messages.encode_fields(fields)
+        event = h11.Response(status_code=status, headers=headers)
         return self._http.send(event)
 
     def _next(self) -> None:
