Failing tests: a user of the hub that raises leaves others without an end

Cause: only what raises in "received" was caught. A user that raises as its connection opens hears no error and leaves the socket in the hub; one that raises as its connection ends has its exception land with whoever closed it, in the midst of another call; an accepted connection whose user raises stays open and unread.

--- a/postspring/transport/tests/test_ends.py
+++ b/postspring/transport/tests/test_ends.py
@@ -7,6 +7,8 @@
 encodes as ASCII; handlers were believed never to raise.  Proof: these tests.
 """
 
+import socket
+
 from postspring import transport
 from postspring.transport.tests import test_http_client
 
@@ -51,3 +53,57 @@
         listener = self.answer(headers=(("X-Name", "two\nlines"),))
         self.assertFalse(listener.error.sent)
         self.assertNotIn("timeout", str(listener.error))
+
+
+class FailingUser(transport.ConnectionHandler):
+    """A user of a connection whose every function fails."""
+
+    def received(self, data):
+        """Fail."""
+        raise ValueError("received")
+
+    def closed(self):
+        """Fail."""
+        raise ValueError("closed")
+
+
+def fail(*arguments):
+    """Fail."""
+    raise ValueError("a user of the hub")
+
+
+class UsersTest(test_http_client.LoopCase):
+    """Users of the hub that fail end nothing but their own connection."""
+
+    def open(self, on_open):
+        """Open a connection; return what its errors are."""
+        failed = []
+        self.hub.open(self.address, 5.0, on_open, failed.append)
+        return failed
+
+    def test_a_user_that_fails_at_the_start_hears_of_it(self):
+        with self.assertLogs("postspring.transport", "ERROR"):
+            failed = self.open(fail)
+            self.turn_until(lambda: failed)
+        self.assertFalse(failed[0].sent)
+        self.assertEqual([], self.hub._clients)
+
+    def test_a_user_that_fails_at_the_end_is_borne(self):
+        opened = []
+        self.open(lambda sock: opened.append(sock) or FailingUser())
+        self.turn_until(lambda: opened)
+        with self.assertLogs("postspring.transport", "ERROR"):
+            self.hub.shut(opened[0])
+        self.assertEqual([], self.hub._clients)
+
+    def test_a_listener_that_fails_closes_what_it_accepted(self):
+        hub = transport.SocketHub(
+            self.timers, ("127.0.0.1", 0), fail, channel="failing"
+        ).register(self.root)
+        self.turn()
+        with self.assertLogs("postspring.transport", "ERROR") as logs:
+            caller = socket.create_connection((hub.host, hub.port))
+            self.addCleanup(caller.close)
+            self.turn_until(lambda: logs.records)
+        caller.settimeout(10)
+        self.assertEqual(b"", caller.recv(10))
