--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -7,10 +7,12 @@
 
 from collections.abc import Callable
 import dataclasses
+import functools
 import logging
 import math
 from typing import Any
 
+from postspring.histories import appending
 from postspring.histories import errors
 from postspring.histories import reachability
 from postspring.histories import sizes
@@ -21,11 +23,6 @@
 
 LOG = logging.getLogger(__name__)
 
-# An append without an answer is sent once more after these many seconds:
-# behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
-# But not before so many times what appends take of late, on a slow disk.
-RESEND_SECONDS = (0.15, 0.5)
-RESEND_TIMES = 2.5
 # Pause when the log is busy, in seconds: many VMs share its rate, and calls
 # that come again at once would keep it busy.
 BUSY_RETRY_SECONDS = 0.5
@@ -220,9 +217,7 @@
             self._busy = True
             self._reach.note_try()
             self._sent_at = self.used_at
-            entries = [commit.entry for commit in self._commits]
-            count = sizes.first_batch(entries, self._call_bytes)
-            _Append(self, self._commits[:count]).start()
+            self._append()
         elif self._refreshes:
             self._busy = True
             self._reach.note_try()
@@ -231,7 +226,19 @@
                 None, lambda: self._release(self._refreshes, waiting)
             )
 
-    def appended(self, commits: list[_Waiter], first: int) -> None:
+    def _append(self) -> None:
+        entries = [commit.entry for commit in self._commits]
+        count = sizes.first_batch(entries, self._call_bytes)
+        appending.Append(
+            functools.partial(self._log.append, self._place, entries[:count]),
+            self._timers,
+            self._answers.append_seconds,
+            lambda: not self.has_failed,
+            functools.partial(self._appended, self._commits[:count]),
+            self._not_appended,
+        ).start()
+
+    def _appended(self, commits: list[_Waiter], first: int) -> None:
         """Take note that a batch stands in the log."""
         self._note_success()
         self._answers.note_append(self._timers.now() - self._sent_at)
@@ -247,7 +254,7 @@
         else:
             self._read_to(end, lambda: self._release(self._commits, commits))
 
-    def not_appended(self, error: keyedlog.KeyedLogError) -> None:
+    def _not_appended(self, error: keyedlog.KeyedLogError) -> None:
         """Take note that a batch was not accepted; try again."""
         self._note_failure("append failed", error)
         self._sent_at = math.inf
@@ -351,54 +358,3 @@
             self._retry_later(lambda: self._read_to(end, then))
         else:
             self._timers.call_later(0, self._go_on)
-
-
-class _Append:
-    """One batch on its way; sent again while no answer has come.
-
-    The fold ignores what stands in the log twice.
-    """
-
-    def __init__(self, partition: Partition, commits: list[_Waiter]):
-        self._partition = partition
-        self._commits = commits
-        self._open = 0
-        self._done = False
-        self._sent = 0
-        self._resend: timers_module.TimerHandle | None = None
-
-    def start(self) -> None:
-        """Send the batch, and plan to send it again."""
-        partition = self._partition
-        self._open += 1
-        if self._sent < len(RESEND_SECONDS) and not partition.has_failed:
-            usual = RESEND_TIMES * partition._answers.append_seconds
-            seconds = max(RESEND_SECONDS[self._sent], usual)
-            self._resend = partition._timers.call_later(seconds, self._again)
-        self._sent += 1
-        entries = [commit.entry for commit in self._commits]
-        partition._log.append(
-            partition._place, entries, self._appended, self._failed
-        )
-
-    def _again(self) -> None:
-        if not self._done:
-            self.start()
-
-    def _appended(self, first: int) -> None:
-        if self._done:
-            return
-        self._finish()
-        self._partition.appended(self._commits, first)
-
-    def _failed(self, error: keyedlog.KeyedLogError) -> None:
-        self._open -= 1
-        if self._done or self._open:
-            return
-        self._finish()
-        self._partition.not_appended(error)
-
-    def _finish(self) -> None:
-        self._done = True
-        if self._resend is not None:
-            self._resend.cancel()
