Failing test: a turn that others keep is broken off at its deadline

By reading: while a slow log is waited for, at most 1.2 s, the caller's deadline told a turn as kept nowhere that two VMs had kept for long, and its whole answer was broken off. Before the log was waited for it ended as held after 0.35 s.

--- a/postspring/histories/tests/test_slow_log.py
+++ b/postspring/histories/tests/test_slow_log.py
@@ -89,6 +89,33 @@
         self.assertLess(seconds, SILENCE_SECONDS)
 
 
+class DeadlineTest(SlowLogCase):
+    """The caller's deadline comes while the log is waited for.
+
+    By reading: since a slow log is waited for, a turn that others had kept
+    for long was told as kept nowhere, and its whole answer was broken off.
+    """
+
+    def complete_by(self, seconds):
+        """Complete a turn in so many seconds; return how it is kept."""
+        ticket = histories.Ticket("p", "a", 10, 25, histories.Origin.LOG)
+        heard = []
+        self.journal.complete_turn(
+            ticket, None, 4, b"<a", b">", "e", heard.append, seconds
+        )
+        self.clock.run_for(seconds + 0.1)
+        return heard
+
+    def test_what_others_keep_is_held(self):
+        self.faults.latency = 1.0
+        self.assertEqual(["held"], self.complete_by(0.6))
+
+    def test_what_nobody_keeps_is_not(self):
+        self.faults.latency = 1.0
+        self.journal.replica_holders = histories.NoReplicaHolders()
+        self.assertEqual(["nowhere"], self.complete_by(0.6))
+
+
 class LoadTest(SlowLogCase):
     """What a slow log is asked to do."""
 
