Failing test: what is unsent of a request that was broken off follows

By reading, shown on loopback: 3,000,067 of 3,000,067 bytes reached the other side after the exchange had ended with a timeout. Cause: the connection is closed behind what is unsent. The bound on unacknowledged bytes ended that after 0.8 s; since a closed window is borne it lasts up to 30 s. Not shown to be the incident's cause.

--- a/postspring/transport/tests/test_windows.py
+++ b/postspring/transport/tests/test_windows.py
@@ -20,8 +20,8 @@
 BODY = b"x" * 3_000_000
 
 
-class ClosedWindowTest(test_http_client.LoopCase):
-    """A long request to one that reads late, or never."""
+class LateReaderCase(test_http_client.LoopCase):
+    """A long request to one that does not read for a while."""
 
     def setUp(self):
         super().setUp()
@@ -42,6 +42,10 @@
         while time.monotonic() < end:
             self.turn(1)
 
+
+class ClosedWindowTest(LateReaderCase):
+    """A long request to one that reads late, or never."""
+
     def read_and_answer(self, server):
         """Read the whole request, then answer it."""
         left = len(BODY)
@@ -66,6 +70,34 @@
         self.assertFalse(listener.error.is_unreachable)
 
 
+class BrokenOffTest(LateReaderCase):
+    """A long request that is broken off while the other side doesn't read.
+
+    By reading: what was unsent followed all the same once the other side read
+    again, up to 30 s later since its pause is borne; an upstream then began
+    work for a caller that had left, or that ran elsewhere by then.
+    """
+
+    def test_the_rest_does_not_follow(self):
+        listener, server = self.begin(timeout=2.0)
+        self.turn_until(lambda: listener.settled)
+        came = []
+        server.setblocking(False)
+
+        def is_read():
+            try:
+                data = server.recv(1 << 20)
+            except BlockingIOError:
+                return False
+            except ConnectionResetError:
+                return True
+            came.append(len(data))
+            return not data
+
+        self.turn_until(is_read)
+        self.assertLess(sum(came), len(BODY))
+
+
 CLOSED = windows.SendState(probes=1, unacknowledged=0, unsent=100)
 UNDER_WAY = windows.SendState(probes=0, unacknowledged=3, unsent=100)
 UNANSWERED = windows.SendState(probes=2, unacknowledged=0, unsent=100)
