A turn that others keep is held at its caller's deadline, not broken off

Cause: the end of the wait for a slow log, 1.2 s, was no bound for turns with less time left; their deadline came first and told that nobody keeps them. Ruled out: waiting less long for all, which gave up the log for turns with time. DeadlineTest: nowhere before, held after.

--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -70,7 +70,7 @@
     is_away : callable
         Returns whether the log is known to be away.
     timeout : float
-        Seconds after which its caller is told that it is kept nowhere.
+        Seconds after which its caller is told, if nobody keeps it, so.
     """
 
     def __init__(
@@ -86,6 +86,7 @@
         self._record = record
         self._on_done: Callable[[str], None] | None = None
         self._is_logged = False
+        self._is_kept = False
         self._timer: timers_module.TimerHandle | None = None
         self._is_away = is_away
         self._began = timers.now()
@@ -98,9 +99,7 @@
             on_done(LOGGED)
             return
         self._on_done = on_done
-        self._expiry = self._timers.call_later(
-            self._timeout, self._finish, NOWHERE
-        )
+        self._expiry = self._timers.call_later(self._timeout, self._expire)
         seconds = 0.0 if self._is_away() else HOLD_AFTER_SECONDS
         self._timer = self._timers.call_later(seconds, self._hold_if_away)
 
@@ -124,6 +123,7 @@
 
     def _kept(self, copies: int) -> None:
         if copies:
+            self._is_kept = True
             self._wait_for_log()
         elif self._on_done is not None:
             self._timer = self._timers.call_later(AGAIN_SECONDS, self._hold)
@@ -138,6 +138,13 @@
                 LOOK_SECONDS, self._wait_for_log
             )
 
+    def _expire(self) -> None:
+        """End at the caller's deadline, also while the log is waited for.
+
+        What others keep can be gone on from: broken off, it would run again.
+        """
+        self._finish(HELD if self._is_kept else NOWHERE)
+
     def _finish(self, how: str) -> None:
         on_done, self._on_done = self._on_done, None
         if on_done is None:
