Failing test: turns are passed on to a VM that is past its rotation

By reading, shown on a fleet: with the store away, 8 of 8 turns whose chain a stopping VM and one that stays had were passed on to the stopping one, and refused (no_upstream, as it listens no more; shutting_down before it did).

--- a/postspring/front/tests/test_handover.py
+++ b/postspring/front/tests/test_handover.py
@@ -135,3 +135,40 @@
             node.shutdown.begin()
         self.whole_turn("a")
         self.assertEqual(1, staying.journal.held)
+
+
+class FoundWhileStoppingTest(StopCase):
+    """A VM past its rotation has a turn that the log lacks, as others have.
+
+    By reading: it told VMs that asked that it could take the next turn, or
+    had its chain, and refused what they then passed on; callers that came
+    again were passed on to it again, until it ended.
+    """
+
+    programs = 8
+
+    def test_turns_are_passed_on_to_one_that_stays(self):
+        stopping, staying, asked = self.fleet.nodes
+        stopping.shutdown.grace = 60.0
+        # It stands for one of the many that copies are not handed over to.
+        asked._peer_service._takes_copies = lambda: False
+        self.fleet.store.refuse = 503
+        for number in range(self.programs):
+            claim = histories.Claim("author", 16, 1000)
+            turn = histories.WholeTurn(
+                f"p{number}", f"a{number}", claim, None, 4, b"<a>", b"w\n"
+            )
+            for node in (stopping, staying):
+                node.journal.keep_copy(histories.encode_record(turn))
+        stopping.shutdown.begin()
+        self.fleet.turn_until(lambda: not stopping.shutdown.takes_work)
+        statuses = [
+            self.fleet.take_turn(
+                f"b{number}",
+                previous_turn=f"a{number}",
+                program_id=f"p{number}",
+                vm=self.fleet.nodes.index(asked),
+            ).status
+            for number in range(self.programs)
+        ]
+        self.assertEqual([200] * self.programs, statuses)
