A VM that takes no more calls tells nobody that it could run a turn

Cause: the answer to who can take a turn, or has its chain, did not look at the stop; whoever asked passed the turn on to a VM that refuses it, and again at each try.

--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -40,6 +40,9 @@
         nothing more, and others are asked at once.
     is_direct : callable
         Returns whether this VM reaches the log itself.
+    takes_work : callable
+        Returns whether this VM takes new calls: one that is about to end
+        refuses them, so it tells nobody that it could run a turn.
     take_loads : callable
         Takes what another VM has in flight, returns what all others have.
     """
@@ -54,10 +57,12 @@
         introduce: Callable[[str, bytes], None],
         takes_copies: Callable[[], bool] = lambda: True,
         is_direct: Callable[[], bool] = lambda: True,
+        takes_work: Callable[[], bool] = lambda: True,
         take_loads: TakeLoads | None = None,
     ):
         self._take_loads = take_loads
         self._takes_copies = takes_copies
+        self._takes_work = takes_work
         self._is_direct = is_direct
         self._introduce = introduce
         self._view_of = view_of
@@ -141,12 +146,13 @@
         if request.for_home:
             self._promises.remember(request.program, request.incarnation)
         goes_first = not self._promises.give(request.program, request.vm)
+        can_take = journal.can_take(program, previous, request.ceiling)
         found = messages.Found(
-            can_take=journal.can_take(program, previous, request.ceiling),
+            can_take=can_take and self._takes_work(),
             knows=journal.knows(program),
             knows_turn=knows_turn,
             is_complete=self._is_complete(),
-            has_chain=has_chain,
+            has_chain=has_chain and self._takes_work(),
             charged=journal.charged(program),
             home_tokens=journal.accounts.home_tokens(program),
             goes_first=goes_first,
