--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -13,6 +13,7 @@
 from postspring.front import completeness
 from postspring.front import configuration
 from postspring.front import gauges
+from postspring.front import leaving
 from postspring.front import settings as settings_module
 from postspring.front import shutdown
 from postspring.front import upstream_watch
@@ -42,9 +43,6 @@
 # Share of the store's rate for catching up; the rest is for other turns.
 CATCH_UP_SHARE = 0.5
 MISSING_SWEEP_SECONDS = 0.5
-# How long a VM that stops waits for the log to take its leave, in seconds:
-# without it the VM counts as not heard for a while, no more.
-LEAVE_SECONDS = 1.0
 
 
 class FrontNode(BaseComponent):
@@ -103,17 +101,19 @@
             sizes=histories.Sizes(vm.record_bytes, vm.call_bytes),
         )
         self._started_at = self.timers.now()
-        self._left_at: float | None = None
         self._limits = transport.ServerLimits.within(vm.max_files)
         self._follow()
         self._listen()
         self._join()
         self._serve(own)
+        self.leaving = leaving.Leaving(
+            self.timers, self.journal, self.members, self._is_complete
+        )
         self.shutdown = shutdown.Shutdown(
             self.timers,
             self.callers,
             vm.grace,
-            self._leave_when_recorded,
+            self.leaving.go_on,
             on_stopped,
             lambda: self.journal.unrecorded,
             self.peers,
@@ -321,22 +321,6 @@
         self._limits.header_seconds = snapshot.limits.header_seconds
         self._limits.idle_seconds = snapshot.limits.idle_seconds
 
-    def _leave_when_recorded(self) -> bool:
-        """Leave the others' list when all is recorded; tell if that is done.
-
-        Whoever is not on it isn't asked before a turn is said not to exist.
-        """
-        if self.journal.unrecorded:
-            return False
-        if not self._is_complete():
-            # It has forgotten what it kept before: it is to be missed.
-            return True
-        self.members.leave()
-        if self._left_at is None:
-            self._left_at = self.timers.now()
-        waited = self.timers.now() - self._left_at
-        return self.members.has_left or waited > LEAVE_SECONDS
-
     def _is_complete(self) -> bool:
         """Whether this VM knows all that began here lately."""
         snapshot = self.configuration.snapshot
