Red: a log that is steadily slow is taken for one that is away

0.4 s without an answer count as away, and 0.3 s as a direct way that fails, also while each append takes as long and is answered: each is made by another VM as well, and after three the direct way is lost.

--- a/postspring/histories/tests/test_slow_log.py
+++ b/postspring/histories/tests/test_slow_log.py
@@ -97,6 +97,20 @@
         # A turn has a record and a place.
         self.assertEqual(20, self.appends(10))
 
+    def test_it_is_not_away_while_it_takes_what_it_always_takes(self):
+        self.faults.latency = 0.5
+        self.appends(5)
+        state = self.one.open("u", program="p", ceiling=900, budget=1000)
+        self.assertIs(test_journal.OPEN, state)
+        self.one.journal.end_turn(self.one.tickets["u"], 10)
+        self.clock.run_for(0.45)
+        place = histories.partitions.place_of_program("p")
+        self.assertFalse(self.one.journal._partitions.is_failing(place))
+        self.faults.silent = True
+        self.one.journal.end_turn(self.one.tickets["u"], 20)
+        self.clock.run_for(2.0)
+        self.assertTrue(self.one.journal._partitions.is_failing(place))
+
     def test_a_lost_answer_is_made_up_for_soon_when_it_is_fast_again(self):
         self.appends(2)
         self.faults.latency = 0.004
--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -48,6 +48,25 @@
         self.assertEqual(0, self.append())
         self.assertEqual(["append"], self.helped.calls)
 
+    def test_a_slow_log_is_not_out_of_reach(self):
+        self.direct.faults.latency = 0.4
+        for _ in range(3):
+            self.append()
+        helped = len(self.helped.calls)
+        for _ in range(10):
+            self.append()
+        self.assertTrue(self.log.is_direct)
+        self.assertEqual(helped, len(self.helped.calls))
+
+    def test_a_slow_log_that_falls_silent(self):
+        self.direct.faults.latency = 0.4
+        for _ in range(3):
+            self.append()
+        self.direct.faults.silent = True
+        began = self.clock.now
+        self.append()
+        self.assertLess(self.clock.now - began, 1.2)
+
     def test_a_silent_way(self):
         self.direct.faults.silent = True
         self.assertEqual(0, self.append())
