--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -21,17 +21,9 @@
 
 LOG = logging.getLogger(__name__)
 
-# An append without an answer is sent once more after these many seconds:
-# behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
-# But not before so many times what appends take of late, on a slow disk.
-RESEND_SECONDS = (0.15, 0.5)
-RESEND_TIMES = 2.5
-# Pause when the log is busy, in seconds: many VMs share its rate, and calls
-# that come again at once would keep it busy.
+# Pause when the log is busy, in seconds: calls that come again at once would
+# keep it busy.
 BUSY_RETRY_SECONDS = 0.5
-# An append without an answer for this long counts as failing; the slow
-# store takes 0.25 s.
-SLOW_SECONDS = 0.4
 # A longer timeout than this keeps nobody waiting, in seconds: callers
 # wait for some seconds, what has to be recorded can wait for minutes.
 LONGEST_AWAITED_SECONDS = 30.0
@@ -106,14 +98,15 @@
 
     @property
     def has_failed(self) -> bool:
-        """Whether the last call failed: then it is not sent twice."""
+        """Whether the last call failed: then it is sent once."""
         return self._reach.has_failed
 
     @property
     def is_failing(self) -> bool:
         """Whether it can't be reached, or has not answered for long."""
         waited = self._timers.now() - self._sent_at
-        return self._reach.is_failing or waited > SLOW_SECONDS
+        is_slow = waited > self._answers.slow_seconds
+        return self._reach.is_failing or is_slow
 
     @property
     def is_waiting(self) -> bool:
@@ -366,9 +359,9 @@
         """Send the batch, and plan to send it again."""
         partition = self._partition
         self._open += 1
-        if self._sent < len(RESEND_SECONDS) and not partition.has_failed:
-            usual = RESEND_TIMES * partition._answers.append_seconds
-            seconds = max(RESEND_SECONDS[self._sent], usual)
+        pauses = partition._answers.resend_seconds
+        if self._sent < len(pauses) and not partition.has_failed:
+            seconds = pauses[self._sent]
             self._resend = partition._timers.call_later(seconds, self._again)
         self._sent += 1
         entries = [commit.entry for commit in self._commits]
--- a/postspring/histories/reachability.py
+++ b/postspring/histories/reachability.py
@@ -16,22 +16,33 @@
 # in seconds: below the timeout of turns, 0.6 s.  Sooner, a partition that
 # was lost is not tried by all ways (peering/failover.py).
 AWAITED_RETRY_SECONDS = 0.5
+# An append without an answer is sent once more after these many seconds:
+# behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
+RESEND_SECONDS = (0.15, 0.5)
+# One without an answer for this long counts as failing, in seconds; if the
+# log is slow of late for longer, but less than a turn waits for it (0.6 s).
+SLOW_SECONDS = 0.4
+LONGEST_SLOW_SECONDS = 0.55
+# Neither is so before this many times what appends take of late: a log that
+# syncs to a slow disk was given each one twice or thrice, and taken for away.
+USUAL_TIMES = 2.5
 
 
 class LogAnswers:
     """Counts what tells that the log answers, whatever the partition.
 
-    Attributes
+    Parameters
     ==========
 
-    append_seconds : float
-        How long appends take of late.
+    log : KeyedLog
+        Tells whether its last call failed.
     """
 
     def __init__(self, log: keyedlog.KeyedLog):
         self._log = log
         self.count = 0
-        self.append_seconds = 0.0
+        # How long appends take of late.
+        self._append_seconds = 0.0
 
     @property
     def is_down(self) -> bool:
@@ -44,7 +55,19 @@
 
     def note_append(self, seconds: float) -> None:
         """Take note of how long an append took."""
-        self.append_seconds += (seconds - self.append_seconds) / 2
+        self._append_seconds += (seconds - self._append_seconds) / 2
+
+    @property
+    def resend_seconds(self) -> list[float]:
+        """Pauses after which an append without an answer is sent again."""
+        usual = USUAL_TIMES * self._append_seconds
+        return [max(seconds, usual) for seconds in RESEND_SECONDS]
+
+    @property
+    def slow_seconds(self) -> float:
+        """Seconds after which an append without an answer counts as failed."""
+        usual = USUAL_TIMES * self._append_seconds
+        return min(max(SLOW_SECONDS, usual), LONGEST_SLOW_SECONDS)
 
 
 @dataclasses.dataclass(slots=True)
--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -49,9 +49,11 @@
         self.assertEqual(["append"], self.helped.calls)
 
     def test_a_slow_log_is_not_out_of_reach(self):
-        self.direct.faults.latency = 0.4
+        for log in (self.direct, self.helped):
+            log.faults.latency = 0.4
         for _ in range(3):
             self.append()
+            self.clock.run_for(1.0)
         helped = len(self.helped.calls)
         for _ in range(10):
             self.append()
@@ -62,6 +64,7 @@
         self.direct.faults.latency = 0.4
         for _ in range(3):
             self.append()
+            self.clock.run_for(1.0)
         self.direct.faults.silent = True
         began = self.clock.now
         self.append()
