--- a/postspring/histories/appending.py
+++ b/postspring/histories/appending.py
@@ -7,12 +7,6 @@
 
 __all__ = ["Append"]
 
-# An append without an answer is sent once more after these many seconds:
-# behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
-# But not before so many times what appends take of late, on a slow disk.
-RESEND_SECONDS = (0.15, 0.5)
-RESEND_TIMES = 2.5
-
 
 class Append:
     """Sent again while no answer has come.
@@ -24,8 +18,8 @@
 
     send : callable
         Makes the call; takes who hears the offset, and who the failure.
-    usual_seconds : float
-        What appends take of late.
+    pauses : list of float
+        Seconds without an answer after which it is sent again.
     may_resend : callable
         Returns whether the log is known not to fail.
     on_done : callable
@@ -41,14 +35,14 @@
             None,
         ],
         timers: timers_module.Timers,
-        usual_seconds: float,
+        pauses: list[float],
         may_resend: Callable[[], bool],
         on_done: Callable[[int], None],
         on_error: Callable[[keyedlog.KeyedLogError], None],
     ):
         self._send = send
         self._timers = timers
-        self._usual_seconds = usual_seconds
+        self._pauses = pauses
         self._may_resend = may_resend
         self._on_done = on_done
         self._on_error = on_error
@@ -60,10 +54,10 @@
     def start(self) -> None:
         """Send the batch, and plan to send it again."""
         self._open += 1
-        if self._sent < len(RESEND_SECONDS) and self._may_resend():
-            usual = RESEND_TIMES * self._usual_seconds
-            seconds = max(RESEND_SECONDS[self._sent], usual)
-            self._resend = self._timers.call_later(seconds, self._again)
+        if self._sent < len(self._pauses) and self._may_resend():
+            self._resend = self._timers.call_later(
+                self._pauses[self._sent], self._again
+            )
         self._sent += 1
         self._send(self._appended, self._failed)
 
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -26,9 +26,6 @@
 # Pause when the log is busy, in seconds: many VMs share its rate, and calls
 # that come again at once would keep it busy.
 BUSY_RETRY_SECONDS = 0.5
-# An append without an answer for this long counts as failing; the slow
-# store takes 0.25 s.
-SLOW_SECONDS = 0.4
 # A longer timeout than this keeps nobody waiting, in seconds: callers
 # wait for some seconds, what has to be recorded can wait for minutes.
 LONGEST_AWAITED_SECONDS = 30.0
@@ -103,7 +100,7 @@
 
     @property
     def has_failed(self) -> bool:
-        """Whether the last call failed: then it is not sent twice."""
+        """Whether the last call failed: then it is sent once."""
         return self._reach.has_failed
 
     @property
@@ -115,7 +112,7 @@
     def is_failing(self) -> bool:
         """Whether it can't be reached, or has not answered for long."""
         waited = self._timers.now() - self._sent_at
-        return self.is_away or waited > SLOW_SECONDS
+        return self.is_away or waited > self._answers.slow_seconds
 
     @property
     def is_waiting(self) -> bool:
@@ -232,7 +229,7 @@
         appending.Append(
             functools.partial(self._log.append, self._place, entries[:count]),
             self._timers,
-            self._answers.append_seconds,
+            self._answers.resend_seconds,
             lambda: not self.has_failed,
             functools.partial(self._appended, self._commits[:count]),
             self._not_appended,
