An append is not made by another VM while the log takes other calls

Cause: an append without an answer for 0.5 s was made by another VM as well, also if the log had answered other calls of this one meanwhile: a log that is slow does each of them, and those behind wait for both. It waits for 1.0 s in that case now; one whose answer is lost is sent again as before.

--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -21,6 +21,10 @@
 # long, in seconds: a turn waits for 0.6 s.
 HEDGE_TIMES = 2.5
 LONGEST_HEDGE_SECONDS = 0.5
+# An append is not made by another VM before this long while the log takes
+# other calls of this one, in seconds: made twice, appends of a slow log queue
+# up.  Its own time-out is 1.2 s.
+LONGEST_APPEND_SECONDS = 1.0
 # While the direct way fails, it is tried again this often, in seconds.
 PROBE_SECONDS = 0.5
 # A VM that could not help is not asked for this long, in seconds.
@@ -97,6 +101,10 @@
         """Whether the log has taken a call of this VM lately."""
         return self._timers.now() - self._taken_at < BUSY_SECONDS
 
+    def has_taken_since(self, moment: float) -> bool:
+        """Whether the direct way has answered since a moment."""
+        return self._taken_at > moment
+
     @property
     def silence(self) -> float:
         """Seconds since the log answered, by any way."""
@@ -135,7 +143,8 @@
         usual = HEDGE_TIMES * self._append_seconds
         hedge = min(max(HEDGE_SECONDS, usual), LONGEST_HEDGE_SECONDS)
         longer = hedge - HEDGE_SECONDS
-        self._call(place, start, on_done, on_error, longer)
+        more = LONGEST_APPEND_SECONDS - hedge
+        self._call(place, start, on_done, on_error, longer, more)
 
     def _note_append(self, seconds: float) -> None:
         self._append_seconds += (seconds - self._append_seconds) / 2
@@ -172,9 +181,12 @@
 
         self._call(place, start, on_page, on_error)
 
-    def _call(self, place, start, on_done, on_error, wait=0.0) -> None:
+    def _call(
+        self, place, start, on_done, on_error, wait=0.0, more=0.0
+    ) -> None:
+        timeout = HEDGE_SECONDS + wait
         failover_call.FailoverCall(
-            self, place, start, on_done, on_error, HEDGE_SECONDS + wait
+            self, place, start, on_done, on_error, timeout, more
         ).start()
 
     # -- for calls ------------------------------------------------------------
--- a/postspring/peering/failover_call.py
+++ b/postspring/peering/failover_call.py
@@ -44,15 +44,22 @@
         Begins the call on a log, with who takes the result or the error.
     timeout : float
         Seconds after which other ways are tried as well.
+    more : float
+        So much later, if the direct way took another call meanwhile: then
+        it is slow and not lost, and by another VM it would be as slow.
     """
 
-    def __init__(self, log, place, start, on_done, on_error, timeout):
+    def __init__(
+        self, log, place, start, on_done, on_error, timeout, more=0.0
+    ):
         self._log = log
         self._place = place
         self._start = start
         self._on_done = on_done
         self._on_error = on_error
         self._timeout = timeout
+        self._more = more
+        self._began = log.now()
         self._is_configuration = (
             place.subject is keyedlog.Subject.CONFIGURATION
         )
@@ -126,6 +133,10 @@
     def _overdue(self) -> None:
         if self._finished:
             return
+        if self._more and self._log.has_taken_since(self._began):
+            more, self._more = self._more, 0.0
+            self._timer = self._log.call_later(more, self._overdue)
+            return
         worked = self._log.works(self._place)
         self._log.direct_failed(self._place, "slow")
         if worked and self._is_configuration:
