Users of the hub that raise end nothing but their own connection

Cause: exceptions were caught in "received" only. Whoever raises as its connection opens hears that as an error, and the socket is closed; what is raised at the end of a connection, by an error function or by whoever takes an accepted connection is logged and goes no further. A connection that its user closed at once (a call that was cancelled meanwhile) no longer stays in the hub's table. An answer whose fields can't be written is a 500, or a closed connection if it was to be a stream, in place of nothing.

Left: a function of a timer that raises is logged, as before; what its call waits for then ends with the call's timeout.

--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -26,6 +26,8 @@
 # caller, in seconds; one that was just opened is about to send its request.
 SPARE_SECONDS = 1.0
 
+_UNWRITABLE = (h11.LocalProtocolError, UnicodeEncodeError)
+
 
 class _ServerConnection(sockets.ConnectionHandler):
     """One caller's connection: requests one after another."""
@@ -74,7 +76,13 @@
 
     def send_answer(self, status: int, fields: list, body: bytes) -> None:
         """Send a whole answer."""
-        data = self._head_bytes(status, fields)
+        try:
+            data = self._head_bytes(status, fields)
+        except _UNWRITABLE:
+            # The caller waits for an end, and this is one.
+            LOG.exception("an answer can't be written")
+            body = b""
+            data = self._head_bytes(500, [("Content-Length", "0")])
         if body and self._head.method != b"HEAD":
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
@@ -83,7 +91,13 @@
 
     def send_head(self, status: int, fields: list) -> None:
         """Begin an answer."""
-        self._server.hub.send(self._sock, self._head_bytes(status, fields))
+        try:
+            data = self._head_bytes(status, fields)
+        except _UNWRITABLE:
+            LOG.exception("an answer can't be written")
+            self._server.hub.shut(self._sock)
+            return
+        self._server.hub.send(self._sock, data)
 
     def send_data(self, data: bytes) -> None:
         """Send a part of an answer's body."""
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -239,8 +239,14 @@
         del self._connecting[sock]
         opening.deadline.cancel()
         self._clients.append(sock)
-        self._handler_by_socket[sock] = opening.on_open(sock)
-        if sock in self._clients:
+        user = _tell(opening.on_open, sock)
+        if user is None:
+            self._close(sock)
+            text = "its user failed"
+            failure = connecting.connect_error(opening.address, text)
+            _tell(opening.on_error, failure)
+        elif sock in self._clients:
+            self._handler_by_socket[sock] = user
             self._poller.addReader(self, sock)
         return None
 
@@ -270,7 +276,7 @@
     def _on_accept_done(self, sock, fire_connect_event=True):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = self._on_accept(sock)
+        connection = _tell(self._on_accept, sock)
         if connection is None:
             sock.close()
             return
@@ -308,9 +314,9 @@
             return
         if broken_by is not None:
             timed_out = broken_by.errno == errno.ETIMEDOUT
-            connection.was_reset(is_unreachable=timed_out)
+            _tell(connection.was_reset, timed_out)
         else:
-            connection.closed()
+            _tell(connection.closed)
 
     # -- own ------------------------------------------------------------------
 
@@ -363,4 +369,15 @@
         self._buffers.pop(sock, None)
         self._windows.forget(sock)
         sock.close()
-        opening.on_error(connecting.connect_error(opening.address, text))
+        _tell(
+            opening.on_error, connecting.connect_error(opening.address, text)
+        )
+
+
+def _tell(function: Callable, *arguments):
+    """Call a user of the hub; what it raises must end no other's work."""
+    try:
+        return function(*arguments)
+    except Exception:
+        LOG.exception("a connection's user failed")
+        return None
--- a/postspring/transport/tests/test_ends.py
+++ b/postspring/transport/tests/test_ends.py
@@ -54,6 +54,22 @@
         self.assertFalse(listener.error.sent)
         self.assertNotIn("timeout", str(listener.error))
 
+    def test_an_answer_that_can_not_be_written_is_a_fault(self):
+        self.answer_fields = [("X-Name", "two\nlines")]
+        with self.assertLogs("postspring.transport", "ERROR"):
+            self.assertEqual(500, self.answer(timeout=1.0).status)
+
+    def test_one_that_can_not_be_begun_closes_its_connection(self):
+        self.take = lambda call: (
+            self.calls.append(call)
+            or call.start(200, [("X-Name", "two\nlines")])
+        )
+        self.server._application = self.take
+        with self.assertLogs("postspring.transport", "ERROR"):
+            listener = self.answer(timeout=30.0)
+        self.assertTrue(listener.error.is_broken)
+        self.assertTrue(self.calls[0].gone)
+
 
 class FailingUser(transport.ConnectionHandler):
     """A user of a connection whose every function fails."""
@@ -88,6 +104,19 @@
         self.assertFalse(failed[0].sent)
         self.assertEqual([], self.hub._clients)
 
+    def test_one_that_is_closed_at_once_is_forgotten(self):
+        opened = []
+
+        def on_open(sock):
+            opened.append(sock)
+            self.hub.shut(sock)
+            return transport.ConnectionHandler()
+
+        self.open(on_open)
+        self.turn_until(lambda: opened)
+        self.turn()
+        self.assertEqual({}, self.hub._handler_by_socket)
+
     def test_a_user_that_fails_at_the_end_is_borne(self):
         opened = []
         self.open(lambda sock: opened.append(sock) or FailingUser())
@@ -96,6 +125,13 @@
             self.hub.shut(opened[0])
         self.assertEqual([], self.hub._clients)
 
+    def test_a_failing_error_function_is_borne(self):
+        self.listening.close()
+        with self.assertLogs("postspring.transport", "ERROR") as logs:
+            self.hub.open(self.address, 5.0, fail, fail)
+            self.turn_until(lambda: logs.records)
+        self.assertEqual({}, self.hub._connecting)
+
     def test_a_listener_that_fails_closes_what_it_accepted(self):
         hub = transport.SocketHub(
             self.timers, ("127.0.0.1", 0), fail, channel="failing"
