Failing tests: what a VM that stood still concludes from what it finds then

Cause: the age of what was heard is not looked at. A kept connection whose time has passed is used as long as the timer that closes it is late, though its other side has closed it: a call that may not be repeated has an unknown outcome.

--- a/postspring/transport/tests/test_pauses.py
+++ b/postspring/transport/tests/test_pauses.py
@@ -74,6 +74,25 @@
         self.assertIn("timeout", str(listener.error))
 
 
+class KeptTest(test_http_client.LoopCase):
+    """A kept connection whose time passed while the loop stood still.
+
+    Its other side has closed it, or is about to; that it has not been
+    closed here says only that the timers have not run.
+    """
+
+    def test_it_is_not_used_again(self):
+        answer = OK.replace(b"\r\n\r\n", b"\r\nKeep-Alive: timeout=1\r\n\r\n")
+        self.serve(answer)
+        self.answer()
+        time.sleep(0.6)
+        self.serve(OK)
+        listener = self.send(method="POST", body=b"x")
+        self.turn_until(lambda: listener.settled)
+        self.assertEqual(b"hi", listener.body)
+        self.assertEqual(2, self.http.connections_opened)
+
+
 class FairnessTest(test_http_client.LoopCase):
     """Input that never ends keeps no timer from running."""
 
