--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -22,6 +22,8 @@
 
 LOG = logging.getLogger(__name__)
 
+_UNWRITABLE = (h11.LocalProtocolError, UnicodeEncodeError)
+
 # Whoever opens a connection sends its request at once; until then a new
 # connection is not idle.  In seconds, above a round trip to a busy machine.
 NEW_SECONDS = 0.5
@@ -126,7 +128,13 @@
 
     def send_answer(self, status: int, fields: list, body: bytes) -> None:
         """Send a whole answer."""
-        data = self._head_bytes(status, fields)
+        try:
+            data = self._head_bytes(status, fields)
+        except _UNWRITABLE:
+            # The caller waits for an end, and this is one.
+            LOG.exception("an answer can't be written")
+            body = b""
+            data = self._head_bytes(500, [("Content-Length", "0")])
         if body and self._head.method != b"HEAD":
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
@@ -135,7 +143,13 @@
 
     def send_head(self, status: int, fields: list) -> None:
         """Begin an answer."""
-        self._server.hub.send(self._sock, self._head_bytes(status, fields))
+        try:
+            data = self._head_bytes(status, fields)
+        except _UNWRITABLE:
+            LOG.exception("an answer can't be written")
+            self._server.hub.shut(self._sock)
+            return
+        self._server.hub.send(self._sock, data)
 
     def send_data(self, data: bytes) -> None:
         """Send a part of an answer's body."""
