Only a VM that may let a program go on is given promises

Cause: every question had the others' promise to stay back, also one that only looks for a VM to pass the turn on to; the VM that it was passed on to was told to stay back in turn. Only the question for a home uses the promises, and it asks for them itself, so nothing is less safe.

--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -154,6 +154,7 @@
         on_done: Callable[[forwarding.Finding], None],
     ) -> None:
         own = self._members.own
+        is_for_home = question is forwarding.Question.HOME
         request = messages.FindRequest(
             own.name,
             facts.program,
@@ -161,17 +162,19 @@
             facts.ceiling,
             own.incarnation,
             self._members.own_entry,
-            question is forwarding.Question.HOME,
+            is_for_home,
         )
         here = own.data_center
         others = self._members.others
         asked = [member for member in others if not self._is_avoided(member)]
         near = [member for member in asked if member.data_center == here]
         far = [member for member in asked if member.data_center != here]
-        self._promises.begin_asking(facts.program)
+        if is_for_home:
+            self._promises.begin_asking(facts.program)
 
         def answered(search: search_module.Search) -> None:
-            self._promises.end_asking(facts.program)
+            if is_for_home:
+                self._promises.end_asking(facts.program)
             finding = search.finding(own, self._is_complete())
             if not is_newest_list:
                 doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -143,9 +143,12 @@
         has_gone_on = self._promises.has_gone_on(
             request.program, request.incarnation
         )
+        goes_first = False
         if request.for_home:
             self._promises.remember(request.program, request.incarnation)
-        goes_first = not self._promises.give(request.program, request.vm)
+            # Who looks for a VM to pass a turn on to lets nothing go on: a
+            # promise to it kept the one that it found from going on.
+            goes_first = not self._promises.give(request.program, request.vm)
         can_take = journal.can_take(program, previous, request.ceiling)
         found = messages.Found(
             can_take=can_take and self._takes_work(),
