Failing test: a call whose end fails keeps others from theirs

By reading, shown: at the end of the grace calls are ended one after the other; the first whose function raised ended the round, and each later round began with it: of three calls two had no answer.

--- a/postspring/front/tests/test_shutdown.py
+++ b/postspring/front/tests/test_shutdown.py
@@ -22,6 +22,11 @@
 NEAR_END_SECONDS = 7.5
 
 
+def fail():
+    """Fail."""
+    raise ValueError("the end of a call")
+
+
 class EdgeCase(unittest.TestCase):
     """A server whose loop is turned by hand."""
 
@@ -131,6 +136,26 @@
         self.assertEqual(502, caller.answer.status)
         self.assertTrue(caller.answer.whole)
 
+    def test_a_call_whose_end_fails_keeps_no_other_from_its_own(self):
+        """By reading: the first one that raised ended the round."""
+        callers = [self.edge.connect() for _ in range(3)]
+        for caller in callers:
+            self.edge.ask(caller)
+        self.edge.turn_until(lambda: len(self.edge.calls) == len(callers))
+        for call in self.edge.calls[:2]:
+            call.on_out_of_time = fail
+        self.edge.calls[0].start(200, [("Transfer-Encoding", "chunked")])
+        with self.assertLogs("postspring.transport", "ERROR"):
+            self.stop()
+        for caller in callers:
+            caller.poll()
+        self.assertEqual(
+            [200, 502, 502], [caller.answer.status for caller in callers]
+        )
+        self.assertEqual(
+            [False, True, True], [caller.answer.whole for caller in callers]
+        )
+
     def test_what_was_never_read_whole_has_not_run(self):
         caller = self.edge.connect()
         caller.send_raw(b"POST / HTTP/1.1\r\nHost: a\r\n")
