A call whose end fails keeps no other from its own

Cause: what raised at the end of the grace ended the round of all calls. It is told now, and its caller has an answer without a promise, or a closed connection if one had begun.

--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -4,6 +4,7 @@
 from collections.abc import Iterable
 import dataclasses
 import enum
+import logging
 from typing import Protocol
 
 from postspring.transport import files
@@ -17,6 +18,7 @@
     "ServerLimits",
 ]
 
+LOG = logging.getLogger(__name__)
 BAD_GATEWAY = 502
 
 Fields = Iterable[tuple[str | bytes, str | bytes]]
@@ -184,9 +186,15 @@
         nothing is promised.
         """
         was_answered = self.answered
-        if self.on_out_of_time is not None:
-            self.on_out_of_time()
-        elif was_answered:
+        is_broken_off = was_answered and self.on_out_of_time is None
+        try:
+            if self.on_out_of_time is not None:
+                self.on_out_of_time()
+        except Exception:
+            # Others have their end only after this one.
+            LOG.exception("a call's end failed")
+            is_broken_off = was_answered
+        if is_broken_off:
             self.abort()
         self.respond(BAD_GATEWAY, [])
 
