The age of what was heard is looked at after a pause

Answers that are read after the others' promises have lapsed (0.5 s after the question; both rounds take 0.3 s) let no program begin here while the log is away: the call is refused as not run. Members expire only if the list was read late enough to have missed a renewal of theirs. A kept connection knows until when it may be used, and is not used after that, also when the timer that closes it is late.

Ruled out by reading, after a pause: the age of the configuration and of the upstreams counts from when the log was asked, so it only grows; a 404 rests on questions asked after the request was read, however late the answers are; the breaker of the log and "cut off" need calls that failed, and answers are read first now; a promise that this VM gave is remembered beyond its time. Left: upstreams that the log's return brings back within 2.3 s count as gone if this VM stands still for that time, until it has read them; when the whole machine stood still, the others' answers are not there yet and short timeouts (0.15 to 0.25 s) pass all the same, which are doubts and not certainty.

--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -21,6 +21,9 @@
 # An entry that was not renewed for this long belongs to a VM that is gone
 # for good, as far as anybody can tell; in seconds while the log answers.
 EXPIRY_SECONDS = 13.0
+# A list that was read so much later than an entry's last renewal shows that
+# one was missed; a VM that stood still has not read the list.  In seconds.
+MISSED_SECONDS = 1.5 * HEARTBEAT_SECONDS
 RETRY_SECONDS = 0.5
 # A VM that expired without having left may be cut off, and keep turns that
 # its callers had whole.  For so long it counts as not heard, in seconds: data
@@ -230,7 +233,10 @@
             self._expire()
 
     def _expire(self) -> None:
-        oldest = self._timers.now() - EXPIRY_SECONDS
+        oldest = min(
+            self._timers.now() - EXPIRY_SECONDS,
+            self._follower.fresh_at - MISSED_SECONDS,
+        )
         for name, seen_at in list(self._seen_at_by_name.items()):
             if seen_at < oldest and name in self.by_name:
                 LOG.info("member expired", extra={"member": name})
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -148,6 +148,7 @@
         near = [member for member in asked if member.data_center == here]
         far = [member for member in asked if member.data_center != here]
         self._promises.begin_asking(facts.program)
+        asked_at = self._timers.now()
 
         def answered(search: search_module.Search) -> None:
             self._promises.end_asking(facts.program)
@@ -155,8 +156,11 @@
             if not is_newest_list:
                 doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
                 finding = dataclasses.replace(finding, doubts=doubts)
-            if not self._members.is_announced:
-                # Others would not know to ask here: nothing begins here.
+            waited = self._timers.now() - asked_at
+            has_lapsed = waited > promises_module.PROMISE_SECONDS
+            if has_lapsed or not self._members.is_announced:
+                # Nothing begins here: the others' promises have lapsed (this
+                # VM stood still), or they would not know to ask here.
                 finding = dataclasses.replace(finding, is_answered=False)
             if self._promises.has_gone_on(facts.program, own.incarnation):
                 finding = dataclasses.replace(finding, has_gone_on=True)
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -305,7 +305,8 @@
         if not idle or request.fresh:
             return None
         newest = idle[-1]
-        if self.timers.now() - newest.since > request.max_idle:
+        now = self.timers.now()
+        if now > newest.until or now - newest.since > request.max_idle:
             return None
         idle.pop()
         newest.expiry.cancel()
@@ -377,9 +378,8 @@
             self.hub.shut(sock)
             return
         connection.start_next_cycle()
-        expiry = self.timers.call_later(seconds, self.hub.shut, sock)
         kept = kept_connections.KeptConnection(
-            self, address, sock, connection, expiry
+            self, address, sock, connection, seconds
         )
         idle.append(kept)
         self.hub.adopt(sock, kept)
--- a/postspring/transport/kept_connections.py
+++ b/postspring/transport/kept_connections.py
@@ -17,11 +17,14 @@
 class KeptConnection(sockets.ConnectionHandler):
     """A kept connection: whatever it says, it is not used again."""
 
-    def __init__(self, client, address, sock, connection, expiry):
+    def __init__(self, client, address, sock, connection, seconds):
         self.sock = sock
         self.connection = connection
-        self.expiry = expiry
         self.since = client.timers.now()
+        # Looked at before each use: after a pause of this process the timer
+        # is late, and the other side has closed it.
+        self.until = self.since + seconds
+        self.expiry = client.timers.call_later(seconds, client.hub.shut, sock)
         self._client = client
         self._address = address
 
