--- a/postspring/testing/soak/events.py
+++ b/postspring/testing/soak/events.py
@@ -79,6 +79,23 @@
                 return event
         return None
 
+    def stop_seconds(self) -> list[float]:
+        """Return how long each stop took, from the signal to the end."""
+        return [
+            event.at - max(self._stops_before(event))
+            for event in self.events
+            if event.action == "stopped"
+        ]
+
+    def _stops_before(self, ended: Event) -> list[float]:
+        return [
+            event.at
+            for event in self.events
+            if event.action == plan_module.Action.STOP
+            and event.vm == ended.vm
+            and event.at <= ended.at
+        ]
+
     def planned_work(self, vm: str, sent: float, ended: float) -> str:
         """Name the planned work around a request that ended, or nothing."""
         if self.stop_of(vm, ended) is not None:
--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -7,6 +7,7 @@
 import sys
 import tempfile
 
+from postspring.testing.soak import events as events_module
 from postspring.testing.soak import plan as plan_module
 from postspring.testing.soak import records
 from postspring.testing.soak import stage as stage_module
@@ -45,10 +46,13 @@
             a.end is records.End.WHOLE and a.status == 200 for a in attempts
         )
         done = ", ".join(f"{n} {a}" for a, n in sorted(self.counts.items()))
+        history = events_module.History(self.lines.events)
+        longest = max(history.stop_seconds(), default=0.0)
         found = dict(self.rules) or "none"
         return (
             f"seed {self.seed}: {len(attempts)} requests, {turns} turns,"
-            f" {good} good; {done}; findings: {found};"
+            f" {good} good; {done}; longest stop {longest:.1f} s;"
+            f" findings: {found};"
             f" notes: {dict(sorted(self.verdict.notes.items()))}"
         )
 
