--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -12,6 +12,7 @@
 import h11
 
 from postspring.transport import connection_handler
+from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import lingering
 from postspring.transport import sockets
@@ -294,7 +295,8 @@
     def _head_bytes(self, status: int, fields: list) -> bytes:
         if self._server.closing or self.call.close_after:
             fields = [*fields, ("Connection", "close")]
-        event = h11.Response(status_code=status, headers=fields)
+        headers = http_messages.encode_fields(fields)
+        event = h11.Response(status_code=status, headers=headers)
         return self._http.send(event)
 
     def _next(self) -> None:
