--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -1,6 +1,7 @@
 """Single runs and series of them: what is printed, and what is kept."""
 
 import collections
+import contextlib
 import pathlib
 import shutil
 import signal
@@ -80,12 +81,16 @@
 ) -> Outcome:
     """Play one run in a folder and judge it."""
     folder.mkdir(parents=True)
-    world = world_module.build_world(shape, seed, str(folder.resolve()))
+    network, claim = world_module.claim_network()
+    world = world_module.build_world(
+        shape, seed, str(folder.resolve()), network
+    )
     steps = plan_module.draw_plan(
         seed, plan_module.PROFILES[profile], seconds, shape.vms
     )
-    stage = stage_module.Stage(world, burners, stalls)
-    return Outcome(seed, folder, stage.play(steps, seconds))
+    with contextlib.closing(claim):
+        stage = stage_module.Stage(world, burners, stalls)
+        return Outcome(seed, folder, stage.play(steps, seconds))
 
 
 def run(
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -1,6 +1,5 @@
 """The shape of a run: VMs, addresses, settings files, the configuration."""
 
-import contextlib
 import dataclasses
 import json
 import os
@@ -10,7 +9,7 @@
 
 from postspring.testing.fleet import fleet
 
-__all__ = ["Shape", "Upstream", "Vm", "World", "build_world"]
+__all__ = ["Shape", "Upstream", "Vm", "World", "build_world", "claim_network"]
 
 CALLERS_PORT = 8149
 READINESS_PORT = 8141
@@ -188,9 +187,8 @@
         return sorted({0, count // 2, count - 1})
 
 
-def build_world(shape: Shape, seed: int, folder: str) -> World:
-    """Lay out a run at addresses that nobody uses."""
-    network = _free_network()
+def build_world(shape: Shape, seed: int, folder: str, network: str) -> World:
+    """Lay out a run in a network of its own."""
     vms = tuple(
         Vm(
             f"front-{DATA_CENTERS[i % 3]}-{i // 3 + 1}",
@@ -251,14 +249,19 @@
     return document
 
 
-def _free_network() -> str:
-    """Return a network in which nobody has the store's address."""
+def claim_network() -> tuple[str, socket.socket]:
+    """Return a network of one's own, and what keeps others from it.
+
+    The socket is to be closed when the run has ended: runs that begin at the
+    same moment would otherwise meet.
+    """
     while True:
         number = random.randrange(LOWEST_NETWORK, HIGHEST_NETWORK)
         network = f"127.{number}"
-        with contextlib.closing(socket.socket()) as probe:
-            try:
-                probe.bind((f"{network}.200.1", CONTROL_PORT))
-            except OSError:
-                continue
-            return network
+        claim = socket.socket()
+        try:
+            claim.bind((f"{network}.200.2", CONTROL_PORT))
+        except OSError:
+            claim.close()
+            continue
+        return network, claim
