Failing test: each try of a partition that is silent takes a second

By reading, shown in virtual time: with one partition that the direct way doesn't lead to while the log takes other calls, each append of it takes 1.004 s from the first try on, above a turn's 0.6 s. A regression of the patience with slow appends.

--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -95,6 +95,28 @@
         self.assertTrue(self.log.is_direct)
         self.assertEqual(helped, len(self.helped.calls))
 
+    def test_one_partition_that_is_silent_is_waited_for_once(self):
+        # By reading: each try of a way that is lost had the patience of a
+        # slow log's, as the log took other calls; a turn waits for 0.6 s.
+        direct, append = self.direct, self.direct.append
+        direct.append = lambda place, *rest: (
+            place == PLACE or append(place, *rest)
+        )
+
+        def go_on():
+            self.log.append(OTHER, [ENTRY], lambda first: None, self.fail)
+            self.log.call_later(0.05, go_on)
+
+        go_on()
+        self.append()
+        seconds = []
+        for _ in range(20):
+            began = self.clock.now
+            self.append()
+            seconds.append(self.clock.now - began)
+            self.clock.run_for(0.1)
+        self.assertLess(max(seconds), 0.6, seconds)
+
     def test_a_partition_that_is_away_is_not_asked_for_everywhere(self):
         # Found on campanario trouble-2: 72,725 calls, most of them failed.
         self.direct.faults.down_places.add(PLACE)
