The patience with a slow log is for ways that work

Cause: a way that had failed is tried twice a second, and each try waited for 1.0 s as long as the log took other calls: a partition makes one append at a time. Only a way that works is slow; another one is hedged after 0.3 s, as before. The test: 1.004 s for each append before, 0.304 s at most after.

--- a/postspring/peering/failover_call.py
+++ b/postspring/peering/failover_call.py
@@ -133,11 +133,14 @@
     def _overdue(self) -> None:
         if self._finished:
             return
-        if self._more and self._log.has_taken_since(self._began):
+        worked = self._log.works(self._place)
+        # One that failed before is only tried: it may be lost to this VM
+        # alone, and each append of a partition would wait for that.
+        is_slow = worked and self._log.has_taken_since(self._began)
+        if self._more and is_slow:
             more, self._more = self._more, 0.0
             self._timer = self._log.call_later(more, self._overdue)
             return
-        worked = self._log.works(self._place)
         self._log.direct_failed(self._place, "slow")
         if worked and self._is_configuration:
             # The connection may be silent, and not the log: a VM that was
