--- a/postspring/entry/core.py
+++ b/postspring/entry/core.py
@@ -167,7 +167,8 @@
         self._on_stopped = on_stopped
         self._idle_since = self.timers.now()
         self._drain_deadline = self._idle_since + self.settings.drain
-        self._drain()
+        # Not at once: what has come is read first.
+        self.timers.call_later(DRAIN_POLL_SECONDS, self._drain)
 
     @property
     def slot_hosts(self) -> list[slots_module.SlotHost]:
--- a/postspring/web/server.py
+++ b/postspring/web/server.py
@@ -217,13 +217,24 @@
 
     @property
     def active(self) -> int:
-        """Number of requests that are not answered yet."""
-        return len(self._active_by_socket)
+        """Number of requests whose answers have not wholly left yet."""
+        listener = self._base.server
+        return sum(
+            sock in self._active_by_socket or bool(listener._buffers.get(sock))
+            for sock in listener._clients
+        )
 
     def refuse_new(self) -> None:
-        """Stop accepting connections; open ones go on."""
+        """Stop accepting connections; open ones go on.
+
+        What waits is accepted: closing the listener would reset it.
+        """
         listener = self._base.server
         if listener._sock is not None:
+            count = -1
+            while count < len(listener._clients):
+                count = len(listener._clients)
+                list(listener._accept())
             listener._poller.discard(listener._sock)
             listener._sock.close()
             listener._sock = None
