--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -9,19 +9,15 @@
 from collections.abc import Callable
 import errno
 import logging
-import os
 import socket
 
 from circuits.core import pollers
 from circuits.core import utils
 from circuits import handler
 from circuits.net import events
-from circuits.net import sockets
 
-from postspring import errors
-from postspring.transport import connecting
 from postspring.transport import connection_handler
-from postspring.transport import files
+from postspring.transport import opening
 from postspring.transport import timers
 from postspring.transport import windows
 
@@ -40,7 +36,7 @@
 REST_SECONDS = 0.05
 
 
-class SocketHub(sockets.TCPServer):
+class SocketHub(opening.OpeningHub):
     """Opens, accepts, reads and writes TCP connections.
 
     Parameters
@@ -59,9 +55,6 @@
     Attributes
     ==========
 
-    shortage : Shortage
-        What is done when no file is left; users of connections that they
-        can do without add themselves.
     has_room : callable
         Returns whether one more connection may be accepted.
     """
@@ -74,53 +67,15 @@
         channel: str = "hub",
     ):
         self._listening = bind is not None
-        self._timers = timers
         self._on_accept = on_accept
-        self._handler_by_socket: dict[socket.socket, ConnectionHandler] = {}
-        self._connecting: dict[socket.socket, connecting.Connecting] = {}
         self._paced: dict[socket.socket, None] = {}
         self._ending: dict[socket.socket, None] = {}
         self._pump: timers.TimerHandle | None = None
-        self.shortage = files.Shortage(timers)
-        self._windows = windows.WindowWatch(timers)
         self.has_room: Callable[[], bool] = lambda: True
-        super().__init__(bind, bufsize=READ_BYTES, channel=channel)
+        super().__init__(timers, bind, bufsize=READ_BYTES, channel=channel)
 
     # -- for users ----------------------------------------------------------
 
-    def open(
-        self,
-        address: tuple[str, int],
-        timeout: float,
-        on_open: Callable[[socket.socket], ConnectionHandler],
-        on_error: Callable[[errors.TransportError], None],
-    ) -> None:
-        """Open a connection; exactly one of the two functions is called.
-
-        Parameters
-        ----------
-        address
-            IP number and port.
-        timeout : float
-            Seconds after which to give up.
-        on_open, on_error
-            Called with the socket, and with a TransportError that says
-            ``sent=False``.
-        """
-        try:
-            sock = self._begin_to_open(address)
-        except (OSError, OverflowError) as error:
-            # No file is left, or the address is none.
-            text = connecting.name_of(error)
-            failure = connecting.connect_error(address, text)
-            self._timers.call_later(0, on_error, failure)
-            return
-        deadline = self._timers.call_later(timeout, self._timed_out, sock)
-        self._connecting[sock] = connecting.Connecting(
-            address, on_open, on_error, deadline
-        )
-        self._poller.addWriter(self, sock)
-
     def send(self, sock: socket.socket, data: bytes) -> None:
         """Send bytes: at once if nothing is buffered, else in order."""
         if sock not in self._handler_by_socket:
@@ -262,30 +217,12 @@
 
     @handler("_write", priority=1)
     def _on_write(self, sock):
-        opening = self._connecting.get(sock)
-        if opening is None:
-            super()._on_write(sock)
-            if sock in self._ending and not self._buffers.get(sock):
-                self._say_end(sock)
-            return None
-        code = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
-        if code:
-            self._connect_failed(sock, errno.errorcode.get(code, str(code)))
-            return None
-        self._poller.removeWriter(sock)
-        del self._connecting[sock]
-        opening.deadline.cancel()
-        self._clients.append(sock)
-        user = _tell(opening.on_open, sock)
-        if user is None:
-            self._close(sock)
-            text = "its user failed"
-            failure = connecting.connect_error(opening.address, text)
-            _tell(opening.on_error, failure)
-        elif sock in self._clients:
-            self._handler_by_socket[sock] = user
-            self._poller.addReader(self, sock)
-        return None
+        if sock in self._connecting:
+            self._opened(sock)
+            return
+        super()._on_write(sock)
+        if sock in self._ending and not self._buffers.get(sock):
+            self._say_end(sock)
 
     @handler("_disconnect", priority=1)
     def _on_disconnect(self, sock):
@@ -317,7 +254,7 @@
     def _on_accept_done(self, sock, fire_connect_event=True):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection = _tell(self._on_accept, sock)
+        connection = opening.tell(self._on_accept, sock)
         if connection is None:
             sock.close()
             return
@@ -371,9 +308,9 @@
             connection.left_unsent(unsent)
         if broken_by is not None:
             timed_out = broken_by.errno == errno.ETIMEDOUT
-            _tell(connection.was_reset, timed_out)
+            opening.tell(connection.was_reset, timed_out)
         else:
-            _tell(connection.closed)
+            opening.tell(connection.closed)
 
     # -- own ------------------------------------------------------------------
 
@@ -393,26 +330,6 @@
         if self._sock is not None and not self._poller.isReading(self._sock):
             self._poller.addReader(self, self._sock)
 
-    def _begin_to_open(self, address: tuple[str, int]) -> socket.socket:
-        try:
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        except OSError as error:
-            if not self.shortage.relieve(error):
-                raise
-            sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-        try:
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            self._windows.bind(sock)
-            code = sock.connect_ex(address)
-            if code not in (0, errno.EINPROGRESS):
-                raise OSError(code, os.strerror(code))
-        except (OSError, OverflowError):
-            self._windows.forget(sock)
-            sock.close()
-            raise
-        return sock
-
     def _read_paced(self) -> None:
         self._pump = None
         for sock in list(self._paced):
@@ -421,27 +338,3 @@
             self._pump = self._timers.call_later(
                 PACE_SECONDS, self._read_paced
             )
-
-    def _timed_out(self, sock: socket.socket) -> None:
-        if sock in self._connecting:
-            self._connect_failed(sock, "timeout")
-
-    def _connect_failed(self, sock: socket.socket, text: str) -> None:
-        opening = self._connecting.pop(sock)
-        opening.deadline.cancel()
-        self._poller.discard(sock)
-        self._buffers.pop(sock, None)
-        self._windows.forget(sock)
-        sock.close()
-        _tell(
-            opening.on_error, connecting.connect_error(opening.address, text)
-        )
-
-
-def _tell(function: Callable, *arguments):
-    """Call a user of the hub; what it raises must end no other's work."""
-    try:
-        return function(*arguments)
-    except Exception:
-        LOG.exception("a connection's user failed")
-        return None
