Records are handed over until two VMs that stay have them

One that answered while others were silent (paused, say) counted as enough; the others are asked again each 0.5 s now.

--- a/postspring/histories/handover.py
+++ b/postspring/histories/handover.py
@@ -17,7 +17,7 @@
 LOG = logging.getLogger(__name__)
 
 # How often a VM that stops looks for what nobody has taken yet, in seconds.
-LOOK_SECONDS = 0.25
+LOOK_SECONDS = 0.5
 # Bytes of records that are given away at once: well below what a VM reads
 # of a request, 4 MiB.
 BATCH_BYTES = 1024 * 1024
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -101,13 +101,18 @@
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
     ) -> None:
-        """Give records to two VMs that stay, or to the only one."""
+        """Give records to two VMs that stay, or to the only one.
+
+        One that does not answer may be paused: they are offered again.
+        """
+        holders = self._replica_holders()
+        enough = max(1, min(replicas.ENOUGH_COPIES, len(holders)))
         replicas.Replicas(
             self._http,
-            self._replica_holders(),
+            holders,
             True,
             self._not_kept,
-            lambda copies: on_done(copies > 0),
+            lambda copies: on_done(copies >= enough),
         ).send(records, HAND_OVER_SECONDS)
 
     def _replica_holders(self) -> list[members_module.Member]:
