--- a/postspring/front/tests/test_handover.py
+++ b/postspring/front/tests/test_handover.py
@@ -97,6 +97,30 @@
         self.assertEqual(200, self.go_on())
 
 
+class AllStopTest(StopCase):
+    """All VMs stop while the store is away.
+
+    Measured on a fleet of six with 30 records each: 225 calls and 102 MB in
+    4 s, as each gave its records to all others again every 0.25 s, although
+    these had said that they are stopping.
+    """
+
+    def test_who_stops_is_not_asked_again_and_again(self):
+        self.whole_turn("a")
+        asked = []
+        for node in self.fleet.nodes:
+            node.shutdown.grace = 60.0
+            keep = node._peer_service._keep
+            node._peer_service._keep = lambda call, keep=keep: (
+                asked.append(call),
+                keep(call),
+            )
+            node.shutdown.begin()
+        self.fleet.turn_for(2.0)
+        # Each VM has asked each of the others, or fewer.
+        self.assertLessEqual(len(asked), self.vms * (self.vms - 1))
+
+
 class KeepWhileStoppingTest(StopCase):
     """A VM that stops is asked to keep a copy."""
 
@@ -162,13 +186,14 @@
                 node.journal.keep_copy(histories.encode_record(turn))
         stopping.shutdown.begin()
         self.fleet.turn_until(lambda: not stopping.shutdown.takes_work)
-        statuses = [
-            self.fleet.take_turn(
-                f"b{number}",
-                previous_turn=f"a{number}",
-                program_id=f"p{number}",
-                vm=self.fleet.nodes.index(asked),
-            ).status
-            for number in range(self.programs)
-        ]
-        self.assertEqual([200] * self.programs, statuses)
+        with self.assertLogs("postspring.calls", "INFO") as lines:
+            for number in range(self.programs):
+                self.fleet.take_turn(
+                    f"b{number}",
+                    previous_turn=f"a{number}",
+                    program_id=f"p{number}",
+                    vm=self.fleet.nodes.index(asked),
+                )
+        passed_to = [getattr(line, "passed_to", "") for line in lines.records]
+        self.assertNotIn(stopping.vm.vm, passed_to)
+        self.assertEqual(self.programs, passed_to.count(staying.vm.vm))
