--- /dev/null
+++ b/postspring/histories/appending.py
@@ -0,0 +1,86 @@
+"""One batch of records on its way to the log."""
+
+from collections.abc import Callable
+
+from postspring import keyedlog
+from postspring.transport import timers as timers_module
+
+__all__ = ["Append"]
+
+
+class Append:
+    """Sent again while no answer has come.
+
+    What reads the log ignores what stands there twice.
+
+    Parameters
+    ==========
+
+    send : callable
+        Makes the call; takes who hears the offset, and who the failure.
+    pauses : list of float
+        Seconds without an answer after which it is sent again.
+    may_resend : callable
+        Returns whether the log is known not to fail.
+    on_done : callable
+        Told the offset of the first record, once.
+    on_error : callable
+        Told the last failure, once no call is open any more.
+    """
+
+    def __init__(
+        self,
+        send: Callable[
+            [Callable[[int], None], Callable[[keyedlog.KeyedLogError], None]],
+            None,
+        ],
+        timers: timers_module.Timers,
+        pauses: list[float],
+        may_resend: Callable[[], bool],
+        on_done: Callable[[int], None],
+        on_error: Callable[[keyedlog.KeyedLogError], None],
+    ):
+        self._send = send
+        self._timers = timers
+        self._pauses = pauses
+        self._may_resend = may_resend
+        self._on_done = on_done
+        self._on_error = on_error
+        self._open = 0
+        self._done = False
+        self._sent = 0
+        self._resend: timers_module.TimerHandle | None = None
+
+    def start(self) -> None:
+        """Send the batch, and plan to send it again."""
+        self._open += 1
+        if self._sent < len(self._pauses) and self._may_resend():
+            self._resend = self._timers.call_later(
+                self._pauses[self._sent], self._again
+            )
+        self._sent += 1
+        self._send(self._appended, self._failed)
+
+    # -- own ------------------------------------------------------------------
+
+    def _again(self) -> None:
+        if not self._done:
+            self.start()
+
+    def _appended(self, first: int) -> None:
+        if self._done:
+            return
+        self._finish()
+        self._on_done(first)
+
+    def _failed(self, error: keyedlog.KeyedLogError) -> None:
+        self._open -= 1
+        if self._done or self._open:
+            return
+        self._finish()
+        self._on_error(error)
+
+    def _finish(self) -> None:
+        self._done = True
+        if self._resend is not None:
+            self._resend.cancel()
--- a/postspring/histories/tests/test_slow_log.py
+++ b/postspring/histories/tests/test_slow_log.py
@@ -89,6 +89,33 @@
         self.assertLess(seconds, SILENCE_SECONDS)
 
 
+class DeadlineTest(SlowLogCase):
+    """The caller's deadline comes while the log is waited for.
+
+    By reading: since a slow log is waited for, a turn that others had kept
+    for long was told as kept nowhere, and its whole answer was broken off.
+    """
+
+    def complete_by(self, seconds):
+        """Complete a turn in so many seconds; return how it is kept."""
+        ticket = histories.Ticket("p", "a", 10, 25, histories.Origin.LOG)
+        heard = []
+        self.journal.complete_turn(
+            ticket, None, 4, b"<a", b">", "e", heard.append, seconds
+        )
+        self.clock.run_for(seconds + 0.1)
+        return heard
+
+    def test_what_others_keep_is_held(self):
+        self.faults.latency = 1.0
+        self.assertEqual(["held"], self.complete_by(0.6))
+
+    def test_what_nobody_keeps_is_not(self):
+        self.faults.latency = 1.0
+        self.journal.replica_holders = histories.NoReplicaHolders()
+        self.assertEqual(["nowhere"], self.complete_by(0.6))
+
+
 class LoadTest(SlowLogCase):
     """What a slow log is asked to do."""
 
@@ -106,6 +133,20 @@
         # A turn has a record and a place.
         self.assertEqual(20, self.appends(10))
 
+    def test_it_is_not_away_while_it_takes_what_it_always_takes(self):
+        self.faults.latency = 0.5
+        self.appends(5)
+        state = self.one.open("u", program="p", ceiling=900, budget=1000)
+        self.assertIs(test_journal.OPEN, state)
+        self.one.journal.end_turn(self.one.tickets["u"], 10)
+        self.clock.run_for(0.45)
+        place = histories.partitions.place_of_program("p")
+        self.assertFalse(self.one.journal._partitions.is_failing(place))
+        self.faults.silent = True
+        self.one.journal.end_turn(self.one.tickets["u"], 20)
+        self.clock.run_for(2.0)
+        self.assertTrue(self.one.journal._partitions.is_failing(place))
+
     def test_a_lost_answer_is_made_up_for_soon_when_it_is_fast_again(self):
         self.appends(2)
         self.faults.latency = 0.004
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -101,13 +101,18 @@
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
     ) -> None:
-        """Give records to two VMs that stay, or to the only one."""
+        """Give records to two VMs that stay, or to the only one.
+
+        One that does not answer may be paused: they are offered again.
+        """
+        holders = self._replica_holders()
+        enough = max(1, min(replicas.ENOUGH_COPIES, len(holders)))
         replicas.Replicas(
             self._http,
-            self._replica_holders(),
+            holders,
             True,
             self._not_kept,
-            lambda copies: on_done(copies > 0),
+            lambda copies: on_done(copies >= enough),
         ).send(records, HAND_OVER_SECONDS)
 
     def _replica_holders(self) -> list[members_module.Member]:
@@ -169,6 +174,7 @@
         near = [member for member in asked if member.data_center == here]
         far = [member for member in asked if member.data_center != here]
         self._promises.begin_asking(facts.program)
+        asked_at = self._timers.now()
 
         def answered(search: search_module.Search) -> None:
             self._promises.end_asking(facts.program)
@@ -176,8 +182,11 @@
             if not is_newest_list:
                 doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
                 finding = dataclasses.replace(finding, doubts=doubts)
-            if not self._members.is_announced:
-                # Others would not know to ask here: nothing begins here.
+            waited = self._timers.now() - asked_at
+            has_lapsed = waited > promises_module.PROMISE_SECONDS
+            if has_lapsed or not self._members.is_announced:
+                # Nothing begins here: the others' promises have lapsed (this
+                # VM stood still), or they would not know to ask here.
                 finding = dataclasses.replace(finding, is_answered=False)
             if self._promises.has_gone_on(facts.program, own.incarnation):
                 finding = dataclasses.replace(finding, has_gone_on=True)
--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -1,12 +1,14 @@
 """Single runs and series of them: what is printed, and what is kept."""
 
 import collections
+import contextlib
 import pathlib
 import shutil
 import signal
 import sys
 import tempfile
 
+from postspring.testing.soak import events as events_module
 from postspring.testing.soak import plan as plan_module
 from postspring.testing.soak import records
 from postspring.testing.soak import stage as stage_module
@@ -45,10 +47,13 @@
             a.end is records.End.WHOLE and a.status == 200 for a in attempts
         )
         done = ", ".join(f"{n} {a}" for a, n in sorted(self.counts.items()))
+        history = events_module.History(self.lines.events)
+        longest = max(history.stop_seconds(), default=0.0)
         found = dict(self.rules) or "none"
         return (
             f"seed {self.seed}: {len(attempts)} requests, {turns} turns,"
-            f" {good} good; {done}; findings: {found};"
+            f" {good} good; {done}; longest stop {longest:.1f} s;"
+            f" findings: {found};"
             f" notes: {dict(sorted(self.verdict.notes.items()))}"
         )
 
@@ -76,12 +81,16 @@
 ) -> Outcome:
     """Play one run in a folder and judge it."""
     folder.mkdir(parents=True)
-    world = world_module.build_world(shape, seed, str(folder.resolve()))
+    network, claim = world_module.claim_network()
+    world = world_module.build_world(
+        shape, seed, str(folder.resolve()), network
+    )
     steps = plan_module.draw_plan(
         seed, plan_module.PROFILES[profile], seconds, shape.vms
     )
-    stage = stage_module.Stage(world, burners, stalls)
-    return Outcome(seed, folder, stage.play(steps, seconds))
+    with contextlib.closing(claim):
+        stage = stage_module.Stage(world, burners, stalls)
+        return Outcome(seed, folder, stage.play(steps, seconds))
 
 
 def run(
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -12,6 +12,7 @@
 import h11
 
 from postspring.transport import connection_handler
+from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import lingering
 from postspring.transport import sockets
@@ -21,6 +22,8 @@
 
 LOG = logging.getLogger(__name__)
 
+_UNWRITABLE = (h11.LocalProtocolError, UnicodeEncodeError)
+
 # Whoever opens a connection sends its request at once; until then a new
 # connection is not idle.  In seconds, above a round trip to a busy machine.
 NEW_SECONDS = 0.5
@@ -125,7 +128,13 @@
 
     def send_answer(self, status: int, fields: list, body: bytes) -> None:
         """Send a whole answer."""
-        data = self._head_bytes(status, fields)
+        try:
+            data = self._head_bytes(status, fields)
+        except _UNWRITABLE:
+            # The caller waits for an end, and this is one.
+            LOG.exception("an answer can't be written")
+            body = b""
+            data = self._head_bytes(500, [("Content-Length", "0")])
         if body and self._head.method != b"HEAD":
             data += self._http.send(h11.Data(data=body))
         data += self._http.send(h11.EndOfMessage())
@@ -134,7 +143,13 @@
 
     def send_head(self, status: int, fields: list) -> None:
         """Begin an answer."""
-        self._server.hub.send(self._sock, self._head_bytes(status, fields))
+        try:
+            data = self._head_bytes(status, fields)
+        except _UNWRITABLE:
+            LOG.exception("an answer can't be written")
+            self._server.hub.shut(self._sock)
+            return
+        self._server.hub.send(self._sock, data)
 
     def send_data(self, data: bytes) -> None:
         """Send a part of an answer's body."""
@@ -294,7 +309,8 @@
     def _head_bytes(self, status: int, fields: list) -> bytes:
         if self._server.closing or self.call.close_after:
             fields = [*fields, ("Connection", "close")]
-        event = h11.Response(status_code=status, headers=fields)
+        headers = http_messages.encode_fields(fields)
+        event = h11.Response(status_code=status, headers=headers)
         return self._http.send(event)
 
     def _next(self) -> None:
