One that said that it stops is not offered records again

Cause: a VM that stops offers what the log lacks every 0.25 s until two have it, also to those that had refused as they stop themselves. Where one VM stays, one is enough now, too.

--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -28,6 +28,8 @@
 VIEW_PATH = "/peer/view"
 PING_PATH = "/peer/ping"
 LOADS_PATH = "/peer/loads"
+# Answer of a VM that stops to what it is asked to keep.
+STOPPING_STATUS = 503
 # Calls to the platform's store that are to be passed on stand behind this.
 STORE_PREFIX = "/peer/store"
 
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -71,6 +71,8 @@
         self._started_at = timers.now()
         self._avoided_until: dict[str, float] = {}
         self._keeps_nothing_until: dict[str, float] = {}
+        # Incarnations that said so; a few for each time the fleet is rolled.
+        self._stopping: set[str] = set()
         self._http = http
         self._members = members
         self._is_complete = is_complete
@@ -103,9 +105,15 @@
     ) -> None:
         """Give records to two VMs that stay, or to the only one.
 
-        One that does not answer may be paused: they are offered again.
+        One that does not answer may be paused: they are offered again.  One
+        that stops takes none, however often it is asked: when all did, they
+        sent each other all that they had four times a second.
         """
-        holders = self._replica_holders()
+        holders = [
+            member
+            for member in self._replica_holders()
+            if member.incarnation not in self._stopping
+        ]
         enough = max(1, min(replicas.ENOUGH_COPIES, len(holders)))
         replicas.Replicas(
             self._http,
@@ -121,7 +129,11 @@
             self._members.others, here, self._keeps_nothing
         )
 
-    def _not_kept(self, member: members_module.Member) -> None:
+    def _not_kept(
+        self, member: members_module.Member, is_stopping: bool
+    ) -> None:
+        if is_stopping:
+            self._stopping.add(member.incarnation)
         until = self._timers.now() + AVOID_SECONDS
         self._keeps_nothing_until[member.name] = until
 
--- a/postspring/peering/replicas.py
+++ b/postspring/peering/replicas.py
@@ -53,7 +53,8 @@
     is_thorough : bool
         Nobody waits: ask until there are enough copies, or nobody is left.
     on_failed : callable
-        Told of each VM that did not keep the records.
+        Told of each VM that did not keep the records, and whether it said
+        so: it is stopping.
     on_done : callable
         Told once how many did, when they are enough or no more come.
     """
@@ -63,7 +64,7 @@
         http: transport.HttpClient,
         holders: list[members_module.Member],
         is_thorough: bool,
-        on_failed: Callable[[members_module.Member], None],
+        on_failed: Callable[[members_module.Member, bool], None],
         on_done: Callable[[int], None],
     ):
         self._http = http
@@ -95,11 +96,11 @@
                 self._kept += 1
                 ended(False)
             else:
-                self._on_failed(member)
+                self._on_failed(member, status == messages.STOPPING_STATUS)
                 ended(True)
 
         def unanswered(error) -> None:
-            self._on_failed(member)
+            self._on_failed(member, False)
             ended(self._is_thorough or not self._kept)
 
         def ended(asks_next: bool) -> None:
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -107,7 +107,7 @@
     def _keep(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.KeepRequest, call.body)
         if not self._takes_copies():
-            call.respond(503, [])
+            call.respond(messages.STOPPING_STATUS, [])
             return
         for record in request.records:
             self._journal.keep_copy(record)
