Failing test: a turn that others keep is broken off as its VM's grace ends

By reading, 3 of 3 on a fleet: two VMs keep the turn, the log is waited for, and the grace of the VM ends: the whole answer was broken off, and the turn stands in the log later all the same.

--- a/postspring/front/tests/test_out_of_time.py
+++ b/postspring/front/tests/test_out_of_time.py
@@ -75,3 +75,27 @@
         line = self.lines[-1]
         self.assertEqual("broken_off", line.getMessage())
         self.assertEqual("unrecorded", line.reason)
+
+
+class KeptTest(case.FleetCase):
+    """Other VMs keep what the log is waited for."""
+
+    vms = 3
+
+    def test_a_turn_that_others_keep_is_whole(self):
+        node = self.fleet.nodes[0]
+        self.fleet.turn_until(lambda: len(node.members.others) == 2)
+        caller = self.fleet.caller()
+        headers = self.fleet.headers("r", TURN)
+        self.fleet.engines[0].event_seconds = 0.1
+        caller.send("POST", "/stream/x", headers, b"x")
+        self.fleet.turn_until(lambda: caller.answer.body)
+        self.fleet.store.silent = True
+        self.fleet.turn_until(
+            lambda: any(other.journal.held for other in self.fleet.nodes[1:])
+        )
+        self.assertFalse(caller.answer.settled)
+        node.shutdown.begin()
+        node.shutdown._began -= GRACE_USED_SECONDS
+        self.fleet.turn_until(lambda: caller.answer.settled)
+        self.assertTrue(caller.answer.whole)
