A turn that others keep is whole when its VM's grace ends

Cause: what waited for its record at the end of the grace was broken off, whether others kept it or not. The completion is ended now as at its caller's deadline: held if others keep it.

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -335,18 +335,11 @@
         self._settle()
 
     def out_of_time(self) -> None:
-        """Have the final answer given: this VM is about to end.
-
-        An answer that only waits to be recorded is broken off: as a whole
-        one it would promise that the turn can be gone on from.
-        """
+        """Have the final answer given: this VM is about to end."""
         if self._closed:
             return
         if self.delivery is None:
             self._close(refusals.Refusal.SHUTTING_DOWN)
-        elif self.delivery.is_done:
-            self._closed = True
-            super().stream_broken("unrecorded")
         else:
             self.delivery.run_out()
 
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -1,5 +1,7 @@
 """Turns whose history the system keeps."""
 
+from collections.abc import Callable
+
 from postspring.forwarding import budgeted_call
 from postspring.forwarding import certainty
 from postspring.forwarding import choice
@@ -33,6 +35,7 @@
         super().__init__(*arguments, **options)
         self._chain = histories.Chain(None)
         self._output: list[bytes] = []
+        self._end_now: Callable[[], None] | None = None
         self._size = len(self._call.body)
 
     # -- before it runs -------------------------------------------------------
@@ -133,7 +136,7 @@
         ended was held until somebody closed the connection.
         """
         left = self._deadline - self._dispatcher.timers.now()
-        self._journal.complete_turn(
+        self._end_now = self._journal.complete_turn(
             self._ticket,
             self._chain.head,
             self._tokens,
@@ -144,6 +147,17 @@
             max(LEAST_SAFE_SECONDS, left),
         )
 
+    def out_of_time(self) -> None:
+        """Have the final answer given: this VM is about to end.
+
+        An answer that only waits to be recorded is whole if others keep the
+        turn, else broken off: it would promise that it can be gone on from.
+        """
+        if self._end_now is not None:
+            self._end_now()
+        else:
+            super().out_of_time()
+
     def _safe(self, how: str) -> None:
         if self._closed:
             return
--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -99,7 +99,7 @@
             on_done(LOGGED)
             return
         self._on_done = on_done
-        self._expiry = self._timers.call_later(self._timeout, self._expire)
+        self._expiry = self._timers.call_later(self._timeout, self.end_now)
         seconds = 0.0 if self._is_away() else HOLD_AFTER_SECONDS
         self._timer = self._timers.call_later(seconds, self._hold_if_away)
 
@@ -108,6 +108,13 @@
         self._is_logged = True
         self._finish(LOGGED)
 
+    def end_now(self) -> None:
+        """End at the caller's deadline, or as this VM is about to end.
+
+        What others keep can be gone on from: broken off, it would run again.
+        """
+        self._finish(HELD if self._is_kept else NOWHERE)
+
     # -- own ------------------------------------------------------------------
 
     def _hold_if_away(self) -> None:
@@ -138,13 +145,6 @@
                 LOOK_SECONDS, self._wait_for_log
             )
 
-    def _expire(self) -> None:
-        """End at the caller's deadline, also while the log is waited for.
-
-        What others keep can be gone on from: broken off, it would run again.
-        """
-        self._finish(HELD if self._is_kept else NOWHERE)
-
     def _finish(self, how: str) -> None:
         on_done, self._on_done = self._on_done, None
         if on_done is None:
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -214,12 +214,13 @@
         upstream: str,
         on_done: Callable[[str], None],
         timeout: float = completion.TIMEOUT_SECONDS,
-    ) -> None:
+    ) -> Callable[[], None]:
         """Add a whole turn to the history, and note where it stands.
 
         ``on_done`` is told once that the turn is safe: ``logged``, or
         ``held`` by other VMs until the log is back; or, after the timeout,
         that it is kept ``nowhere`` but here.  The log is offered it still.
+        Returns what has it told at once.
         """
         record = records.WholeTurn(
             ticket.program,
@@ -247,6 +248,7 @@
             safe.logged,
         )
         safe.start(on_done)
+        return safe.end_now
 
     def keep_copy(self, data: bytes) -> None:
         """Keep another VM's record; see to it that it gets into the log.
