--- a/postspring/testing/known_red.py
+++ b/postspring/testing/known_red.py
@@ -2,18 +2,21 @@
 
 ``KNOWN-RED.txt`` at the root has one line for each: the test's id, the cause
 and the open issue, separated by ``|``.  These tests run like all others; that
-they fail does not make the run fail, and they are printed.
+they fail does not make the run fail, and they are printed.  In place of a
+test a line may name a day that is played outside (``played: `` and how), with
+what was seen; it is printed, and no test may fail for it.
 """
 
 import pathlib
 import sys
 import unittest
 
-__all__ = ["KnownRedResult", "main", "read_known_red"]
+__all__ = ["KnownRedResult", "main", "read_known_red", "split_played"]
 
 FILE_NAME = "KNOWN-RED.txt"
 # More than these would hide what is broken.
 MOST_LINES = 3
+PLAYED = "played: "
 
 
 def read_known_red(path: pathlib.Path) -> dict[str, str]:
@@ -36,6 +39,15 @@
     return line_by_test
 
 
+def split_played(
+    line_by_test: dict[str, str],
+) -> tuple[list[str], list[str]]:
+    """Return the lines of days that are played, and those of tests."""
+    lines = line_by_test.values()
+    played = [line for line in lines if line.startswith(PLAYED)]
+    return played, [line for line in lines if line not in played]
+
+
 class KnownRedResult(unittest.TextTestResult):
     """Sets known failures apart from others."""
 
@@ -77,9 +89,10 @@
     result = runner.run(suite)
     bad = len(result.failures) + len(result.errors)
     bad += len(result.unexpectedSuccesses)
-    for line in result.known_red:
+    played, listed = split_played(line_by_test)
+    for line in [*result.known_red, *played]:
         print(f"KNOWN RED: {line}")
-    if not arguments and len(result.known_red) < len(line_by_test):
+    if not arguments and len(result.known_red) < len(listed):
         print(f"{FILE_NAME} lists tests that pass, or that there are not")
         bad += 1
     skipped = len(result.skipped)
--- a/postspring/testing/tests/test_known_red.py
+++ b/postspring/testing/tests/test_known_red.py
@@ -58,6 +58,12 @@
         self.assertEqual({"a": "a | b | c"}, self.read("a | b | c\n\n"))
         self.assertEqual({}, known_red.read_known_red(pathlib.Path("/none")))
 
+    def test_days_that_are_played_are_no_tests(self):
+        lines = self.read("a | b | c\nplayed: site day --seed 1 | e | f\n")
+        played, listed = known_red.split_played(lines)
+        self.assertEqual(["played: site day --seed 1 | e | f"], played)
+        self.assertEqual(["a | b | c"], listed)
+
     def test_a_line_without_cause_or_issue(self):
         for text in ("a", "a | b", "a | | c"):
             with self.assertRaises(ValueError):
