--- a/postspring/histories/handover.py
+++ b/postspring/histories/handover.py
@@ -3,7 +3,9 @@
 The promise: what a caller had whole, and what VMs were asked to keep, is in
 the log, or with this VM, or with two VMs that are not stopping (with one, if
 there are no two that answer).  A VM that stops still waits for the log; it
-may be killed, and ends with its grace.
+may be killed, and ends with its grace.  When all VMs stop while the log is
+away nobody takes anything, and what only they have goes with them; the line
+"stopped" says how much.
 """
 
 from collections.abc import Callable
