--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -15,7 +15,7 @@
 
 OPEN_TIMEOUT_SECONDS = budgeted_call.OPEN_TIMEOUT_SECONDS
 # A turn whose upstream was late has this long to be recorded all the same,
-# in seconds: the platform charges what is held 0.25 s beyond a timeout, and
+# in seconds: a caller is to hear of its end within 0.25 s of its timeout, and
 # an upstream may be late by 0.15 s.
 LEAST_SAFE_SECONDS = 0.1
 
--- a/postspring/front/tests/test_power_loss.py
+++ b/postspring/front/tests/test_power_loss.py
@@ -1,9 +1,9 @@
 """All VMs lose power while the log is slow.
 
 Seen: run as real processes, one case of a request without an answer or of a
-lost turn.  Played with a store that takes a quarter of a second for an
+lost turn.  Simulated with a store that takes a quarter of a second for an
 append, as one may that syncs to a disk, and a loss of power of all VMs at
-the end, each day broke the same rule: turns that callers had whole reached
+the end, each run showed the same: turns that callers had whole reached
 no upstream afterwards, in 15 tries and more.  How it came about: their ends
 had been passed on as kept by other VMs, 0.1 s after the upstream's, and all
 VMs went before the records were written.  Cause: a log that is slow was taken
--- a/postspring/front/tests/test_shutdown.py
+++ b/postspring/front/tests/test_shutdown.py
@@ -1,7 +1,7 @@
 """A planned stop cuts no request that has reached the machine.
 
 Seen: run as real processes, one case of a request that ended without an
-answer, or of a turn that was lost, at a deployment whose played days had
+answer, or of a turn that was lost, at a deployment whose simulated runs had
 none.  What was cut is not known.  How it can come about: a stop took "no
 request is under way" for "nothing is owed", and looked at neither what the
 kernel holds for the process nor what the process holds for its callers.
--- a/postspring/histories/tests/test_partial_outage.py
+++ b/postspring/histories/tests/test_partial_outage.py
@@ -1,6 +1,6 @@
 """Some VMs lack the log, others have it.
 
-Seen: played with a log that a third of the VMs did not reach until all lost
+Seen: simulated with a log that a third of the VMs did not reach until all lost
 power, turns that callers had whole reached no upstream afterwards.  How it
 came about: their authors had no log, and VMs that had it kept copies, to be
 looked for in the log after 2 to 3 s; all lost power before that.  Cause:
