--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -126,7 +126,9 @@
 
     def _hold(self) -> None:
         if self._on_done is not None:
-            self._replica_holders.keep(self._record, self._kept)
+            self._replica_holders.keep(
+                self._record, self._kept, self._is_away()
+            )
 
     def _kept(self, copies: int) -> None:
         if copies:
--- a/postspring/histories/copies.py
+++ b/postspring/histories/copies.py
@@ -15,9 +15,10 @@
 # it has to be appended here.  VMs look at different times, so that one finds
 # what another has appended.
 CHECK_SECONDS = (2.0, 3.0)
-# The same by a VM whose log is quick, in seconds: the author asked others as
-# it lacks the log, and what only VMs keep is lost if all lose power.  The
-# latest of four still finds what the first has appended in some ms.
+# The same by a VM whose log is quick if the author's is away, in seconds: what
+# only VMs keep is lost if all lose power.  The latest of four still finds
+# what the first has appended in some ms; of a log that is slow for the author
+# too, all four would append it, and what waits there would wait longer.
 SOON_SECONDS = (0.0, 0.2)
 # How long the log may be away, in seconds; above the retention of the users'
 # routes.
@@ -76,9 +77,9 @@
         self._lost = on_lost
         self._ref = records.TurnRef(record.program, record.turn)
 
-    def start(self, is_log_quick: bool) -> None:
-        """Look soon if the log is quick here, else after a while."""
-        bounds = SOON_SECONDS if is_log_quick else CHECK_SECONDS
+    def start(self, is_urgent: bool) -> None:
+        """Look soon, or after a while."""
+        bounds = SOON_SECONDS if is_urgent else CHECK_SECONDS
         seconds = random.uniform(*bounds)
         self._timers.call_later(seconds, self._look)
 
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -250,9 +250,14 @@
         safe.start(on_done)
         return safe.end_now
 
-    def keep_copy(self, data: bytes) -> None:
+    def keep_copy(self, data: bytes, is_log_away: bool = False) -> None:
         """Keep another VM's record; see to it that it gets into the log.
 
+        Parameters
+        ----------
+        is_log_away : bool
+            Its author does not reach the log.
+
         Raises
         ------
         MalformedRecord
@@ -271,7 +276,7 @@
             lost = self._lost(record)
             check = copies.CopyCheck(self, self._timers, record, lost)
             place = partitions.place_of_program(record.program)
-            check.start(self._partitions.is_quick(place))
+            check.start(is_log_away and self._partitions.is_quick(place))
 
     def drop_copy(self, ref: records.TurnRef) -> None:
         """Forget a copy whose records stand in the log."""
--- a/postspring/histories/ports.py
+++ b/postspring/histories/ports.py
@@ -10,8 +10,16 @@
     """Other VMs that keep copies of what is not in the log yet."""
 
     @abc.abstractmethod
-    def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
-        """Give a copy to some VMs; hand over how many have it."""
+    def keep(
+        self,
+        record: bytes,
+        on_done: Callable[[int], None],
+        is_log_away: bool = False,
+    ) -> None:
+        """Give a copy to some VMs; hand over how many have it.
+
+        If the log is away here, one that has it records the copy at once.
+        """
 
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
@@ -26,6 +34,6 @@
 class NoReplicaHolders(ReplicaHolders):
     """A VM alone."""
 
-    def keep(self, record, on_done) -> None:
+    def keep(self, record, on_done, is_log_away=False) -> None:
         """Report that nobody has a copy."""
         on_done(0)
--- a/postspring/histories/tests/test_end_copies.py
+++ b/postspring/histories/tests/test_end_copies.py
@@ -15,7 +15,7 @@
     def __init__(self, journal):
         self.journal = journal
 
-    def keep(self, record, on_done):
+    def keep(self, record, on_done, is_log_away=False):
         """Keep it there."""
         self.journal.keep_copy(record)
         on_done(1)
--- a/postspring/histories/tests/test_partial_outage.py
+++ b/postspring/histories/tests/test_partial_outage.py
@@ -22,11 +22,12 @@
         super().setUp()
         self.log = self.two.log
 
-    def keep(self, turn):
+    def keep(self, turn, is_log_away=True):
         """Give the VM a copy."""
         claim = histories.Claim("gone", 10, 25)
         record = histories.WholeTurn("p", turn, claim, None, 4, b"<", b">")
-        self.two.journal.keep_copy(histories.encode_record(record))
+        data = histories.encode_record(record)
+        self.two.journal.keep_copy(data, is_log_away)
 
     def test_one_that_has_the_log_records_them_at_once(self):
         self.keep("a")
@@ -56,3 +57,10 @@
         self.assertEqual(before, len(self.log.calls))
         self.clock.run_for(4.0)
         self.assertEqual(0, self.two.journal.held)
+
+    def test_nor_one_that_its_author_reaches(self):
+        """It is slow for the author, which the VM may not have seen yet."""
+        before = len(self.log.calls)
+        self.keep("a", is_log_away=False)
+        self.clock.run_for(1.5)
+        self.assertEqual(before, len(self.log.calls))
--- a/postspring/histories/tests/test_slow_log.py
+++ b/postspring/histories/tests/test_slow_log.py
@@ -23,7 +23,7 @@
     def __init__(self):
         self.kept = 0
 
-    def keep(self, record, on_done):
+    def keep(self, record, on_done, is_log_away=False):
         """Count it."""
         self.kept += 1
         on_done(2)
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -36,9 +36,17 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class KeepRequest:
-    """Keep these records until they are in the log."""
+    """Keep these records until they are in the log.
+
+    Parameters
+    ==========
+
+    is_log_away : bool
+        Who asks does not reach the log: record them at once if you do.
+    """
 
     records: list[bytes]
+    is_log_away: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -84,7 +84,12 @@
 
     # -- copies ---------------------------------------------------------------
 
-    def keep(self, record: bytes, on_done: Callable[[int], None]) -> None:
+    def keep(
+        self,
+        record: bytes,
+        on_done: Callable[[int], None],
+        is_log_away: bool = False,
+    ) -> None:
         """Give a copy to the nearest VM and to others elsewhere."""
         holders = self._replica_holders()
         # Of a turn that others keep its author is asked, if they know it.
@@ -98,7 +103,7 @@
         rest = [member for member in rest if not self._keeps_nothing(member)]
         replicas.Replicas(
             self._http, first + rest, False, self._not_kept, on_done
-        ).send([record], KEEP_SECONDS)
+        ).send([record], KEEP_SECONDS, is_log_away)
 
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
--- a/postspring/peering/replicas.py
+++ b/postspring/peering/replicas.py
@@ -75,9 +75,11 @@
         self._open = 0
         self._kept = 0
 
-    def send(self, records: list[bytes], seconds: float) -> None:
+    def send(
+        self, records: list[bytes], seconds: float, is_log_away: bool = False
+    ) -> None:
         """Ask the first VMs; each one has some seconds to answer."""
-        body = messages.encode(messages.KeepRequest(records))
+        body = messages.encode(messages.KeepRequest(records, is_log_away))
         first = self._left[:REPLICAS_ASKED]
         self._left = self._left[REPLICAS_ASKED:]
         self._open = len(first)
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -110,7 +110,7 @@
             call.respond(messages.STOPPING_STATUS, [])
             return
         for record in request.records:
-            self._journal.keep_copy(record)
+            self._journal.keep_copy(record, request.is_log_away)
         call.respond(200, [])
 
     def _view(self, call: transport.IncomingCall) -> None:
