--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -49,7 +49,8 @@
     """Serves callers on the users' platform.
 
     Parameters
-    ===
+    ==========
+
     vm : VmSettings
         What the platform says of this VM.
     own : FrontSettings
