--- a/postspring/histories/reachability.py
+++ b/postspring/histories/reachability.py
@@ -26,9 +26,8 @@
 # log is slow of late for longer, but less than a turn waits for it (0.6 s).
 SLOW_SECONDS = 0.4
 LONGEST_SLOW_SECONDS = 0.55
-# Neither is so before this many times what appends take of late: a log that
-# syncs to a slow disk was given each one twice or thrice, and taken for away.
-USUAL_TIMES = 2.5
+# Neither is so while an append is not late for what they take of late: a log
+# that syncs to a slow disk was given each twice or thrice, and taken for away.
 
 
 class LogAnswers:
@@ -44,8 +43,7 @@
     def __init__(self, log: keyedlog.KeyedLog):
         self._log = log
         self.count = 0
-        # How long appends take of late.
-        self._append_seconds = 0.0
+        self._append_time = keyedlog.UsualTime()
 
     @property
     def is_down(self) -> bool:
@@ -58,24 +56,24 @@
 
     def note_append(self, seconds: float) -> None:
         """Take note of how long an append took."""
-        self._append_seconds += (seconds - self._append_seconds) / 2
+        self._append_time.note(seconds)
 
     @property
     def is_quick(self) -> bool:
         """Whether appends take no longer of late than usual."""
-        return self._append_seconds < QUICK_SECONDS
+        return self._append_time.seconds < QUICK_SECONDS
 
     @property
     def resend_seconds(self) -> list[float]:
         """Pauses after which an append without an answer is sent again."""
-        usual = USUAL_TIMES * self._append_seconds
-        return [max(seconds, usual) for seconds in RESEND_SECONDS]
+        return [
+            self._append_time.late_after(least) for least in RESEND_SECONDS
+        ]
 
     @property
     def slow_seconds(self) -> float:
         """Seconds after which an append without an answer counts as failed."""
-        usual = USUAL_TIMES * self._append_seconds
-        return min(max(SLOW_SECONDS, usual), LONGEST_SLOW_SECONDS)
+        return self._append_time.late_after(SLOW_SECONDS, LONGEST_SLOW_SECONDS)
 
 
 @dataclasses.dataclass(slots=True)
--- a/postspring/keyedlog/__init__.py
+++ b/postspring/keyedlog/__init__.py
@@ -11,6 +11,7 @@
 from postspring.keyedlog.ports import LogPage
 from postspring.keyedlog.ports import LogPlace
 from postspring.keyedlog.ports import Subject
+from postspring.keyedlog.usual_time import UsualTime
 
 __all__ = [
     "Follower",
@@ -24,4 +25,5 @@
     "LogPlace",
     "LogUnavailable",
     "Subject",
+    "UsualTime",
 ]
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -16,10 +16,9 @@
 # A direct call without an answer for this long is made by another VM as
 # well, in seconds: usual answers take 4 ms, the slow store's 0.25 s.
 HEDGE_SECONDS = 0.3
-# But not before so many times what appends take of late: a slow log was taken
+# But not before it is late for what appends take of late: a slow log was taken
 # for one out of reach, and each call made twice.  At the latest after this
 # long, in seconds: a turn waits for 0.6 s.
-HEDGE_TIMES = 2.5
 LONGEST_HEDGE_SECONDS = 0.5
 # An append is not made by another VM before this long while the log takes
 # other calls of this one, in seconds: made twice, appends of a slow log queue
@@ -78,7 +77,7 @@
         self._unanswered_since: float | None = None
         self._answered_at = timers.now()
         self._taken_at = -math.inf
-        self._append_seconds = 0.0
+        self._append_time = keyedlog.UsualTime()
         self.direct = direct
         self._through = through
         self._members = members
@@ -135,20 +134,18 @@
 
             def appended(first: int) -> None:
                 if log is self.direct:
-                    self._note_append(self._timers.now() - began)
+                    self._append_time.note(self._timers.now() - began)
                 done(first)
 
             log.append(place, entries, appended, failed)
 
-        usual = HEDGE_TIMES * self._append_seconds
-        hedge = min(max(HEDGE_SECONDS, usual), LONGEST_HEDGE_SECONDS)
+        hedge = self._append_time.late_after(
+            HEDGE_SECONDS, LONGEST_HEDGE_SECONDS
+        )
         longer = hedge - HEDGE_SECONDS
         more = LONGEST_APPEND_SECONDS - hedge
         self._call(place, start, on_done, on_error, longer, more)
 
-    def _note_append(self, seconds: float) -> None:
-        self._append_seconds += (seconds - self._append_seconds) / 2
-
     def read(self, place, start, on_page, on_error, wait=0.0) -> None:
         """Read records, by one way or another.
 
