--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -5,6 +5,7 @@
 from postspring.histories.accounts import Ticket
 from postspring.histories.chains import Chain
 from postspring.histories.completion import NOWHERE
+from postspring.histories.copies import CopyState
 from postspring.histories.errors import HistoryError
 from postspring.histories.errors import JournalUnavailable
 from postspring.histories.errors import MalformedRecord
@@ -34,6 +35,7 @@
     "NOWHERE",
     "Chain",
     "Claim",
+    "CopyState",
     "EndedTurn",
     "HistoryError",
     "Journal",
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -109,9 +109,16 @@
         if not self._takes_copies():
             call.respond(messages.STOPPING_STATUS, [])
             return
-        for record in request.records:
+        states = {
             self._journal.keep_copy(record, request.is_log_away)
-        call.respond(200, [])
+            for record in request.records
+        }
+        worst = next(
+            (state for state in histories.CopyState if state in states),
+            histories.CopyState.KEPT,
+        )
+        kept = messages.Kept(worst.value)
+        call.respond(200, [], messages.encode(kept))
 
     def _view(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.ViewRequest, call.body)
