Workspaces: keys, limits and names of their own (in work)

Nothing in the product knew callers' keys, workspaces or limits. Now a call is admitted by its key before anything else is done with it; upstreams get the workspace's name, never the key; what callers name is the workspace's own; keys are believed only while the log has confirmed the configuration lately; limits are dealt out by a VM of each data centre.

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -1,5 +1,6 @@
 """Forwarding: callers' requests to upstreams, and the answers back."""
 
+from postspring.forwarding.admission import Admission
 from postspring.forwarding.certainty import Certainty
 from postspring.forwarding.certainty import Doubt
 from postspring.forwarding.certainty import doubts_of
@@ -14,14 +15,20 @@
 from postspring.forwarding.ports import EventFacts
 from postspring.forwarding.ports import Finding
 from postspring.forwarding.ports import HeaderGetter
+from postspring.forwarding.ports import Limiter
+from postspring.forwarding.ports import NoLimiter
 from postspring.forwarding.ports import NoPeers
 from postspring.forwarding.ports import Peers
 from postspring.forwarding.ports import Question
+from postspring.forwarding.ports import RELAYED_NAME
 from postspring.forwarding.ports import UpstreamExtra
+from postspring.forwarding.ports import Verdict
 from postspring.forwarding.ports import WireFormat
 from postspring.forwarding.refusals import Refusal
 
 __all__ = [
+    "RELAYED_NAME",
+    "Admission",
     "AnswerFacts",
     "CallFacts",
     "Certainty",
@@ -33,12 +40,15 @@
     "Finding",
     "Forwarder",
     "HeaderGetter",
+    "Limiter",
+    "NoLimiter",
     "NoPeers",
     "Peers",
     "Question",
     "Receiver",
     "Refusal",
     "UpstreamExtra",
+    "Verdict",
     "WireFormat",
     "doubts_of",
     "told_age",
--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -59,7 +59,7 @@
         self._events = 0
         self._closed = False
         self._tried_home = False
-        self._turn = histories.TurnId(facts.request)
+        self._turn = facts.turn
         self._program = facts.program
 
     # -- before it runs -------------------------------------------------------
@@ -232,7 +232,7 @@
             self._deadline,
             self._outcome,
             only=taker,
-            extra_fields=(self._shared.peers.relayed_field,),
+            extra_fields=(self._shared.peers.relayed_field(taker),),
         )
         passed.start()
 
--- a/postspring/forwarding/choice.py
+++ b/postspring/forwarding/choice.py
@@ -116,7 +116,12 @@
             answered = wire.decode_answer(0, headers).request
             return answered in ("", self.facts.request)
 
-        fields = wire.upstream_fields(self.call.fields, extra)
+        given = [
+            (name, value)
+            for name, value in self.call.fields
+            if name.lower() != ports.RELAYED_NAME.lower()
+        ]
+        fields = wire.upstream_fields(given, extra)
         return transport.HttpRequest(
             address=upstream.address,
             method=self.call.method,
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -182,6 +182,7 @@
             upstream.id,
             last_event=self._position.last_event,
             weights=self._position.weights,
+            workspace=self._outbound_call.facts.workspace,
         )
         return self._outbound_call.request(self._dispatcher, upstream, extra)
 
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from postspring.forwarding import admission as admission_module
 from postspring.forwarding import budgeted_call
 from postspring.forwarding import certainty as certainty_module
 from postspring.forwarding import dispatch
@@ -38,7 +39,11 @@
     inputs : callable
         Returns what decisions rest on, for the log: versions and ages.
     routes_certainty : callable
-        Returns whether a route that is not known can't be there.
+        Returns whether a route or key that is not known can't be there.
+    admission : Admission, optional
+        Finds the workspace of a call.
+    limiter : Limiter
+        Tells whether a workspace's limit allows a call.
     """
 
     def __init__(
@@ -52,13 +57,20 @@
         routes_certainty: Callable[[], certainty_module.Certainty] = lambda: (
             certainty_module.Certainty(0.0)
         ),
+        admission: admission_module.Admission | None = None,
+        limiter: ports.Limiter | None = None,
     ):
+        peers = peers or ports.NoPeers()
+        self._admission = admission or admission_module.Admission(
+            dispatcher.wire, peers
+        )
+        self._limiter = limiter or ports.NoLimiter()
         self._routes_certainty = routes_certainty
         self._takes_work = takes_work
         self._dispatcher = dispatcher
         self._turn_services = budgeted_call.TurnServices(
             journal,
-            peers or ports.NoPeers(),
+            peers,
         )
         self._current = current
         self._inputs = inputs
@@ -85,7 +97,61 @@
         if refusal is not None:
             self._refuse(call, facts, outcome, refusal)
             return
-        self._start(call, facts, route, snapshot, outcome)
+        accepted = _Accepted(call, facts, route, snapshot, outcome)
+        if snapshot.workspaces is None:
+            self._start(accepted)
+        else:
+            self._admit(accepted)
+
+    def _admit(self, accepted: "_Accepted") -> None:
+        """Start a call if its key and its workspace's limit allow it."""
+        found = self._admission.find(
+            accepted.call, accepted.route, accepted.snapshot.workspaces
+        )
+        if found is refusals.Refusal.UNKNOWN_KEY:
+            found = self._refuse_unknown(
+                accepted.outcome, found, refusals.Refusal.KEY_UNCERTAIN
+            )
+        if isinstance(found, refusals.Refusal):
+            self._refuse(
+                accepted.call, accepted.facts, accepted.outcome, found
+            )
+            return
+        name = "" if found is None else found.name
+        accepted.outcome.add(workspace=name)
+        accepted = dataclasses.replace(
+            accepted, facts=accepted.facts.within(name)
+        )
+        peers = self._turn_services.peers
+        is_counted = peers.is_relayed(accepted.call.header)
+        if found is None or found.limit is None or is_counted:
+            self._start(accepted)
+            return
+        # No kind of call has begun yet; who has left needs no permit.
+        self._limiter.ask(
+            found,
+            accepted.begins_program,
+            lambda verdict: self._permitted(accepted, verdict),
+        )
+
+    def _permitted(
+        self, accepted: "_Accepted", verdict: ports.Verdict
+    ) -> None:
+        if accepted.call.gone:
+            accepted.outcome.report(
+                "caller_gone", self._dispatcher.timers.now()
+            )
+            return
+        if verdict.is_granted:
+            self._start(accepted)
+            return
+        accepted.outcome.add(**verdict.facts)
+        refusal = refusals.Refusal.OVER_LIMIT
+        if not verdict.is_known:
+            refusal = refusals.Refusal.LIMIT_UNKNOWN
+        relay.CallerRelay(
+            self._dispatcher, accepted.call, accepted.facts, accepted.outcome
+        ).refuse(refusal, verdict.retry_after)
 
     def _refuse(self, call, facts, outcome, refusal) -> None:
         relay.CallerRelay(self._dispatcher, call, facts, outcome).refuse(
@@ -93,42 +159,47 @@
         )
 
     def _refuse_unknown(
-        self, outcome: outcome_module.Outcome
+        self,
+        outcome: outcome_module.Outcome,
+        certain: refusals.Refusal = refusals.Refusal.NO_ROUTE,
+        uncertain: refusals.Refusal = refusals.Refusal.ROUTE_UNCERTAIN,
     ) -> refusals.Refusal:
-        """Return what to say of a route that this VM does not know.
+        """Return what to say of a route or a key that is not known here.
 
         VMs said 404 by configurations that were seconds old, and callers
         don't come back after that.
         """
         certainty = self._routes_certainty()
         if not certainty.doubts:
-            return refusals.Refusal.NO_ROUTE
+            return certain
         outcome.add(
             configuration_age=certainty_module.told_age(certainty.age),
             doubts=[doubt.value for doubt in certainty.doubts],
         )
-        return refusals.Refusal.ROUTE_UNCERTAIN
-
-    def _start(self, call, facts, route, snapshot, outcome) -> None:
-        timeout = route.timeout
-        if facts.deadline is not None:
-            timeout = min(timeout, facts.deadline)
-        deadline = call.received_at + timeout
-        if route.has_programs and facts.request:
-            self._start_turn(call, facts, route, snapshot, deadline, outcome)
+        return uncertain
+
+    def _start(self, accepted: "_Accepted") -> None:
+        if accepted.is_turn:
+            self._start_turn(accepted)
             return
         plain.PlainCall(
-            self._dispatcher, call, facts, route, deadline, outcome
+            self._dispatcher,
+            accepted.call,
+            accepted.facts,
+            accepted.route,
+            accepted.deadline,
+            accepted.outcome,
         ).start()
 
-    def _start_turn(
-        self, call, facts, route, snapshot, deadline, outcome
-    ) -> None:
+    def _start_turn(self, accepted: "_Accepted") -> None:
+        call, facts, route = accepted.call, accepted.facts, accepted.route
         if not facts.program:
-            alone = histories.ProgramId(f"-{facts.request}")
+            alone = histories.ProgramId(f"-{facts.turn}")
             facts = dataclasses.replace(facts, program=alone)
-        if not histories.fits_key(facts.program, facts.request):
-            self._refuse(call, facts, outcome, refusals.Refusal.ID_TOO_LONG)
+        if not histories.fits_key(facts.program, facts.turn):
+            self._refuse(
+                call, facts, accepted.outcome, refusals.Refusal.ID_TOO_LONG
+            )
             return
         turn_type = turn_call.TurnCall
         if not route.keeps_history:
@@ -141,7 +212,39 @@
             call,
             facts,
             route,
-            snapshot.tokens_per_event(route),
-            deadline,
-            outcome,
+            accepted.snapshot.tokens_per_event(route),
+            accepted.deadline,
+            accepted.outcome,
         ).start()
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Accepted:
+    """A call that can be read, on a route that is there."""
+
+    call: transport.IncomingCall
+    facts: ports.CallFacts
+    route: routing.Route
+    snapshot: routing.Snapshot
+    outcome: outcome_module.Outcome
+
+    @property
+    def is_turn(self) -> bool:
+        return self.route.has_programs and bool(self.facts.request)
+
+    @property
+    def begins_program(self) -> bool:
+        """Whether nothing of a program would be in vain without the call."""
+        return (
+            self.is_turn
+            and self.route.keeps_history
+            and self.facts.previous is None
+        )
+
+    @property
+    def deadline(self) -> float:
+        """Monotonic time by which there has to be an answer."""
+        timeout = self.route.timeout
+        if self.facts.deadline is not None:
+            timeout = min(timeout, self.facts.deadline)
+        return self.call.received_at + timeout
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -12,6 +12,7 @@
 from postspring.forwarding import certainty
 from postspring import histories
 from postspring import upstreams
+from postspring import workspaces
 
 __all__ = [
     "AnswerFacts",
@@ -19,13 +20,19 @@
     "EventFacts",
     "Finding",
     "HeaderGetter",
+    "Limiter",
+    "NoLimiter",
     "NoPeers",
     "Peers",
+    "RELAYED_NAME",
     "Question",
     "UpstreamExtra",
+    "Verdict",
     "WireFormat",
 ]
 
+# Header field of a request that another VM has passed on.
+RELAYED_NAME = "X-Relayed-By"
 # Returns the value of a header field, or an empty text.
 HeaderGetter = Callable[[str], str]
 Fields = list[tuple[str, str]]
@@ -54,6 +61,10 @@
         Tokens that all turns of the program may generate.
     previous : TurnId or None
         The turn that this one continues.
+    workspace : str
+        Whose call it is; empty where callers need no key.
+    turn : TurnId
+        Its id, if it is a turn.
     """
 
     request: str
@@ -67,6 +78,29 @@
     program_deadline: float | None = None
     budget: int | None = None
     previous: histories.TurnId | None = None
+    workspace: str = ""
+    turn: histories.TurnId = histories.TurnId("")
+
+    def within(self, workspace: str) -> "CallFacts":
+        """Return the facts of a workspace's call: its names are its own.
+
+        Examples
+        --------
+        >>> facts = CallFacts("r", program="p", previous="q", turn="r")
+        >>> facts.within("acme").program, facts.within("acme").previous
+        ('acme/p', 'acme/q')
+        """
+
+        def own(name: str) -> str:
+            return workspaces.scoped(workspace, name) if name else name
+
+        return dataclasses.replace(
+            self,
+            workspace=workspace,
+            program=histories.ProgramId(own(self.program)),
+            previous=self.previous and histories.TurnId(own(self.previous)),
+            turn=histories.TurnId(own(self.turn)),
+        )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -133,6 +167,8 @@
         it.
     weights : str
         The only version of the weights that may go on.
+    workspace : str
+        Whose call it is, or empty.
     """
 
     remaining: float | None = None
@@ -140,6 +176,7 @@
     urgency: int | None = None
     last_event: int | None = None
     weights: str = ""
+    workspace: str = ""
 
 
 # Of these a program's home may make light: the list can't be read while the
@@ -244,8 +281,6 @@
 class Peers(abc.ABC):
     """The other VMs, as far as callers' requests need them."""
 
-    # Marks a request that another VM has passed on.
-    relayed_field: tuple[str, str] = ("X-Relayed-By", "vm")
     # Whether callers are better served by other data centres just now.
     send_away: bool = False
 
@@ -262,9 +297,17 @@
         """Return whether other VMs may have turns that are not charged."""
         return False
 
+    def relayed_field(self, taker: upstreams.Upstream) -> tuple[str, str]:
+        """Return what tells a VM that another one has passed a request on."""
+        return (RELAYED_NAME, taker.id)
+
     def is_relayed(self, header: HeaderGetter) -> bool:
-        """Return whether another VM has passed a request on."""
-        return bool(header(self.relayed_field[0]))
+        """Return whether another VM has passed a request on.
+
+        Callers can't make one believe so: such a request is not asked for
+        its key again.
+        """
+        return False
 
 
 class NoPeers(Peers):
@@ -275,6 +318,53 @@
         on_done(Finding(doubts=()))
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Verdict:
+    """Whether a workspace's limit allows a call.
+
+    Parameters
+    ==========
+
+    is_known : bool
+        Somebody who deals the limit out has answered.
+    retry_after : float or None
+        Seconds after which it is worth coming back.
+    dealers : int
+        VMs that were asked.
+    """
+
+    is_granted: bool
+    is_known: bool = True
+    retry_after: float | None = None
+    dealers: int = 0
+
+    @property
+    def facts(self) -> dict:
+        """What decided, for the log."""
+        return {"limit_known": self.is_known, "dealers": self.dealers}
+
+
+class Limiter(abc.ABC):
+    """Counts calls against the limits of their workspaces."""
+
+    @abc.abstractmethod
+    def ask(
+        self,
+        workspace: workspaces.Workspace,
+        begins_program: bool,
+        on_done: Callable[[Verdict], None],
+    ) -> None:
+        """Ask whether a call may run; tell it, at once or soon."""
+
+
+class NoLimiter(Limiter):
+    """Allows everything."""
+
+    def ask(self, workspace, begins_program, on_done) -> None:
+        """Allow it."""
+        on_done(Verdict(True))
+
+
 class WireFormat(abc.ABC):
     """Header fields of calls and answers."""
 
@@ -282,6 +372,14 @@
     def decode_call(self, header: HeaderGetter) -> CallFacts:
         """Return what a call's header fields say."""
 
+    def decode_key(self, fields: Fields) -> str:
+        """Return the API key among a call's fields, or an empty text."""
+        return ""
+
+    def decode_workspace(self, header: HeaderGetter) -> str:
+        """Return the workspace that another VM has found out."""
+        return ""
+
     @abc.abstractmethod
     def upstream_fields(self, fields: Fields, extra: UpstreamExtra) -> Fields:
         """Return the header fields to send to an upstream."""
--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -27,6 +27,17 @@
     TOO_LARGE = ("too_large", 503, None)
     NO_ROUTE = ("no_route", 404, None)
     ID_TOO_LONG = ("id_too_long", 400, None)
+    UNKNOWN_KEY = ("unknown_key", 401, None)
+    # The key may have been added a moment ago.
+    KEY_UNCERTAIN = ("key_uncertain", 503, 0.5)
+    # The log has confirmed nothing for too long: the key may be gone.
+    KEYS_UNCONFIRMED = ("keys_unconfirmed", 503, 0.8)
+    # Another VM passed the call on, to a process that ended or to one whose
+    # configuration is older.
+    WORKSPACE_UNKNOWN = ("workspace_unknown", 503, 0.2)
+    # How long depends on the limit.
+    OVER_LIMIT = ("over_limit", 429, 0.5)
+    LIMIT_UNKNOWN = ("limit_unknown", 503, 0.4)
     ROUTE_UNCERTAIN = ("route_uncertain", 503, 0.5)
     NO_UPSTREAM = ("no_upstream", 503, 0.3)
     UPSTREAMS_REFUSED = ("upstreams_refused", 503, 0.1)
@@ -44,20 +55,24 @@
         self.status = status
         self.retry_after = retry_after
 
-    def retry_after_within(self, remaining: float | None) -> float | None:
+    def retry_after_within(
+        self, remaining: float | None, told: float | None = None
+    ) -> float | None:
         """Return when to come back; callers heed a third of what they have.
 
         Parameters
         ----------
         remaining : float or None
             Seconds that the caller has left.
+        told : float or None
+            When it is worth coming back, if that depends on the call.
         """
-        if self.retry_after is None or remaining is None:
-            return self.retry_after
-        longest = max(0.0, remaining) * LONGEST_SHARE
-        return min(self.retry_after, longest)
+        seconds = self.retry_after if told is None else told
+        if seconds is None or remaining is None:
+            return seconds
+        return min(seconds, max(0.0, remaining) * LONGEST_SHARE)
 
     @property
     def did_not_run(self) -> bool:
         """Whether the answer promises that the call did not run."""
-        return self.status in (400, 402, 404, 503)
+        return self.status in (400, 401, 402, 404, 429, 503)
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -48,14 +48,23 @@
         self._call.abort()
         self.report("broken_off", reason=reason)
 
-    def refuse(self, refusal: refusals.Refusal) -> None:
-        """Give an answer of our own."""
+    def refuse(
+        self, refusal: refusals.Refusal, retry_after: float | None = None
+    ) -> None:
+        """Give an answer of our own.
+
+        Parameters
+        ----------
+        retry_after : float or None
+            When to come back, in seconds, if the refusal does not say it.
+        """
         now = self._dispatcher.timers.now()
         remaining = None
         if self._facts.deadline is not None:
             remaining = self._call.received_at + self._facts.deadline - now
         fields = self._dispatcher.wire.own_fields(
-            self._facts.request, refusal.retry_after_within(remaining)
+            self._facts.request,
+            refusal.retry_after_within(remaining, retry_after),
         )
         if refusal is refusals.Refusal.CUT_OFF:
             self._call.close_after = True
--- /dev/null
+++ b/postspring/front/followers.py
@@ -0,0 +1,117 @@
+"""What a VM follows in the log: the configuration, and upstreams."""
+
+from collections.abc import Callable
+
+from postspring import forwarding
+from postspring.front import configuration as configuration_module
+from postspring.front import upstream_watch
+from postspring import keyedlog
+from postspring import peering
+from postspring import platform
+from postspring import transport
+
+__all__ = ["Followers"]
+
+CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
+UPSTREAMS_PLACE = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
+# A read of the configuration waits for a change during this share of the
+# time in which one has to be in force: a read that is never answered is
+# noticed only after that.
+CONFIGURATION_WAIT_SHARE = 0.7
+# The same of the time in which a key that was taken away has to be without
+# effect: what a read confirms is as old as its start when the next one ends,
+# so two of them and a slow answer have to fit.
+KEY_REMOVAL_WAIT_SHARE = 0.36
+# Upstreams write every heartbeat; they are read once in this share of the
+# time in which a leaving one has to be left alone.
+UPSTREAMS_PACE_SHARE = 0.45
+
+
+class Followers:
+    """Keeps the configuration and the upstreams up to date.
+
+    Parameters
+    ==========
+
+    current : CurrentConfiguration
+        Takes what is read of the configuration.
+    watch : UpstreamWatch
+        Takes what is read of the upstreams.
+    members : callable
+        Returns the list of VMs.
+    ask_view : callable
+        Asks other VMs for their view of a place.
+    on_regained : callable
+        Told when the log answers again.
+    """
+
+    def __init__(
+        self,
+        log: keyedlog.KeyedLog,
+        timers: transport.Timers,
+        vm: platform.VmSettings,
+        current: configuration_module.CurrentConfiguration,
+        watch: upstream_watch.UpstreamWatch,
+        members: Callable[[], peering.Members],
+        ask_view: keyedlog.AskOthers,
+        on_regained: Callable[[float], None],
+    ):
+        self._current = current
+        self._members = members
+        self._bound = vm.configuration
+        self.configuration = keyedlog.Follower(
+            log,
+            timers,
+            CONFIGURATION_PLACE,
+            current.take,
+            current.take,
+            wait=_configuration_wait(vm),
+            ask_others=ask_view,
+        )
+        self.upstreams = keyedlog.Follower(
+            log,
+            timers,
+            UPSTREAMS_PLACE,
+            watch.reset,
+            watch.take,
+            pace=UPSTREAMS_PACE_SHARE * vm.drain,
+            on_regained=on_regained,
+            ask_others=ask_view,
+        )
+
+    def start(self) -> None:
+        """Begin to follow."""
+        self.configuration.start()
+        self.upstreams.start()
+
+    def decision_inputs(self) -> dict:
+        """Return what decisions rest on, for the log."""
+        return {
+            "configuration": self._current.version,
+            "upstreams_age": forwarding.told_age(self.upstreams.age),
+        }
+
+    def routes_certainty(self) -> forwarding.Certainty:
+        """Return whether the newest configuration is known here."""
+        age = self.configuration.age
+        doubts = forwarding.doubts_of(
+            age, self._bound, self._current.is_newest
+        )
+        return forwarding.Certainty(age, doubts)
+
+    def view_of(self, subject: str) -> keyedlog.LogPage | None:
+        """Return what this VM knows, for one that has just started."""
+        if subject == keyedlog.Subject.CONFIGURATION.value:
+            return self.configuration.view
+        if subject == keyedlog.Subject.UPSTREAMS.value:
+            return self.upstreams.view
+        if subject == keyedlog.Subject.MEMBERS.value:
+            return self._members().view
+        return None
+
+
+def _configuration_wait(vm: platform.VmSettings) -> float:
+    wait = CONFIGURATION_WAIT_SHARE * vm.configuration
+    if vm.key_removal is None:
+        return wait
+    return min(wait, KEY_REMOVAL_WAIT_SHARE * vm.key_removal)
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -12,13 +12,13 @@
 from postspring.front import callers_report
 from postspring.front import completeness
 from postspring.front import configuration
+from postspring.front import followers
 from postspring.front import gauges
 from postspring.front import leaving
 from postspring.front import settings as settings_module
 from postspring.front import shutdown
 from postspring.front import upstream_watch
 from postspring import histories
-from postspring import keyedlog
 from postspring import metrics as metrics_module
 from postspring import peering
 from postspring import platform
@@ -26,23 +26,18 @@
 from postspring import scheduling
 from postspring import transport
 from postspring import upstreams
+from postspring import workspaces
 
 __all__ = ["FrontNode"]
 
 LOG = logging.getLogger(__name__)
 
-CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
-UPSTREAMS_PLACE = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
-# A read of the configuration waits for a change during this share of the
-# time in which one has to be in force: a read that is never answered is
-# noticed only after that.
-CONFIGURATION_WAIT_SHARE = 0.7
-# Upstreams write every heartbeat; they are read once in this share of the
-# time in which a leaving one has to be left alone.
-UPSTREAMS_PACE_SHARE = 0.45
 # Share of the store's rate for catching up; the rest is for other turns.
 CATCH_UP_SHARE = 0.5
 MISSING_SWEEP_SECONDS = 0.5
+# Calls that VMs pass on name the process that is to take them, which callers
+# can't guess.
+INCARNATION_BYTES = 8
 
 
 class FrontNode(BaseComponent):
@@ -93,7 +88,7 @@
             platform.decode_snapshot,
             self._configuration_changed,
         )
-        self.incarnation = f"{vm.vm}/{os.urandom(4).hex()}"
+        self.incarnation = f"{vm.vm}/{os.urandom(INCARNATION_BYTES).hex()}"
         self.journal = histories.Journal(
             self.log,
             self.timers,
@@ -132,8 +127,8 @@
         self.members.start()
         self.isolation.start()
         self.loads.start()
-        self._configuration_follower.start()
-        self._upstream_follower.start()
+        self.permits.start()
+        self.followers.start()
         self.timers.call_every(
             MISSING_SWEEP_SECONDS, self.directory.drop_missing
         )
@@ -165,8 +160,15 @@
             and not self.isolation.is_isolated
             and self.configuration.snapshot is not None
             and bool(self.directory.by_id)
+            and self._can_admit
         )
 
+    @property
+    def _can_admit(self) -> bool:
+        """Whether callers' keys can be told here, where they need one."""
+        snapshot = self.configuration.snapshot
+        return snapshot.workspaces is None or self.admission.is_confirmed
+
     # -- parts ----------------------------------------------------------------
 
     def _follow(self) -> None:
@@ -175,24 +177,15 @@
             platform.decode_announcement,
             self.metrics.entry_refused,
         )
-        self._configuration_follower = keyedlog.Follower(
-            self.log,
-            self.timers,
-            CONFIGURATION_PLACE,
-            self.configuration.take,
-            self.configuration.take,
-            wait=CONFIGURATION_WAIT_SHARE * self.vm.configuration,
-            ask_others=self._ask_view,
-        )
-        self._upstream_follower = keyedlog.Follower(
+        self.followers = followers.Followers(
             self.log,
             self.timers,
-            UPSTREAMS_PLACE,
-            watch.reset,
-            watch.take,
-            pace=UPSTREAMS_PACE_SHARE * self.vm.drain,
-            on_regained=self._log_regained,
-            ask_others=self._ask_view,
+            self.vm,
+            self.configuration,
+            watch,
+            lambda: self.members,
+            self._ask_view,
+            self._log_regained,
         )
 
     def _listen(self) -> None:
@@ -253,26 +246,42 @@
         self.loads = peering.LoadExchange(
             self._peer_http, self.timers, self.members, self.directory
         )
+        self.permits = peering.Permits(
+            self._peer_http,
+            self.timers,
+            self.members,
+            self._workspace,
+            self.vm.data_centers,
+            lambda: self.shutdown.takes_work,
+        )
         self._peer_service = peering.PeerService(
             self.journal,
             self.store.pass_on,
             promises,
             self._is_complete,
-            self._view_of,
+            self.followers.view_of,
             self.members.introduce,
             takes_copies=lambda: not self.shutdown.leaving,
             is_direct=lambda: self.log.is_direct,
             takes_work=lambda: self.shutdown.takes_work,
             take_loads=self.loads.answer,
+            permit=self.permits.answer,
         )
 
     def _serve(self, own: settings_module.FrontSettings) -> None:
+        wire = platform.PlatformWireFormat()
+        self.admission = forwarding.Admission(
+            wire,
+            self.peer_client,
+            lambda: self.followers.configuration.confirmed_age,
+            self.vm.key_removal,
+        )
         dispatcher = forwarding.Dispatcher(
             self.http,
             self.timers,
             self.directory,
             scheduling.placement_by_name[own.placement](),
-            platform.PlatformWireFormat(),
+            wire,
             self.metrics,
             self.vm.data_center,
         )
@@ -280,10 +289,12 @@
             dispatcher,
             self.journal,
             lambda: self.configuration.snapshot,
-            self._decision_inputs,
+            self.followers.decision_inputs,
             self.peer_client,
             lambda: self.shutdown.takes_work,
-            self._routes_certainty,
+            self.followers.routes_certainty,
+            self.admission,
+            self.permits,
         )
         if own.metrics_port:
             page = transport.HttpServer(
@@ -293,8 +304,8 @@
             page.listen(self, bind, "metrics")
         gauges.observe_vm(
             self.metrics,
-            self._configuration_follower,
-            self._upstream_follower,
+            self.followers.configuration,
+            self.followers.upstreams,
             self.http,
             self.callers,
             self.journal,
@@ -303,26 +314,18 @@
 
     # -- events ---------------------------------------------------------------
 
-    def _decision_inputs(self) -> dict:
-        return {
-            "configuration": self.configuration.version,
-            "upstreams_age": forwarding.told_age(self._upstream_follower.age),
-        }
-
-    def _routes_certainty(self) -> forwarding.Certainty:
-        """Return whether the newest configuration is known here."""
-        age = self._configuration_follower.age
-        bound = self.vm.configuration
-        is_readable = self.configuration.is_newest
-        doubts = forwarding.doubts_of(age, bound, is_readable)
-        return forwarding.Certainty(age, doubts)
-
     def _configuration_changed(self, snapshot: routing.Snapshot) -> None:
         self._limits.header_bytes = snapshot.limits.header_bytes
         self._limits.body_bytes = snapshot.limits.body_bytes
         self._limits.header_seconds = snapshot.limits.header_seconds
         self._limits.idle_seconds = snapshot.limits.idle_seconds
 
+    def _workspace(self, name: str) -> workspaces.Workspace | None:
+        snapshot = self.configuration.snapshot
+        if snapshot is None or snapshot.workspaces is None:
+            return None
+        return snapshot.workspaces.by_name.get(workspaces.WorkspaceName(name))
+
     def _is_complete(self) -> bool:
         """Whether this VM knows all that began here lately."""
         snapshot = self.configuration.snapshot
@@ -355,26 +358,16 @@
 
     def _direct_way_changed(self) -> None:
         """A read that waits for a change may hang on the way that is lost."""
-        self._configuration_follower.read_now()
+        self.followers.configuration.read_now()
         if not self.log.is_down:
             self.journal.log_is_back()
 
     def _ask_view(self, place, on_page) -> None:
         self.peer_client.ask_view(place, on_page)
 
-    def _view_of(self, subject: str) -> keyedlog.LogPage | None:
-        """Return what this VM knows, for one that has just started."""
-        if subject == keyedlog.Subject.CONFIGURATION.value:
-            return self._configuration_follower.view
-        if subject == keyedlog.Subject.UPSTREAMS.value:
-            return self._upstream_follower.view
-        if subject == keyedlog.Subject.MEMBERS.value:
-            return self.members.view
-        return None
-
     def _log_regained(self, seconds: float) -> None:
         self.directory.tolerate_missing()
-        self._configuration_follower.read_now()
+        self.followers.configuration.read_now()
 
     def _upstream_gone(self, upstream: upstreams.Upstream) -> None:
         self.http.discard(upstream.address)
--- a/postspring/keyedlog/__init__.py
+++ b/postspring/keyedlog/__init__.py
@@ -5,6 +5,7 @@
 from postspring.keyedlog.errors import LogDown
 from postspring.keyedlog.errors import LogExpired
 from postspring.keyedlog.errors import LogUnavailable
+from postspring.keyedlog.follower import AskOthers
 from postspring.keyedlog.follower import Follower
 from postspring.keyedlog.ports import KeyedLog
 from postspring.keyedlog.ports import LogEntry
@@ -14,6 +15,7 @@
 from postspring.keyedlog.usual_time import UsualTime
 
 __all__ = [
+    "AskOthers",
     "Follower",
     "KeyedLog",
     "KeyedLogError",
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -8,7 +8,7 @@
 from postspring.keyedlog import ports
 from postspring.transport import timers as timers_module
 
-__all__ = ["Follower"]
+__all__ = ["AskOthers", "Follower"]
 
 LOG = logging.getLogger(__name__)
 
@@ -78,6 +78,7 @@
         self._asked = 0.0
         # What another VM told does not count: it may be of any age.
         self.fresh_at = -math.inf
+        self._confirmed_at = -math.inf
         self.lost_since: float | None = None
 
     def start(self) -> None:
@@ -97,6 +98,16 @@
         """
         return self._timers.now() - self.fresh_at
 
+    @property
+    def confirmed_age(self) -> float:
+        """Seconds since the start of the last call that found nothing more.
+
+        Without end while there was none.  That a call waited in vain counts
+        for nothing here: only its start is certain to lie before whatever
+        it did not find.
+        """
+        return self._timers.now() - self._confirmed_at
+
     @property
     def view(self) -> ports.LogPage | None:
         """The newest record of each key, as this VM knows them."""
@@ -196,6 +207,8 @@
         now = self._timers.now()
         if page.next >= page.end:
             self.fresh_at = min(now, self._sent_at + page.known_after)
+        if page.next == page.end:
+            self._confirmed_at = self._sent_at
         if self.lost_since is None:
             return
         seconds = now - self.lost_since
--- a/postspring/peering/__init__.py
+++ b/postspring/peering/__init__.py
@@ -13,10 +13,12 @@
 from postspring.peering.members import Members
 from postspring.peering.messages import STORE_PREFIX
 from postspring.peering.peer_client import PeerClient
+from postspring.peering.permits import Permits
 from postspring.peering.promises import Promises
 from postspring.peering.service import PeerService
 
 __all__ = [
+    "Permits",
     "FailoverLog",
     "Isolation",
     "LoadExchange",
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -16,6 +16,8 @@
     "KeepRequest",
     "Kept",
     "Loads",
+    "Permit",
+    "PermitRequest",
     "LoadsReport",
     "View",
     "ViewRequest",
@@ -29,6 +31,7 @@
 VIEW_PATH = "/peer/view"
 PING_PATH = "/peer/ping"
 LOADS_PATH = "/peer/loads"
+PERMIT_PATH = "/peer/permit"
 # Answer of a VM that stops to what it is asked to keep.
 STOPPING_STATUS = 503
 # Calls to the platform's store that are to be passed on stand behind this.
@@ -216,6 +219,41 @@
     suspects: list[tuple[str, float]] = dataclasses.field(default_factory=list)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PermitRequest:
+    """May a request of a workspace run?
+
+    Parameters
+    ==========
+
+    begins_program : bool
+        Nothing of a program is in vain if it may not.
+    insists : bool
+        No VM that may tell is ready; this one is to tell all the same.
+    """
+
+    workspace: str
+    begins_program: bool
+    insists: bool = False
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Permit:
+    """The answer to :class:`PermitRequest`.
+
+    Parameters
+    ==========
+
+    state : str
+        Granted, refused, or that this VM can't tell.
+    wait : float
+        Seconds after which it may be granted.
+    """
+
+    state: str
+    wait: float
+
+
 def request_to(
     address: tuple[str, int], path: str, body: bytes, seconds: float
 ) -> transport.HttpRequest:
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 import dataclasses
 import functools
+import hmac
 import logging
 
 from postspring import errors
@@ -16,6 +17,7 @@
 from postspring.peering import replicas
 from postspring.peering import search as search_module
 from postspring import transport
+from postspring import upstreams
 
 __all__ = ["PeerClient"]
 
@@ -82,6 +84,20 @@
         """Whether other data centres serve callers better just now."""
         return self._isolation.sends_away
 
+    def relayed_field(self, taker: upstreams.Upstream) -> tuple[str, str]:
+        """Name the process that is to take the request: only VMs know it."""
+        member = self._members.by_name.get(taker.id)
+        told = member.incarnation if member else ""
+        return (forwarding.RELAYED_NAME, told)
+
+    def is_relayed(self, header: forwarding.HeaderGetter) -> bool:
+        """Return whether another VM has passed a request on to this one."""
+        told = header(forwarding.RELAYED_NAME)
+        return hmac.compare_digest(
+            told.encode("utf-8", "replace"),
+            self._members.own.incarnation.encode(),
+        )
+
     # -- copies ---------------------------------------------------------------
 
     def keep(
--- /dev/null
+++ b/postspring/peering/permits.py
@@ -0,0 +1,277 @@
+"""Permits: whether a workspace's limit allows a call, asked of its dealers.
+
+A VM of this data centre is asked first.  If it has none left, those of the
+other data centres are: so a limit is used up wherever its callers come in.
+"""
+
+from collections.abc import Callable
+import functools
+import random
+
+from postspring import errors
+from postspring import forwarding
+from postspring.peering import members as members_module
+from postspring.peering import messages
+from postspring import quotas
+from postspring import transport
+from postspring import workspaces
+
+__all__ = ["Permits"]
+
+# VMs answer each other in a few ms; a dealer that has not by then is slow,
+# dead or cut off, and is not asked for a while; seconds.
+ANSWER_SECONDS = 0.12
+AVOID_SECONDS = 0.7
+TICK_SECONDS = 0.2
+# A refusal stands for this long at the most, in seconds: limits change, and
+# calls that don't run give nothing back.
+LONGEST_REFUSAL_SECONDS = 1.0
+LEAST_REFUSAL_SECONDS = 0.05
+# Callers that are refused together come back spread over so much more time.
+SPREAD = 1.0
+
+OnVerdict = Callable[[forwarding.Verdict], None]
+LimitOf = Callable[[str], workspaces.Workspace | None]
+
+
+class Permits(forwarding.Limiter):
+    """Asks dealers for permits, and is one.
+
+    Parameters
+    ==========
+
+    members : Members
+        The VMs.
+    workspace_of : callable
+        Returns a workspace of the configuration in force, by name.
+    parts : int
+        Data centres that there are.
+    is_staying : callable
+        Returns whether this VM goes on: one that stops deals no more.
+    """
+
+    def __init__(
+        self,
+        http: transport.HttpClient,
+        timers: transport.Timers,
+        members: members_module.Members,
+        workspace_of: LimitOf,
+        parts: int,
+        is_staying: Callable[[], bool] = lambda: True,
+    ):
+        self._http = http
+        self._timers = timers
+        self._members = members
+        self._workspace_of = workspace_of
+        self._is_staying = is_staying
+        self._dealer = quotas.Dealer(
+            parts, timers.now, lambda: members.listed_seconds
+        )
+        self._avoided_until: dict[str, float] = {}
+        self._refused_until: dict[tuple[str, bool], float] = {}
+
+    def start(self) -> None:
+        """Begin to deal."""
+        self._timers.call_every(TICK_SECONDS, self._dealer.tick)
+
+    def ask(
+        self,
+        workspace: workspaces.Workspace,
+        begins_program: bool,
+        on_done: OnVerdict,
+    ) -> None:
+        """Ask whether a call may run."""
+        now = self._timers.now()
+        until = self._refused_until.get((workspace.name, begins_program), 0.0)
+        if until > now:
+            on_done(_refused(until - now, 0))
+            return
+        _Question(self, workspace, begins_program, on_done).start()
+
+    def answer(self, request: messages.PermitRequest) -> messages.Permit:
+        """Answer another VM."""
+        workspace = self._workspace_of(request.workspace)
+        if workspace is None or not self._is_staying():
+            return messages.Permit(quotas.DealState.NOT_READY.value, 0.0)
+        deal = self.deal(workspace, request.begins_program, request.insists)
+        return messages.Permit(deal.state.value, deal.wait)
+
+    # -- for questions --------------------------------------------------------
+
+    def deal(self, workspace, begins_program: bool, insists: bool):
+        """Deal a permit out as this VM's own dealer."""
+        own = self._members.own
+        first = self.dealers(workspace.name, own.data_center)[0]
+        return self._dealer.ask(
+            workspace, begins_program, first.name == own.name, insists
+        )
+
+    @property
+    def own_name(self) -> str:
+        """This VM."""
+        return self._members.own.name
+
+    def places(self) -> list[str]:
+        """Return the data centres, this one first, the others at random."""
+        here = self._members.own.data_center
+        others = {item.data_center for item in self._members.others}
+        others.discard(here)
+        rest = sorted(others)
+        random.shuffle(rest)
+        return [here, *rest]
+
+    def dealers(
+        self, workspace: str, place: str
+    ) -> list[members_module.Member]:
+        """Return who may deal a workspace's limit out in a data centre."""
+        vms = [*self._members.by_name.values()]
+        own = self._members.own
+        if own.name not in self._members.by_name:
+            vms.append(own)
+        return quotas.dealers_of(workspace, vms, place)
+
+    def is_avoided(self, member: members_module.Member) -> bool:
+        """Return whether a VM did not answer a moment ago."""
+        until = self._avoided_until.get(member.name, 0.0)
+        return until > self._timers.now()
+
+    def send(self, member, request, on_deal, on_silence) -> None:
+        """Ask a dealer."""
+
+        def answered(status: int, body: bytes) -> None:
+            deal = _deal_in(status, body)
+            if deal is None:
+                silent(None)
+            else:
+                on_deal(deal)
+
+        def silent(error) -> None:
+            until = self._timers.now() + AVOID_SECONDS
+            self._avoided_until[member.name] = until
+            on_silence()
+
+        self._http.send(
+            messages.request_to(
+                member.peers,
+                messages.PERMIT_PATH,
+                messages.encode(request),
+                ANSWER_SECONDS,
+            ),
+            transport.AnswerCollector(answered, silent),
+        )
+
+    def note_refusal(
+        self, workspace: str, begins_program: bool, wait: float
+    ) -> None:
+        """Refuse more of the same at once, until it is worth asking."""
+        until = self._timers.now() + wait
+        self._refused_until[(workspace, begins_program)] = until
+
+
+class _Question:
+    """One call's question, from dealer to dealer."""
+
+    def __init__(
+        self,
+        permits: Permits,
+        workspace: workspaces.Workspace,
+        begins_program: bool,
+        on_done: OnVerdict,
+    ):
+        self._permits = permits
+        self._workspace = workspace
+        self._begins_program = begins_program
+        self._on_done = on_done
+        self._places = permits.places()
+        self._dealers: list[members_module.Member] = []
+        self._unready: members_module.Member | None = None
+        self._waits: list[float] = []
+        self._asked = 0
+
+    def start(self) -> None:
+        """Ask in this data centre."""
+        self._next_place()
+
+    # -- own ------------------------------------------------------------------
+
+    def _next_place(self) -> None:
+        if not self._places:
+            self._end()
+            return
+        place = self._places.pop(0)
+        found = self._permits.dealers(self._workspace.name, place)
+        self._dealers = [
+            member for member in found if not self._permits.is_avoided(member)
+        ]
+        self._unready = None
+        self._next_dealer()
+
+    def _next_dealer(self) -> None:
+        if self._dealers:
+            self._ask(self._dealers.pop(0), False)
+        elif self._unready is not None:
+            # All of them have just started: the first one deals.
+            member, self._unready = self._unready, None
+            self._ask(member, True)
+        else:
+            self._next_place()
+
+    def _ask(self, member: members_module.Member, insists: bool) -> None:
+        self._asked += 1
+        if member.name == self._permits.own_name:
+            deal = self._permits.deal(
+                self._workspace, self._begins_program, insists
+            )
+            self._take(member, insists, deal)
+            return
+        request = messages.PermitRequest(
+            self._workspace.name, self._begins_program, insists
+        )
+        self._permits.send(
+            member,
+            request,
+            functools.partial(self._take, member, insists),
+            self._next_dealer,
+        )
+
+    def _take(self, member, insists: bool, deal: quotas.Deal) -> None:
+        if deal.state is quotas.DealState.GRANTED:
+            self._on_done(forwarding.Verdict(True, dealers=self._asked))
+        elif deal.state is quotas.DealState.REFUSED:
+            self._waits.append(deal.wait)
+            self._next_place()
+        else:
+            if not insists and self._unready is None:
+                self._unready = member
+            self._next_dealer()
+
+    def _end(self) -> None:
+        if not self._waits:
+            self._on_done(
+                forwarding.Verdict(False, False, dealers=self._asked)
+            )
+            return
+        wait = min(
+            max(min(self._waits), LEAST_REFUSAL_SECONDS),
+            LONGEST_REFUSAL_SECONDS,
+        )
+        self._permits.note_refusal(
+            self._workspace.name, self._begins_program, wait
+        )
+        self._on_done(_refused(wait, self._asked))
+
+
+def _refused(wait: float, asked: int) -> forwarding.Verdict:
+    spread = 1.0 + SPREAD * random.random()
+    return forwarding.Verdict(False, retry_after=wait * spread, dealers=asked)
+
+
+def _deal_in(status: int, body: bytes) -> quotas.Deal | None:
+    """Return a dealer's answer; None if it is none."""
+    if status != 200:
+        return None
+    try:
+        permit = messages.decode(messages.Permit, body)
+        return quotas.Deal(quotas.DealState(permit.state), permit.wait)
+    except (errors.PeerError, ValueError):
+        return None
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -17,6 +17,7 @@
 # Passes a call on to the log: method, path, body, and who takes the answer.
 PassOn = Callable[[str, str, bytes, Callable[[int, bytes], None]], None]
 TakeLoads = Callable[[messages.LoadsReport], messages.Loads]
+Permit = Callable[[messages.PermitRequest], messages.Permit]
 
 
 class PeerService:
@@ -45,6 +46,8 @@
         refuses them, so it tells nobody that it could run a turn.
     take_loads : callable
         Takes what another VM has in flight, returns what all others have.
+    permit : callable
+        Answers whether a workspace's request may run.
     """
 
     def __init__(
@@ -59,7 +62,9 @@
         is_direct: Callable[[], bool] = lambda: True,
         takes_work: Callable[[], bool] = lambda: True,
         take_loads: TakeLoads | None = None,
+        permit: Permit | None = None,
     ):
+        self._permit = permit
         self._take_loads = take_loads
         self._takes_copies = takes_copies
         self._takes_work = takes_work
@@ -87,6 +92,10 @@
                 self._find(call)
             elif call.target == messages.LOADS_PATH and self._take_loads:
                 self._loads(call)
+            elif call.target == messages.PERMIT_PATH and self._permit:
+                request = messages.decode(messages.PermitRequest, call.body)
+                answer = self._permit(request)
+                call.respond(200, [], messages.encode(answer))
             else:
                 call.respond(404, [])
         except (errors.PeerError, histories.HistoryError) as error:
--- a/postspring/platform/documents.py
+++ b/postspring/platform/documents.py
@@ -2,6 +2,7 @@
 
 import enum
 import json
+import math
 import socket
 from typing import Annotated
 from typing import Any
@@ -13,6 +14,7 @@
 from postspring.platform import settings
 from postspring import routing
 from postspring import upstreams
+from postspring import workspaces
 
 __all__ = ["CONFIGURATION_KEY", "decode_announcement", "decode_snapshot"]
 
@@ -29,6 +31,10 @@
 _MOST_SLOTS = 1_000_000
 _LONGEST_WARM_UP_MS = 3_600_000
 _HIGHEST_PORT = 65_535
+# Far above any key, rate or rank that an operator writes.
+_LONGEST_KEY = 4096
+_MOST_REQUESTS = 1e9
+_LAST_RANK = 1_000_000
 # Characters of an error's text that go into a log line.
 _LONGEST_ERROR = 300
 
@@ -50,6 +56,7 @@
                 item["name"]: _service(item) for item in raw["services"]
             },
             limits=_limits(raw.get("limits") or {}),
+            workspaces=_workspaces(raw.get("tenants")),
         )
     except (
         AttributeError,
@@ -81,6 +88,7 @@
         sticky=bool(raw.get("sticky")),
         pause_objective=float(raw.get("gap_aim_ms") or 0) / 1000,
         may_resume=bool(raw.get("resumable")),
+        is_public=bool(raw.get("public")),
     )
 
 
@@ -110,6 +118,27 @@
     )
 
 
+def _workspaces(raw: Any) -> workspaces.WorkspaceDirectory | None:
+    """Return the workspaces, or None if callers need no keys."""
+    if raw is None:
+        return None
+    tenants = msgspec.convert(raw, list[_Tenant])
+    return workspaces.WorkspaceDirectory(
+        (_workspace(tenant), tenant.api_keys) for tenant in tenants
+    )
+
+
+def _workspace(tenant: "_Tenant") -> workspaces.Workspace:
+    limit = None
+    if not (math.isfinite(tenant.rate_per_s) and math.isfinite(tenant.burst)):
+        raise ValueError(f"workspace {tenant.name!r}: a limit is no number")
+    if tenant.rate_per_s:
+        limit = workspaces.RateLimit(tenant.rate_per_s, tenant.burst)
+    return workspaces.Workspace(
+        workspaces.WorkspaceName(tenant.name), tenant.priority, limit
+    )
+
+
 def _limits(raw: dict) -> routing.CallerLimits:
     default = routing.CallerLimits()
     header_ms = raw.get("header_timeout_ms")
@@ -194,3 +223,20 @@
 
 
 _entry_decoder = msgspec.json.Decoder(_Entry)
+
+
+_Key = Annotated[str, msgspec.Meta(min_length=1, max_length=_LONGEST_KEY)]
+_Number = Annotated[float, msgspec.Meta(ge=0, le=_MOST_REQUESTS)]
+
+
+class _Tenant(msgspec.Struct):
+    """A workspace as it stands in the configuration; a rate of 0: no limit.
+
+    The library's errors name fields and places, never what stands there.
+    """
+
+    name: _Text
+    api_keys: list[_Key] = msgspec.field(default_factory=list)
+    priority: Annotated[int, msgspec.Meta(ge=0, le=_LAST_RANK)] | None = None
+    rate_per_s: _Number = 0.0
+    burst: _Number = 0.0
--- a/postspring/platform/headers.py
+++ b/postspring/platform/headers.py
@@ -29,6 +29,7 @@
 _SYSTEM_ONLY = frozenset(
     name.lower()
     for name in (
+        names.CREDENTIAL,
         names.DEADLINE_MS,
         names.EXPECTED_VERSION,
         names.HOLD,
@@ -38,6 +39,7 @@
         names.NOT_EXECUTED,
         names.PIN_MS,
         names.TARGET_INSTANCE,
+        names.TENANT,
         names.URGENCY,
     )
 )
@@ -56,8 +58,10 @@
         """Return what a call's header fields say."""
         prompt_tokens, ceiling = _pair(header(names.TOKEN_USAGE))
         previous = header(names.PREVIOUS_TURN)
+        request = header(names.REQUEST_ID)
         return forwarding.CallFacts(
-            request=header(names.REQUEST_ID),
+            request=request,
+            turn=histories.TurnId(request),
             deadline=_seconds(header(names.DEADLINE_MS)),
             prompt_tokens=prompt_tokens,
             ceiling=ceiling,
@@ -70,6 +74,22 @@
             previous=histories.TurnId(previous) if previous else None,
         )
 
+    def decode_key(self, fields: Fields) -> str:
+        """Return the API key among a call's fields; empty if not just one."""
+        keys = [
+            value
+            for name, value in fields
+            if name.lower() == names.CREDENTIAL.lower()
+        ]
+        if len(keys) != 1:
+            return ""
+        # bytes beyond ASCII were read one by one
+        return keys[0].encode("latin-1", "replace").decode("utf-8", "replace")
+
+    def decode_workspace(self, header: forwarding.HeaderGetter) -> str:
+        """Return the workspace that another VM has found out."""
+        return header(names.TENANT)
+
     def upstream_fields(self, fields: Fields, extra) -> Fields:
         """Return the header fields to send to an upstream."""
         kept = _end_to_end(fields, _SYSTEM_ONLY)
@@ -78,6 +98,8 @@
             kept.append((names.DEADLINE_MS, str(milliseconds)))
         if extra.upstream:
             kept.append((names.TARGET_INSTANCE, extra.upstream))
+        if extra.workspace:
+            kept.append((names.TENANT, extra.workspace))
         if extra.urgency is not None:
             kept.append((names.URGENCY, str(extra.urgency)))
         if extra.last_event is not None:
--- a/postspring/platform/names.py
+++ b/postspring/platform/names.py
@@ -18,6 +18,8 @@
 TOKEN_BUDGET = "Postspring-Token-Budget"
 PREVIOUS_TURN = "Postspring-Previous-Turn"
 LAST_EVENT_ID = "Last-Event-Id"
+# An API key, and nothing else; it is for the system only.
+CREDENTIAL = "Postspring-Credential"
 
 # -- headers that only the system sets towards engines ------------------------
 
@@ -29,6 +31,8 @@
 KV_BACKUP = "Postspring-Kv-Backup"
 KV_FROM = "Kv-From"
 KV_FETCH = "Kv-Fetch"
+# Name of the workspace that holds the caller's key.
+TENANT = "Postspring-Tenant"
 
 # -- headers of answers -------------------------------------------------------
 
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -42,6 +42,11 @@
         Within this time a leaving upstream gets no more work.
     configuration : float
         Within this time a new configuration is in force.
+    key_removal : float or None
+        Within this time a key that was taken away lets nothing run any more,
+        whatever this VM can reach; None: it is a change like others.
+    data_centers : int
+        Data centres that have VMs.
     grace : float
         Time from SIGTERM to SIGKILL.
     max_files : int
@@ -65,6 +70,8 @@
     max_files: int = 0
     first_start: bool = False
     call_bytes: int = 2 * 1024 * 1024
+    key_removal: float | None = None
+    data_centers: int = 1
 
 
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
@@ -117,9 +124,17 @@
         max_files=int(limits.get("max_fds") or 0),
         first_start=bool(raw.get("bootstrap")),
         call_bytes=int(store.get("call_bytes") or 2 * 1024 * 1024),
+        key_removal=_key_removal(bounds),
+        data_centers=max(1, len(raw.get("zones") or ())),
     )
 
 
+def _key_removal(bounds: dict) -> float | None:
+    if not bounds.get("strict_revoke"):
+        return None
+    return float(bounds["revoke_ms"]) / 1000
+
+
 def split_address(text: str) -> Address:
     """Return host and port of ``IP:PORT``.
 
--- a/postspring/routing/routes.py
+++ b/postspring/routing/routes.py
@@ -54,6 +54,8 @@
         How long a turn and its chain, or what a program has used, are kept.
     pause_objective : float
         Longest pause between two events of a stream that is on time.
+    is_public : bool
+        Callers need no key.
     may_resume : bool
         A stream may run more than once, and go on at another upstream.
     """
@@ -72,6 +74,7 @@
     sticky: bool = False
     pause_objective: float = 0.0
     may_resume: bool = False
+    is_public: bool = False
 
     @property
     def may_repeat(self) -> bool:
--- a/postspring/routing/snapshot.py
+++ b/postspring/routing/snapshot.py
@@ -5,6 +5,7 @@
 
 from postspring.routing import routes
 from postspring.routing import services
+from postspring import workspaces as workspaces_module
 
 __all__ = ["CallerLimits", "Snapshot"]
 
@@ -24,12 +25,19 @@
     """The operator's configuration at one version.
 
     Versions increase in uneven steps; a lower one never replaces a higher.
+
+    Parameters
+    ==========
+
+    workspaces : WorkspaceDirectory or None
+        Whose keys callers need; None: they need none.
     """
 
     version: int
     routes: tuple[routes.Route, ...]
     service_by_name: dict[str, services.RoutedService]
     limits: CallerLimits = CallerLimits()
+    workspaces: workspaces_module.WorkspaceDirectory | None = None
 
     @functools.cached_property
     def longest_retention(self) -> float:
--- /dev/null
+++ b/postspring/workspaces/__init__.py
@@ -0,0 +1,17 @@
+"""Workspaces: whose a call is, by the API key that came with it."""
+
+from postspring.workspaces.directory import KeyDigest
+from postspring.workspaces.directory import WorkspaceDirectory
+from postspring.workspaces.scope import scoped
+from postspring.workspaces.workspace import RateLimit
+from postspring.workspaces.workspace import Workspace
+from postspring.workspaces.workspace import WorkspaceName
+
+__all__ = [
+    "KeyDigest",
+    "RateLimit",
+    "Workspace",
+    "WorkspaceDirectory",
+    "WorkspaceName",
+    "scoped",
+]
