--- a/postspring/front/tests/test_workspaces.py
+++ b/postspring/front/tests/test_workspaces.py
@@ -109,12 +109,15 @@
 
     def test_two_keys_are_none(self):
         caller = self.fleet.caller()
-        caller.send_raw(
-            b"GET /safe/x HTTP/1.1\r\nHost: service.example\r\n"
-            b"Postspring-Request-Id: r1\r\n"
-            b"Postspring-Credential: key-of-acme-1\r\n"
-            b"Postspring-Credential: key-of-other\r\n\r\n"
-        )
+        fields = [
+            ("Host", fleet_module.HOST),
+            (names.REQUEST_ID, "r1"),
+            (names.CREDENTIAL, KEY),
+            (names.CREDENTIAL, OTHER_KEY),
+        ]
+        lines = [f"{name}: {value}" for name, value in fields]
+        head = "\r\n".join(["GET /safe/x HTTP/1.1", *lines, "", ""])
+        caller.send_raw(head.encode())
         self.fleet.turn_until(lambda: caller.received)
         self.assertIn(b" 401 ", caller.received)
 
--- a/postspring/quotas/order.py
+++ b/postspring/quotas/order.py
@@ -28,6 +28,8 @@
     """
     here = [vm for vm in vms if vm.data_center == place]
     here.sort(
-        key=lambda vm: xxhash.xxh3_64_intdigest(f"{workspace}\n{vm.name}")
+        key=lambda vm: xxhash.xxh3_64_intdigest(
+            f"{workspace}\n{vm.name}".encode()
+        )
     )
     return here[:DEALERS]
