Limits are counted in a sliding window, and told on to the next dealer

Limits are small (6 to 166 a second, as many on top), callers come in lumps, and a bucket with a third of the rate and a third of the burst allows far less than the window that the rule counts: (rate x 5 s + burst) in any 5 s. A dealer counts that window now; one that follows another hears of its permits from those that ask. Ruled out: one dealer for all data centres (a cut leaves the other side with nothing).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -252,6 +252,7 @@
             self.members,
             self._workspace,
             self.vm.data_centers,
+            self.vm.limit_span,
             lambda: self.shutdown.takes_work,
         )
         self._peer_service = peering.PeerService(
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -230,11 +230,15 @@
         Nothing of a program is in vain if it may not.
     insists : bool
         No VM that may tell is ready; this one is to tell all the same.
+    ages : list of float
+        Seconds since other VMs of the data centre that is asked let requests
+        of the workspace run at the VM that asks.
     """
 
     workspace: str
     begins_program: bool
     insists: bool = False
+    ages: list[float] = dataclasses.field(default_factory=list)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/postspring/peering/permits.py
+++ b/postspring/peering/permits.py
@@ -46,6 +46,8 @@
         Returns a workspace of the configuration in force, by name.
     parts : int
         Data centres that there are.
+    span : float
+        Seconds over which requests are counted.
     is_staying : callable
         Returns whether this VM goes on: one that stops deals no more.
     """
@@ -57,6 +59,7 @@
         members: members_module.Members,
         workspace_of: LimitOf,
         parts: int,
+        span: float,
         is_staying: Callable[[], bool] = lambda: True,
     ):
         self._http = http
@@ -65,8 +68,9 @@
         self._workspace_of = workspace_of
         self._is_staying = is_staying
         self._dealer = quotas.Dealer(
-            parts, timers.now, lambda: members.listed_seconds
+            parts, span, timers.now, lambda: members.listed_seconds
         )
+        self._granted = quotas.GrantedPermits(span)
         self._avoided_until: dict[str, float] = {}
         self._refused_until: dict[tuple[str, bool], float] = {}
 
@@ -93,24 +97,13 @@
         workspace = self._workspace_of(request.workspace)
         if workspace is None or not self._is_staying():
             return messages.Permit(quotas.DealState.NOT_READY.value, 0.0)
-        deal = self.deal(workspace, request.begins_program, request.insists)
+        deal = self._deal(
+            workspace, request.begins_program, request.insists, request.ages
+        )
         return messages.Permit(deal.state.value, deal.wait)
 
     # -- for questions --------------------------------------------------------
 
-    def deal(self, workspace, begins_program: bool, insists: bool):
-        """Deal a permit out as this VM's own dealer."""
-        own = self._members.own
-        first = self.dealers(workspace.name, own.data_center)[0]
-        return self._dealer.ask(
-            workspace, begins_program, first.name == own.name, insists
-        )
-
-    @property
-    def own_name(self) -> str:
-        """This VM."""
-        return self._members.own.name
-
     def places(self) -> list[str]:
         """Return the data centres, this one first, the others at random."""
         here = self._members.own.data_center
@@ -135,21 +128,65 @@
         until = self._avoided_until.get(member.name, 0.0)
         return until > self._timers.now()
 
-    def send(self, member, request, on_deal, on_silence) -> None:
-        """Ask a dealer."""
+    def ask_dealer(
+        self,
+        member: members_module.Member,
+        workspace: workspaces.Workspace,
+        begins_program: bool,
+        insists: bool,
+        on_deal: Callable[[quotas.Deal], None],
+        on_silence: Callable[[], None],
+    ) -> None:
+        """Ask one dealer, which may be this VM."""
+        now = self._timers.now()
+        part = (workspace.name, member.data_center, member.incarnation)
+        ages = self._granted.ages(*part, now)
+
+        def dealt(deal: quotas.Deal) -> None:
+            if deal.state is not quotas.DealState.NOT_READY:
+                self._granted.note_told(*part)
+            if deal.state is quotas.DealState.GRANTED:
+                self._granted.add(*part, self._timers.now())
+            on_deal(deal)
+
+        def silent() -> None:
+            until = self._timers.now() + AVOID_SECONDS
+            self._avoided_until[member.name] = until
+            on_silence()
+
+        if member.name == self._members.own.name:
+            dealt(self._deal(workspace, begins_program, insists, ages))
+            return
+        request = messages.PermitRequest(
+            workspace.name, begins_program, insists, ages
+        )
+        self._send(member, request, dealt, silent)
+
+    def note_refusal(
+        self, workspace: str, begins_program: bool, wait: float
+    ) -> None:
+        """Refuse more of the same at once, until it is worth asking."""
+        until = self._timers.now() + wait
+        self._refused_until[(workspace, begins_program)] = until
+
+    # -- own ------------------------------------------------------------------
 
+    def _deal(self, workspace, begins_program, insists, ages) -> quotas.Deal:
+        own = self._members.own
+        first = self.dealers(workspace.name, own.data_center)[0]
+        is_first = first.name == own.name
+        return self._dealer.ask(
+            workspace, begins_program, is_first, insists, ages
+        )
+
+    def _send(self, member, request, on_deal, on_silence) -> None:
         def answered(status: int, body: bytes) -> None:
             deal = _deal_in(status, body)
             if deal is None:
-                silent(None)
+                on_silence()
             else:
                 on_deal(deal)
 
-        def silent(error) -> None:
-            until = self._timers.now() + AVOID_SECONDS
-            self._avoided_until[member.name] = until
-            on_silence()
-
         self._http.send(
             messages.request_to(
                 member.peers,
@@ -157,16 +194,9 @@
                 messages.encode(request),
                 ANSWER_SECONDS,
             ),
-            transport.AnswerCollector(answered, silent),
+            transport.AnswerCollector(answered, lambda error: on_silence()),
         )
 
-    def note_refusal(
-        self, workspace: str, begins_program: bool, wait: float
-    ) -> None:
-        """Refuse more of the same at once, until it is worth asking."""
-        until = self._timers.now() + wait
-        self._refused_until[(workspace, begins_program)] = until
-
 
 class _Question:
     """One call's question, from dealer to dealer."""
@@ -218,18 +248,11 @@
 
     def _ask(self, member: members_module.Member, insists: bool) -> None:
         self._asked += 1
-        if member.name == self._permits.own_name:
-            deal = self._permits.deal(
-                self._workspace, self._begins_program, insists
-            )
-            self._take(member, insists, deal)
-            return
-        request = messages.PermitRequest(
-            self._workspace.name, self._begins_program, insists
-        )
-        self._permits.send(
+        self._permits.ask_dealer(
             member,
-            request,
+            self._workspace,
+            self._begins_program,
+            insists,
             functools.partial(self._take, member, insists),
             self._next_dealer,
         )
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -45,6 +45,8 @@
     key_removal : float or None
         Within this time a key that was taken away lets nothing run any more,
         whatever this VM can reach; None: it is a change like others.
+    limit_span : float
+        Seconds over which requests are counted against a limit.
     data_centers : int
         Data centres that have VMs.
     grace : float
@@ -71,6 +73,7 @@
     first_start: bool = False
     call_bytes: int = 2 * 1024 * 1024
     key_removal: float | None = None
+    limit_span: float = 5.0
     data_centers: int = 1
 
 
@@ -125,6 +128,7 @@
         first_start=bool(raw.get("bootstrap")),
         call_bytes=int(store.get("call_bytes") or 2 * 1024 * 1024),
         key_removal=_key_removal(bounds),
+        limit_span=float(bounds.get("quota_window_s") or 5.0),
         data_centers=max(1, len(raw.get("zones") or ())),
     )
 
--- a/postspring/quotas/dealer.py
+++ b/postspring/quotas/dealer.py
@@ -3,15 +3,17 @@
 The parts of all data centres add up to the limit, so nothing has to be agreed
 on among them, and behind a cut each one goes on with its own.  Within a data
 centre one VM deals a workspace's part out, one permit a call.  Which VM that
-is follows from the list of VMs; when it changes, the next one starts with
-nothing in hand.
+is follows from the list of VMs.  When it changes, the next one hears from
+whoever asks what that VM was granted before.
 """
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import dataclasses
 import enum
+import math
 
-from postspring.quotas import bucket as bucket_module
+from postspring.quotas import window as window_module
 from postspring import workspaces
 
 __all__ = ["Deal", "DealState", "Dealer"]
@@ -24,12 +26,15 @@
 PAUSE_SECONDS = 0.4
 SUSPENDED_SECONDS = 1.5
 TICK_SECONDS = 0.2
-# What a VM that stands in for another has left over is dropped when nobody
-# has asked for it for this long, in seconds.
+# So long a dealer that follows another one grants no more than the limit's
+# rate: VMs that were granted much before ask, and tell, within this time.
+LEARNING_SECONDS = 1.0
+# A VM that stands in for another and is not asked for this long learns anew,
+# in seconds.
 IDLE_SECONDS = 1.0
-# Part of what fits into a bucket that is left to programs under way: one that
-# is stopped halfway has used its requests in vain.
-RESERVED_SHARE = 0.35
+# Part of the limit that is left to programs under way: one that is stopped
+# halfway has used its requests in vain.
+RESERVED_SHARE = 0.2
 
 
 class DealState(enum.Enum):
@@ -56,6 +61,17 @@
     wait: float = 0.0
 
 
+@dataclasses.dataclass(slots=True)
+class _Account:
+    """What is known of one workspace's permits here."""
+
+    window: window_module.SlidingWindow
+    since: float
+    asked_at: float
+    has_predecessor: bool
+    granted: int = 0
+
+
 class Dealer:
     """What this VM deals out; no clock of its own, no network.
 
@@ -64,6 +80,8 @@
 
     parts : int
         Data centres that there are.
+    span : float
+        Seconds over which requests are counted.
     now : callable
         Monotonic time in seconds.
     listed_seconds : callable
@@ -72,30 +90,28 @@
     Examples
     ========
 
-    >>> limit = workspaces.RateLimit(rate=6.0, burst=6.0)
+    >>> limit = workspaces.RateLimit(rate=1.0, burst=1.0)
     >>> acme = workspaces.Workspace("acme", limit=limit)
-    >>> clock = [100.0]
-    >>> dealer = Dealer(3, lambda: clock[0], lambda: 60.0)
-    >>> dealer.ask(acme, False, is_first=True, insists=False).state
-    <DealState.REFUSED: 'refused'>
-    >>> clock[0] += 0.4
-    >>> dealer.tick()
-    >>> clock[0] += 0.3
-    >>> dealer.ask(acme, False, is_first=True, insists=False).state
+    >>> dealer = Dealer(3, 5.0, lambda: 100.0, lambda: 60.0)
+    >>> dealer.ask(acme, False, is_first=True, ages=[0.5]).state
     <DealState.GRANTED: 'granted'>
+    >>> dealer.ask(acme, False, is_first=True)
+    Deal(state=<DealState.REFUSED: 'refused'>, wait=4.5)
     """
 
     def __init__(
         self,
         parts: int,
+        span: float,
         now: Callable[[], float],
         listed_seconds: Callable[[], float],
     ):
         self._parts = max(1, parts)
+        self._span = span
         self._now = now
         self._listed_seconds = listed_seconds
-        self._bucket_by_name: dict[str, bucket_module.TokenBucket] = {}
-        self._asked_at_by_name: dict[str, float] = {}
+        self._account_by_name: dict[str, _Account] = {}
+        self._started_at = now()
         self._ticked_at = now()
         self._suspended_until = 0.0
 
@@ -109,7 +125,8 @@
         workspace: workspaces.Workspace,
         begins_program: bool,
         is_first: bool,
-        insists: bool,
+        insists: bool = False,
+        ages: Sequence[float] = (),
     ) -> Deal:
         """Take a permit for one request.
 
@@ -119,51 +136,88 @@
             No other VM comes before this one, as far as it knows.
         insists : bool
             No VM that may deal is ready: who asks takes any.
+        ages : sequence of float
+            Seconds since who asks was granted others by other dealers of
+            this data centre.
         """
         self._notice_pause()
         now = self._now()
-        if not insists and not self._is_ready(now):
+        is_ready = self._is_ready(now)
+        if not insists and not is_ready:
             return Deal(DealState.NOT_READY)
         if workspace.limit is None:
             return Deal(DealState.GRANTED)
-        bucket = self._bucket(workspace, is_first, now)
-        least = 1.0
+        account = self._account(workspace.name, is_first, now)
+        account.window.add(now - max(0.0, age) for age in ages)
+        most = self._part(workspace.limit)
+        if not is_ready:
+            most = self._after_start(most, now)
         if begins_program:
-            most = bucket.capacity
-            least = max(1.0, min(most, 1.0 + RESERVED_SHARE * most))
-        if bucket.take(least, now):
-            return Deal(DealState.GRANTED)
-        return Deal(DealState.REFUSED, bucket.seconds_until(least, now))
+            most = max(1, math.floor(most * (1.0 - RESERVED_SHARE)))
+        if account.window.count(now) + 1 > most:
+            wait = account.window.seconds_until(most, now)
+            return Deal(DealState.REFUSED, wait)
+        if self._is_learning(account, workspace.limit, now):
+            return Deal(DealState.REFUSED, self._parts / workspace.limit.rate)
+        account.window.add([now])
+        account.granted += 1
+        return Deal(DealState.GRANTED)
 
     # -- own ------------------------------------------------------------------
 
+    def _part(self, limit: workspaces.RateLimit) -> int:
+        """Return the most requests in a span, of this data centre's part."""
+        whole = limit.rate * self._span + limit.burst
+        return max(1, math.floor(whole / self._parts))
+
+    def _after_start(self, most: int, now: float) -> int:
+        """Return the most that a VM grants that has started lately.
+
+        All VMs may have lost power, and what they granted before is lost.
+        """
+        uptime = now - self._started_at
+        return max(1, math.floor(most * min(1.0, uptime / self._span)))
+
+    def _is_learning(self, account, limit, now: float) -> bool:
+        age = now - account.since
+        allowed = 1.0 + age * limit.rate / self._parts
+        is_new = age < LEARNING_SECONDS and account.granted + 1 > allowed
+        return is_new and account.has_predecessor
+
     def _is_ready(self, now: float) -> bool:
         if now < self._suspended_until:
             return False
         return self._listed_seconds() >= SETTLE_SECONDS
 
-    def _bucket(
-        self, workspace: workspaces.Workspace, is_first: bool, now: float
-    ) -> bucket_module.TokenBucket:
-        name = workspace.name
-        idle = now - self._asked_at_by_name.get(name, now)
-        self._asked_at_by_name[name] = now
-        rate = workspace.limit.rate / self._parts
-        capacity = max(1.0, workspace.limit.burst / self._parts)
-        bucket = self._bucket_by_name.get(name)
-        if bucket is None or (not is_first and idle > IDLE_SECONDS):
-            bucket = bucket_module.TokenBucket(rate, capacity, now)
-            self._bucket_by_name[name] = bucket
-        elif (bucket.rate, bucket.capacity) != (rate, capacity):
-            bucket.change(rate, capacity, now)
-        return bucket
+    def _has_dealt_long(self, now: float) -> bool:
+        """Whether nobody dealt for this VM in the last span."""
+        listed = self._listed_seconds()
+        ready = min(
+            listed - SETTLE_SECONDS,
+            now - self._suspended_until,
+        )
+        return ready > self._span
+
+    def _account(self, name: str, is_first: bool, now: float) -> _Account:
+        account = self._account_by_name.get(name)
+        is_known = account is not None and (
+            is_first or now - account.asked_at <= IDLE_SECONDS
+        )
+        if not is_known:
+            window = window_module.SlidingWindow(self._span)
+            if account is not None:
+                window = account.window
+            has_predecessor = not (is_first and self._has_dealt_long(now))
+            account = _Account(window, now, now, has_predecessor)
+            self._account_by_name[name] = account
+        account.asked_at = now
+        return account
 
     def _notice_pause(self) -> None:
-        """Start anew after a pause: others have dealt meanwhile."""
+        """Stand back after a pause: others have dealt meanwhile."""
         now = self._now()
         if now - self._ticked_at <= TICK_SECONDS + PAUSE_SECONDS:
             return
         self._ticked_at = now
         self._suspended_until = now + SUSPENDED_SECONDS
-        self._bucket_by_name.clear()
-        self._asked_at_by_name.clear()
+        self._account_by_name.clear()
