Reverted: a turn of a VM without the log waits for those that record it

The logs tell why: VMs that keep copies have the log, but answers to their own appends are lost, so their way to it is lost and back several times a second, none of them counts its log as quick, and none promises to record at once. What would help: to tell a log that loses answers (its reads are quick) from one that is slow.

--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -14,7 +14,6 @@
     "FindRequest",
     "Found",
     "KeepRequest",
-    "Kept",
     "Loads",
     "Permit",
     "PermitRequest",
@@ -53,20 +52,6 @@
     is_log_away: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Kept:
-    """The answer to :class:`KeepRequest`; VMs of before give none.
-
-    Parameters
-    ==========
-
-    state : str
-        What became of the records: that of the one that is worst off.
-    """
-
-    state: str
-
-
 @dataclasses.dataclass(frozen=True, slots=True)
 class FindRequest:
     """What is known of a program, and could its next turn run there?
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -121,15 +121,6 @@
             self._http, first + rest, False, self._not_kept, on_done
         ).send([record], KEEP_SECONDS, is_log_away)
 
-    def have_recorded(
-        self, record: bytes, on_done: Callable[[bool], None]
-    ) -> None:
-        """Ask the holders of a copy until one has recorded it."""
-        holders = self._replica_holders()[: replicas.REPLICAS_ASKED]
-        replicas.Recording(
-            self._http, self._timers, holders, record, on_done
-        ).start()
-
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
     ) -> None:
--- a/postspring/peering/replicas.py
+++ b/postspring/peering/replicas.py
@@ -3,31 +3,17 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
-from postspring import errors
-from postspring import histories
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring import transport
 
-__all__ = [
-    "ENOUGH_COPIES",
-    "REPLICAS_ASKED",
-    "Recording",
-    "Replicas",
-    "in_order",
-]
+__all__ = ["ENOUGH_COPIES", "REPLICAS_ASKED", "Replicas", "in_order"]
 
 # VMs that are asked to keep a record at the same time, and how many copies
 # are waited for while more may come.  VMs are killed one after the other,
 # also while the log is away.
 REPLICAS_ASKED = 4
 ENOUGH_COPIES = 2
-# Pause before the holders of a copy are asked again whether it is recorded,
-# and how long one may take to answer; seconds.
-ASK_AGAIN_SECONDS = 0.06
-RECORDED_SECONDS = 0.15
-# Rounds of that: a caller waits 1.2 s at most.
-MOST_ROUNDS = 12
 
 
 def in_order(
@@ -139,101 +125,3 @@
         on_done, self._on_done = self._on_done, None
         if on_done is not None:
             on_done(self._kept)
-
-
-class Recording:
-    """Asks the holders of a copy until one of them has recorded it.
-
-    Explanation
-    ===========
-
-    Holders that reach the log record the copy when they are first asked.
-    Asking again is harmless: a copy is kept once.
-
-    Parameters
-    ==========
-
-    on_done : callable
-        Told once whether the copy is recorded; no, if nobody is about to.
-    """
-
-    def __init__(
-        self,
-        http: transport.HttpClient,
-        timers: transport.Timers,
-        holders: list[members_module.Member],
-        record: bytes,
-        on_done: Callable[[bool], None],
-    ):
-        self._http = http
-        self._timers = timers
-        self._holders = holders
-        self._body = messages.encode(messages.KeepRequest([record], True))
-        self._on_done: Callable[[bool], None] | None = on_done
-        self._rounds = 0
-        self._open = 0
-        self._recorders: list[members_module.Member] = []
-
-    def start(self) -> None:
-        """Ask all holders once."""
-        self._ask(self._holders)
-
-    # -- own ------------------------------------------------------------------
-
-    def _ask(self, holders: list[members_module.Member]) -> None:
-        self._rounds += 1
-        self._recorders = []
-        self._open = len(holders)
-        if not holders or self._rounds > MOST_ROUNDS:
-            self._finish(False)
-            return
-        for member in holders:
-            self._send(member)
-
-    def _send(self, member: members_module.Member) -> None:
-        def answered(status: int, answer: bytes) -> None:
-            self._take(member, _state_of(status, answer))
-
-        def unanswered(error) -> None:
-            self._take(member, None)
-
-        request = messages.request_to(
-            member.peers, messages.KEEP_PATH, self._body, RECORDED_SECONDS
-        )
-        collector = transport.AnswerCollector(answered, unanswered)
-        self._http.send(request, collector)
-
-    def _take(
-        self,
-        member: members_module.Member,
-        state: histories.CopyState | None,
-    ) -> None:
-        self._open -= 1
-        if state is histories.CopyState.RECORDED:
-            self._finish(True)
-        elif state is histories.CopyState.BEING_RECORDED:
-            self._recorders.append(member)
-        if self._open or self._on_done is None:
-            return
-        if self._recorders:
-            self._timers.call_later(
-                ASK_AGAIN_SECONDS, self._ask, self._recorders
-            )
-        else:
-            self._finish(False)
-
-    def _finish(self, is_recorded: bool) -> None:
-        on_done, self._on_done = self._on_done, None
-        if on_done is not None:
-            on_done(is_recorded)
-
-
-def _state_of(status: int, answer: bytes) -> histories.CopyState | None:
-    """Return what a VM says of a copy; None if it says nothing."""
-    if status != 200 or not answer:
-        return None
-    try:
-        kept = messages.decode(messages.Kept, answer)
-        return histories.CopyState(kept.state)
-    except (errors.PeerError, ValueError):
-        return None
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -118,16 +118,9 @@
         if not self._takes_copies():
             call.respond(messages.STOPPING_STATUS, [])
             return
-        states = {
+        for record in request.records:
             self._journal.keep_copy(record, request.is_log_away)
-            for record in request.records
-        }
-        worst = next(
-            (state for state in histories.CopyState if state in states),
-            histories.CopyState.KEPT,
-        )
-        kept = messages.Kept(worst.value)
-        call.respond(200, [], messages.encode(kept))
+        call.respond(200, [])
 
     def _view(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.ViewRequest, call.body)
