Questions to other VMs are bounded, and go to the likely one first

A turn that may not ask is refused at once, as not run. A question that reached only some VMs counts as not answered.

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -143,7 +143,7 @@
     def _homes_told(self, finding: ports.Finding) -> None:
         if self._closed:
             self._settle()
-        elif self._journal.fits_beside(
+        elif not finding.is_refused and self._journal.fits_beside(
             self._program,
             self._facts.budget,
             finding.unsettled,
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -212,6 +212,8 @@
         A VM that has the whole chain that is to be continued.
     is_answered : bool
         Some VM answered.
+    is_refused : bool
+        This VM asks too much already; nobody was asked, or not everybody.
     doubts : tuple of Doubt
         Why a turn that nobody knows might be kept by a VM all the same.
     has_gone_on : bool
@@ -238,6 +240,7 @@
     taker: upstreams.Upstream | None = None
     chain_holder: upstreams.Upstream | None = None
     is_answered: bool = False
+    is_refused: bool = False
     doubts: tuple[certainty.Doubt, ...] = (certainty.Doubt.VM_UNHEARD,)
     has_gone_on: bool = False
     is_known: bool = False
@@ -258,6 +261,7 @@
             name
             for name in (
                 "is_answered",
+                "is_refused",
                 "has_gone_on",
                 "is_known",
                 "is_certain",
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -12,6 +12,7 @@
 from postspring import keyedlog
 from postspring.peering import isolation as isolation_module
 from postspring.peering import members as members_module
+from postspring.peering import message_budget
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
 from postspring.peering import replicas
@@ -38,6 +39,10 @@
 # After an outage of the log its homes are recorded within seconds; a VM that
 # was started meanwhile asks for them for this long, in seconds.
 NEW_SECONDS = 8.0
+# VMs that let a program go on before, and are asked before all others.
+LATEST_ASKERS = 2
+# Programs that a VM which was started lately keeps in mind as settled.
+MOST_SETTLED = 10_000
 
 
 class PeerClient(forwarding.Peers, histories.ReplicaHolders):
@@ -75,6 +80,8 @@
         self._keeps_nothing_until: dict[str, float] = {}
         # Incarnations that said so; a few for each time the fleet is rolled.
         self._stopping: set[str] = set()
+        self._budget = message_budget.MessageBudget(timers.now)
+        self._found_settled: dict[str, None] = {}
         self._http = http
         self._members = members
         self._is_complete = is_complete
@@ -202,11 +209,9 @@
             self._members.own_entry,
             is_for_home,
         )
-        here = own.data_center
         others = self._members.others
-        asked = [member for member in others if not self._is_avoided(member)]
-        near = [member for member in asked if member.data_center == here]
-        far = [member for member in asked if member.data_center != here]
+        hears_all = question is forwarding.Question.UNSETTLED
+        stages = self._stages(facts.program, hears_all)
         if is_for_home:
             self._promises.begin_asking(facts.program)
         asked_at = self._timers.now()
@@ -214,27 +219,24 @@
         def answered(search: search_module.Search) -> None:
             if is_for_home:
                 self._promises.end_asking(facts.program)
-            finding = search.finding(own, self._is_complete())
-            if not is_newest_list:
-                doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
-                finding = dataclasses.replace(finding, doubts=doubts)
             waited = self._timers.now() - asked_at
-            has_lapsed = waited > promises_module.PROMISE_SECONDS
-            if has_lapsed or not self._members.is_announced:
-                # Nothing begins here: the others' promises have lapsed (this
-                # VM stood still), or they would not know to ask here.
-                finding = dataclasses.replace(finding, is_answered=False)
-            if self._promises.has_gone_on(facts.program, own.incarnation):
-                finding = dataclasses.replace(finding, has_gone_on=True)
-            if self._promises.binds(facts.program):
-                finding = dataclasses.replace(finding, is_deferred=True)
+            finding = self._judge(
+                facts.program, search, is_newest_list, waited
+            )
             if hears_all:
                 self._note_settled(facts.program, finding)
             on_done(finding)
 
         body = messages.encode(request)
 
-        def ask(member: members_module.Member) -> None:
+        def ask(asked: list[members_module.Member]) -> bool:
+            if not self._budget.take(len(asked)):
+                return False
+            for member in asked:
+                send(member)
+            return True
+
+        def send(member: members_module.Member) -> None:
             self._http.send(
                 messages.request_to(
                     member.peers, messages.FIND_PATH, body, FIND_SECONDS
@@ -245,10 +247,9 @@
                 ),
             )
 
-        hears_all = question is forwarding.Question.UNSETTLED
         search = search_module.Search(
             others,
-            [[*near, *far]] if hears_all else [near, far],
+            stages,
             ask,
             answered,
             self._members.absent,
@@ -256,6 +257,53 @@
         )
         search.start()
 
+    def _judge(
+        self,
+        program: histories.ProgramId,
+        search: search_module.Search,
+        is_newest_list: bool,
+        waited: float,
+    ) -> forwarding.Finding:
+        """Return what the answers come to with what this VM knows."""
+        own = self._members.own
+        finding = search.finding(own, self._is_complete())
+        if not is_newest_list:
+            doubts = (*finding.doubts, forwarding.Doubt.OLD_LIST)
+            finding = dataclasses.replace(finding, doubts=doubts)
+        has_lapsed = waited > promises_module.PROMISE_SECONDS
+        if has_lapsed or not self._members.is_announced:
+            # Nothing begins here: the others' promises have lapsed (this
+            # VM stood still), or they would not know to ask here.
+            finding = dataclasses.replace(finding, is_answered=False)
+        if self._promises.has_gone_on(program, own.incarnation):
+            finding = dataclasses.replace(finding, has_gone_on=True)
+        if self._promises.binds(program):
+            finding = dataclasses.replace(finding, is_deferred=True)
+        return finding
+
+    def _stages(
+        self, program: histories.ProgramId, hears_all: bool
+    ) -> list[list[members_module.Member]]:
+        """Return whom to ask first, and whom if that finds nobody.
+
+        Who let the program go on last most likely still does: it is asked
+        alone, and most turns cost one message instead of one for each VM.
+        """
+        others = [
+            member
+            for member in self._members.others
+            if not self._is_avoided(member)
+        ]
+        if hears_all:
+            return [others]
+        here = self._members.own.data_center
+        latest = self._promises.latest_askers(program)[:LATEST_ASKERS]
+        likely = [item for item in others if item.incarnation in latest]
+        rest = [item for item in others if item not in likely]
+        near = [item for item in rest if item.data_center == here]
+        far = [item for item in rest if item.data_center != here]
+        return [likely, near, far]
+
     def may_owe(self, program: histories.ProgramId) -> bool:
         """Return whether other VMs may have turns that are not charged.
 
@@ -264,12 +312,17 @@
         own = self._members.own
         uptime = self._timers.now() - self._started_at
         is_new = uptime < NEW_SECONDS and not self._is_complete()
+        if program in self._found_settled:
+            # Whoever lets it go on after that has told this VM, too.
+            is_new = False
         return is_new or self._promises.owes(program, own.incarnation)
 
     def _note_settled(self, program, finding: forwarding.Finding) -> None:
         is_heard = forwarding.Doubt.VM_UNHEARD not in finding.doubts
         if is_heard and not finding.unsettled and not finding.home_left:
             self._promises.note_settled(program)
+            if len(self._found_settled) < MOST_SETTLED:
+                self._found_settled[program] = None
 
     def _unanswered(self, member, search: search_module.Search, error) -> None:
         until = self._timers.now() + AVOID_SECONDS
--- a/postspring/peering/promises.py
+++ b/postspring/peering/promises.py
@@ -41,13 +41,15 @@
         self._now = now
         self._given: dict[str, tuple[str, float]] = {}
         self._asking: dict[str, int] = {}
-        self._askers_by_program: dict[str, set[str]] = {}
+        # The latest one stands last.
+        self._askers_by_program: dict[str, dict[str, None]] = {}
         self._settled_by_program: dict[str, set[str]] = {}
 
     def remember(self, program: str, incarnation: str) -> None:
         """Take note that a VM may let a program go on."""
-        askers = self._askers_by_program.pop(program, set())
-        self._askers_by_program[program] = askers | {incarnation}
+        askers = self._askers_by_program.pop(program, {})
+        askers.pop(incarnation, None)
+        self._askers_by_program[program] = askers | {incarnation: None}
         if len(self._askers_by_program) > MOST_REMEMBERED:
             oldest = next(iter(self._askers_by_program))
             del self._askers_by_program[oldest]
@@ -55,12 +57,26 @@
 
     def has_gone_on(self, program: str, incarnation: str) -> bool:
         """Return whether another VM may have let a program go on."""
-        askers = self._askers_by_program.get(program, set())
-        return bool(askers - {incarnation})
+        askers = self._askers_by_program.get(program, {})
+        return any(asker != incarnation for asker in askers)
+
+    def latest_askers(self, program: str) -> list[str]:
+        """Return who may have let a program go on, the latest first.
+
+        Examples
+        --------
+        >>> promises = Promises("b", lambda: 0.0)
+        >>> promises.remember("p", "a1")
+        >>> promises.remember("p", "c1")
+        >>> promises.remember("p", "a1")
+        >>> promises.latest_askers("p")
+        ['a1', 'c1']
+        """
+        return list(reversed(self._askers_by_program.get(program, {})))
 
     def owes(self, program: str, incarnation: str) -> bool:
         """Return whether a VM that let it go on may not have settled that."""
-        askers = self._askers_by_program.get(program, set())
+        askers = set(self._askers_by_program.get(program, {}))
         settled = self._settled_by_program.get(program, set())
         return bool(askers - settled - {incarnation})
 
@@ -77,7 +93,7 @@
         >>> promises.owes("p", "b1"), promises.has_gone_on("p", "b1")
         (False, True)
         """
-        askers = self._askers_by_program.get(program, set())
+        askers = self._askers_by_program.get(program, {})
         if askers:
             self._settled_by_program[program] = set(askers)
 
--- a/postspring/peering/search.py
+++ b/postspring/peering/search.py
@@ -27,7 +27,8 @@
     stages : list of list of Member
         Whom to ask first, and whom if none of those can take the turn.
     ask : callable
-        Sends the question to a VM.
+        Sends the question to some VMs, or returns that it may not: then
+        they count as not heard.
     absent : list of Member
         VMs that can't be asked and may be alive.
     hears_all : bool
@@ -38,7 +39,7 @@
         self,
         others: list[members_module.Member],
         stages: list[list[members_module.Member]],
-        ask: Callable[[members_module.Member], None],
+        ask: Callable[[list[members_module.Member]], bool],
         on_done: Callable[["Search"], None],
         absent: Sequence[members_module.Member] = (),
         hears_all: bool = False,
@@ -54,6 +55,7 @@
         self._taker: members_module.Member | None = None
         self._chain_holder: members_module.Member | None = None
         self._is_finished = False
+        self._is_refused = False
 
     def take(
         self, member: members_module.Member, status: int, body: bytes
@@ -86,11 +88,14 @@
         """Ask the next VMs, or report if there are none left."""
         while self._stages:
             stage = self._stages.pop(0)
-            if stage:
-                self._open = len(stage)
-                for member in stage:
-                    self._ask(member)
+            if not stage:
+                continue
+            self._open = len(stage)
+            if self._ask(stage):
                 return
+            self._open = 0
+            self._stages = []
+            self._is_refused = True
         self._is_finished = True
         self._on_done(self)
 
@@ -118,11 +123,13 @@
         return forwarding.Finding(
             taker=_as_upstream(self._taker),
             chain_holder=_as_upstream(self._chain_holder),
-            is_answered=bool(answers),
+            # Those that were asked can't speak for the others.
+            is_answered=bool(answers) and not self._is_refused,
+            is_refused=self._is_refused,
             doubts=doubts,
             has_gone_on=any(item.has_gone_on for item in answers),
             is_known=any(item.knows for item in answers),
-            is_certain=complete and here_answered,
+            is_certain=complete and here_answered and not self._is_refused,
             is_deferred=any(item.goes_first for item in answers),
             is_known_turn=any(item.knows_turn for item in answers),
             charged=max((item.charged for item in answers), default=0),
--- a/postspring/peering/tests/test_search.py
+++ b/postspring/peering/tests/test_search.py
@@ -24,11 +24,16 @@
         self.search = search.Search(
             self.near + self.far,
             [self.near, self.far],
-            self.asked.append,
+            self.ask,
             self.done.append,
         )
         self.search.start()
 
+    def ask(self, vms):
+        """Take note of who is asked."""
+        self.asked += vms
+        return True
+
     def answer(self, vm, can_take=False):
         """Let a VM answer."""
         found = messages.Found(can_take, can_take, can_take, True)
@@ -54,6 +59,33 @@
         self.assertEqual(1, len(self.done))
         self.assertIn(forwarding.Doubt.VM_UNHEARD, finding.doubts)
 
+    def test_one_that_may_not_be_asked_has_no_answer(self):
+        done = []
+        refused = search.Search(
+            self.near, [self.near], lambda vms: False, done.append
+        )
+        refused.start()
+        self.assertEqual([refused], done)
+        finding = refused.finding(member("own", "z1"), True)
+        self.assertTrue(finding.is_refused)
+        self.assertFalse(finding.is_answered)
+        self.assertIn(forwarding.Doubt.VM_UNHEARD, finding.doubts)
+
+    def test_nor_if_some_were_asked_before(self):
+        stages = [self.near, self.far]
+        refused = search.Search(
+            self.near + self.far,
+            stages,
+            lambda vms: vms is self.near,
+            self.done.append,
+        )
+        refused.start()
+        for vm in self.near:
+            refused.answered(vm, messages.Found(False, False, False, True))
+        finding = refused.finding(member("own", "z1"), True)
+        self.assertFalse(finding.is_answered)
+        self.assertFalse(finding.is_certain)
+
     def test_nobody_is_there(self):
         done = []
         nobody = search.Search([], [[], []], None, done.append)
