--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -180,6 +180,7 @@
         extra = ports.UpstreamExtra(
             self._deadline - self._dispatcher.timers.now(),
             upstream.id,
+            self._dispatcher.urgency.of(self._outbound_call.facts.rank),
             last_event=self._position.last_event,
             weights=self._position.weights,
             workspace=self._outbound_call.facts.workspace,
--- a/postspring/forwarding/dispatch.py
+++ b/postspring/forwarding/dispatch.py
@@ -52,6 +52,8 @@
         Counts retries by reason.
     data_center : str
         This VM's.
+    urgency : Urgency
+        What upstreams are told of a call's rank.
     hedges : RetryBudget
         How many slow calls may be tried elsewhere.
     """
@@ -63,6 +65,7 @@
     wire: ports.WireFormat
     metrics: object
     data_center: str = ""
+    urgency: scheduling.Urgency = scheduling.urgency_by_name["none"]()
     draw: Callable[[], float] = random.random
     hedges: scheduling.RetryBudget = dataclasses.field(
         default_factory=scheduling.RetryBudget
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -97,6 +97,7 @@
         if refusal is not None:
             self._refuse(call, facts, outcome, refusal)
             return
+        facts = dataclasses.replace(facts, rank=route.priority)
         accepted = _Accepted(call, facts, route, snapshot, outcome)
         if snapshot.workspaces is None:
             self._start(accepted)
@@ -119,9 +120,10 @@
             return
         name = "" if found is None else found.name
         accepted.outcome.add(workspace=name)
-        accepted = dataclasses.replace(
-            accepted, facts=accepted.facts.within(name)
-        )
+        facts = accepted.facts.within(name)
+        if found is not None and found.priority is not None:
+            facts = dataclasses.replace(facts, rank=found.priority)
+        accepted = dataclasses.replace(accepted, facts=facts)
         peers = self._turn_services.peers
         is_counted = peers.is_relayed(accepted.call.header)
         if found is None or found.limit is None or is_counted:
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -65,6 +65,8 @@
         Whose call it is; empty where callers need no key.
     turn : TurnId
         Its id, if it is a turn.
+    rank : int
+        Of its workspace, else of its route; 0 first.
     """
 
     request: str
@@ -80,6 +82,7 @@
     previous: histories.TurnId | None = None
     workspace: str = ""
     turn: histories.TurnId = histories.TurnId("")
+    rank: int = 0
 
     def within(self, workspace: str) -> "CallFacts":
         """Return the facts of a workspace's call: its names are its own.
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -285,6 +285,7 @@
             wire,
             self.metrics,
             self.vm.data_center,
+            urgency=scheduling.urgency_by_name[own.urgency](),
         )
         self.forwarder = forwarding.Forwarder(
             dispatcher,
--- a/postspring/front/settings.py
+++ b/postspring/front/settings.py
@@ -19,6 +19,8 @@
 
     placement : str
         Name of the placement policy for turns and other calls.
+    urgency : str
+        Name of the policy by which upstreams admit calls: ``none``, ``rank``.
     log_level : str
         ``debug``, ``info``, ``warning`` or ``error``.
     log_lines_per_second : float
@@ -28,6 +30,7 @@
     """
 
     placement: str = "shared_affinity"
+    urgency: str = "none"
     log_level: str = "info"
     log_lines_per_second: float = 200.0
     metrics_port: int = 0
--- a/postspring/scheduling/__init__.py
+++ b/postspring/scheduling/__init__.py
@@ -9,8 +9,12 @@
 from postspring.scheduling.pool import UpstreamPool
 from postspring.scheduling.retry_budget import RetryBudget
 from postspring.scheduling.shared_load import SharedAffinity
+from postspring.scheduling.urgency import Urgency
+from postspring.scheduling.urgency import urgency_by_name
 
 __all__ = [
+    "Urgency",
+    "urgency_by_name",
     "Assignment",
     "Order",
     "Placement",
