--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -1,11 +1,9 @@
 """Messages between entry VMs, in CBOR."""
 
-import dataclasses
-import types
-import typing
 from typing import Any
 
 import cbor2
+import msgspec
 
 from postspring import errors
 from postspring import transport
@@ -37,8 +35,7 @@
 STORE_PREFIX = "/peer/store"
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class KeepRequest:
+class KeepRequest(msgspec.Struct, frozen=True, array_like=True):
     """Keep these records until they are in the log.
 
     Parameters
@@ -52,8 +49,7 @@
     is_log_away: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class FindRequest:
+class FindRequest(msgspec.Struct, frozen=True, array_like=True):
     """What is known of a program, and could its next turn run there?
 
     Parameters
@@ -82,8 +78,7 @@
     for_home: bool = False
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Found:
+class Found(msgspec.Struct, frozen=True, array_like=True):
     """The answer to :class:`FindRequest`.
 
     Parameters
@@ -123,12 +118,11 @@
     home_tokens: int = 0
     goes_first: bool = False
     has_gone_on: bool = False
-    unsettled: list[tuple[str, int]] = dataclasses.field(default_factory=list)
+    unsettled: list[tuple[str, int]] = msgspec.field(default_factory=list)
     home_left: int = 0
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class ViewRequest:
+class ViewRequest(msgspec.Struct, frozen=True, array_like=True):
     """Show what you know of a subject.
 
     Parameters
@@ -145,8 +139,7 @@
     entry: bytes
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class View:
+class View(msgspec.Struct, frozen=True, array_like=True):
     """The newest record of each key, as a VM knows them.
 
     Parameters
@@ -160,8 +153,7 @@
     next: int
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class LoadsReport:
+class LoadsReport(msgspec.Struct, frozen=True, array_like=True):
     """What a VM, or a whole data centre, has in flight at upstreams.
 
     Parameters
@@ -181,13 +173,12 @@
     source: str
     is_data_center: bool
     calls: list[tuple[str, int]]
-    sightings: list[tuple[str, float, int]] = dataclasses.field(
+    sightings: list[tuple[str, float, int]] = msgspec.field(
         default_factory=list
     )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Loads:
+class Loads(msgspec.Struct, frozen=True, array_like=True):
     """The answer to :class:`LoadsReport`.
 
     Parameters
@@ -201,11 +192,10 @@
     """
 
     calls: list[tuple[str, int]]
-    suspects: list[tuple[str, float]] = dataclasses.field(default_factory=list)
+    suspects: list[tuple[str, float]] = msgspec.field(default_factory=list)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class PermitRequest:
+class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
     """May a request of a workspace run?
 
     Parameters
@@ -223,11 +213,10 @@
     workspace: str
     begins_program: bool
     insists: bool = False
-    ages: list[float] = dataclasses.field(default_factory=list)
+    ages: list[float] = msgspec.field(default_factory=list)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Permit:
+class Permit(msgspec.Struct, frozen=True, array_like=True):
     """The answer to :class:`PermitRequest`.
 
     Parameters
@@ -258,13 +247,16 @@
 
 
 def encode(message: Any) -> bytes:
-    """Return a message as bytes."""
-    return cbor2.dumps([getattr(message, name) for name in message.__slots__])
+    """Return a message as bytes: its fields in order."""
+    return cbor2.dumps(msgspec.to_builtins(message, builtin_types=(bytes,)))
 
 
 def decode(cls: type, data: bytes) -> Any:
     """Return the message of a type in ``data``.
 
+    Fields that a VM of another version adds at the end are left out, and
+    those that it lacks have their defaults.
+
     Raises
     ------
     PeerError
@@ -277,35 +269,14 @@
     True
     """
     try:
-        message = cls(*cbor2.loads(data))
-        for field in dataclasses.fields(cls):
-            if not _fits(getattr(message, field.name), field.type):
-                raise ValueError(f"{field.name} is not {field.type}")
-        return message
+        return msgspec.convert(cbor2.loads(data), cls, builtin_types=(bytes,))
     except (
         cbor2.CBORDecodeError,
+        msgspec.MsgspecError,
+        OverflowError,
         RecursionError,
         TypeError,
         ValueError,
     ) as error:
         text = f"not a {cls.__name__}: {str(error)[:200]}"
         raise errors.PeerError(text) from error
-
-
-def _fits(value: Any, expected: Any) -> bool:
-    """Return whether a value has the type that a message declares."""
-    arguments = typing.get_args(expected)
-    origin = typing.get_origin(expected)
-    if origin is types.UnionType:
-        return any(_fits(value, argument) for argument in arguments)
-    if origin is list:
-        return isinstance(value, list) and all(
-            _fits(item, arguments[0]) for item in value
-        )
-    if origin is tuple:
-        return (
-            isinstance(value, list | tuple)
-            and len(value) == len(arguments)
-            and all(map(_fits, value, arguments))
-        )
-    return type(value) is expected
