What the log confirms to the collector of a data centre holds for its VMs

A read that waits 1.8 s confirms what was there when it began, so what a VM knew was up to 3.6 s old before the outage. Callers are owed answers for 3 s without the store. Two ways: shorter reads by all VMs (67 VMs, 0.4 s: about 130 reads a second more, and reads are priced); or one VM of a data centre reads often (8 reads a second more in all) and passes on with the loads how old that is. Only who asks can tell how old it is at the most (its own question's moment less the told age), so it goes from the collector to the others and never back. Kept: the second. Each VM goes on with its own reads, so a collector that falls silent costs freshness only.

--- a/postspring/front/followers.py
+++ b/postspring/front/followers.py
@@ -1,6 +1,7 @@
 """What a VM follows in the log: the configuration, and upstreams."""
 
 from collections.abc import Callable
+import math
 
 from postspring import forwarding
 from postspring.front import configuration as configuration_module
@@ -22,6 +23,9 @@
 # effect: what a read confirms is as old as its start when the next one ends,
 # so two of them and a slow answer have to fit.
 KEY_REMOVAL_WAIT_SHARE = 0.36
+# A VM that passes on what the log confirms reads more often: so the others
+# know it as of a second ago, and believe keys for longer when the log is away.
+COLLECTOR_WAIT_SECONDS = 0.4
 # Upstreams write every heartbeat; they are read once in this share of the
 # time in which a leaving one has to be left alone.
 UPSTREAMS_PACE_SHARE = 0.45
@@ -43,6 +47,8 @@
         Asks other VMs for their view of a place.
     on_regained : callable
         Told when the log answers again.
+    is_collecting : callable
+        Returns whether this VM passes on what the log confirms.
     """
 
     def __init__(
@@ -55,17 +61,22 @@
         members: Callable[[], peering.Members],
         ask_view: keyedlog.AskOthers,
         on_regained: Callable[[float], None],
+        is_collecting: Callable[[], bool],
     ):
         self._current = current
         self._members = members
         self._bound = vm.configuration
+        self._longest_wait = _configuration_wait(vm)
         self.configuration = keyedlog.Follower(
             log,
             timers,
             CONFIGURATION_PLACE,
             current.take,
             current.take,
-            wait=_configuration_wait(vm),
+            wait=lambda: min(
+                self._longest_wait,
+                COLLECTOR_WAIT_SECONDS if is_collecting() else math.inf,
+            ),
             ask_others=ask_view,
         )
         self.upstreams = keyedlog.Follower(
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -186,6 +186,7 @@
             lambda: self.members,
             self._ask_view,
             self._log_regained,
+            lambda: self.loads.is_collecting,
         )
 
     def _listen(self) -> None:
@@ -244,7 +245,11 @@
         )
         self.journal.replica_holders = self.peer_client
         self.loads = peering.LoadExchange(
-            self._peer_http, self.timers, self.members, self.directory
+            self._peer_http,
+            self.timers,
+            self.members,
+            self.directory,
+            self.followers.configuration,
         )
         self.permits = peering.Permits(
             self._peer_http,
--- a/postspring/front/tests/test_workspaces.py
+++ b/postspring/front/tests/test_workspaces.py
@@ -1,5 +1,6 @@
 """Callers' keys: whose a call is, on every way that leads to an upstream."""
 
+from postspring import peering
 from postspring.platform import names
 from postspring.testing.fleet import case
 from postspring.testing.fleet import fleet as fleet_module
@@ -225,3 +226,28 @@
                 self.assertIn("Retry-After".lower(), answer.headers)
         self.assertEqual([], self.runs)
         self.assertFalse(self.node.is_ready)
+
+
+class ConfirmationsOfOthersTest(WorkspacesCase):
+    """The log answers one VM of a data centre, and not the others."""
+
+    vms = 2
+
+    def test_the_one_that_collects_passes_on_what_is_confirmed(self):
+        self.fleet.turn_until(
+            lambda: all(
+                len(node.members.by_name) == 2 for node in self.fleet.nodes
+            )
+        )
+        collector = peering.collector_of(
+            list(self.fleet.nodes[0].members.by_name.values()), "z1"
+        )
+        lacking = next(
+            node for node in self.fleet.nodes if node.vm.vm != collector.name
+        )
+        vm = self.fleet.nodes.index(lacking)
+        follower = lacking.followers.configuration
+        follower._read = lambda: None
+        self.fleet.turn_for(1.0)
+        self.call("safe", vm=vm)
+        self.fleet.turn_until(lambda: follower.confirmed_age < 1.0)
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -35,8 +35,8 @@
     pace : float
         Least seconds between two reads: each call is paid for, and records
         of no interest end a waiting read as well.
-    wait : float
-        Seconds that a read waits for a record.
+    wait : callable
+        Returns the seconds that a read waits for a record.
     on_reset : callable
         Called with the newest record of each key, which is all there is.
     on_entries : callable
@@ -57,7 +57,7 @@
         on_reset: Callable[[list[ports.LogEntry]], None],
         on_entries: Callable[[list[ports.LogEntry]], None],
         pace: float = 0.0,
-        wait: float = 0.0,
+        wait: Callable[[], float] = lambda: 0.0,
         on_regained: Callable[[float], None] = lambda seconds: None,
         ask_others: AskOthers = lambda place, on_page: None,
     ):
@@ -79,6 +79,7 @@
         # What another VM told does not count: it may be of any age.
         self.fresh_at = -math.inf
         self._confirmed_at = -math.inf
+        self._confirmed_end = -1
         self.lost_since: float | None = None
 
     def start(self) -> None:
@@ -108,6 +109,26 @@
         """
         return self._timers.now() - self._confirmed_at
 
+    @property
+    def confirmed_end(self) -> int:
+        """Offset at which the records ended then; -1 if there was none."""
+        return self._confirmed_end
+
+    def note_confirmed(self, end: int, at: float) -> None:
+        """Take note that the log confirmed to another VM where it ends.
+
+        Parameters
+        ----------
+        end : int
+            Behind the last record.
+        at : float
+            Monotonic time of this VM that lies before that for certain.
+        """
+        knows_all = self._next is not None and self._next >= end
+        if end >= 0 and knows_all and at > self._confirmed_at:
+            self._confirmed_at = at
+            self._confirmed_end = end
+
     @property
     def view(self) -> ports.LogPage | None:
         """The newest record of each key, as this VM knows them."""
@@ -136,7 +157,7 @@
             self._log.read_newest(self._place, on_page, on_error)
         else:
             can_wait = self._may_wait and self.lost_since is None
-            self._asked = self._wait if can_wait else 0.0
+            self._asked = self._wait() if can_wait else 0.0
             self._log.read(
                 self._place, self._next, on_page, on_error, self._asked
             )
@@ -208,7 +229,7 @@
         if page.next >= page.end:
             self.fresh_at = min(now, self._sent_at + page.known_after)
         if page.next == page.end:
-            self._confirmed_at = self._sent_at
+            self.note_confirmed(page.end, self._sent_at)
         if self.lost_since is None:
             return
         seconds = now - self.lost_since
--- a/postspring/keyedlog/tests/test_follower.py
+++ b/postspring/keyedlog/tests/test_follower.py
@@ -114,7 +114,7 @@
             PLACE,
             self.added.extend,
             self.added.extend,
-            wait=self.wait,
+            wait=lambda: self.wait,
         )
 
     def put(self, value):
@@ -159,3 +159,62 @@
             for _ in range(10):
                 self.clock.run_for(0.13)
                 self.assertLess(self.follower.age, self.wait + 0.05)
+
+
+class ConfirmedTest(FollowerTest):
+    """As of when the log is certain to hold no more than what is known.
+
+    What may run by that may never have been taken away long ago, so only
+    the start of a call counts, whatever it waited for.
+    """
+
+    def test_a_read_counts_from_its_start(self):
+        self.follower._wait = lambda: 1.5
+        self.follower.start()
+        for _ in range(60):
+            self.clock.run_for(0.1)
+            least = self.clock.now - self.follower._sent_at
+            self.assertGreaterEqual(
+                self.follower.confirmed_age + 1e-9, min(least, 1.4)
+            )
+
+    def test_an_answer_that_comes_late_is_as_old_as_its_question(self):
+        self.follower.start()
+        self.clock.run_for(0.3)
+        self.log.faults.latency = 1.0
+        self.clock.run_for(0.6)
+        self.assertGreater(self.follower.confirmed_age, 0.5)
+
+    def test_another_vms_view_confirms_nothing(self):
+        self.follower._ask_others = lambda place, on_page: on_page(
+            keyedlog.LogPage([keyedlog.LogEntry("z", b"9")], 1, 1)
+        )
+        self.log.faults.down = True
+        self.follower.start()
+        self.clock.run_for(0.5)
+        self.assertGreater(self.follower.confirmed_age, 1000)
+
+    def test_what_the_log_confirmed_to_another_vm(self):
+        self.follower.start()
+        self.clock.run_for(0.1)
+        self.log.faults.down = True
+        self.clock.run_for(3.0)
+        at = self.clock.now - 0.5
+        self.follower.note_confirmed(1, at)
+        self.assertAlmostEqual(0.5, self.follower.confirmed_age)
+
+    def test_not_if_that_one_knows_of_more(self):
+        self.follower.start()
+        self.clock.run_for(0.1)
+        self.log.faults.down = True
+        self.clock.run_for(3.0)
+        self.follower.note_confirmed(2, self.clock.now)
+        self.assertGreater(self.follower.confirmed_age, 2.5)
+
+    def test_nor_if_nothing_was_confirmed_to_it(self):
+        self.follower.start()
+        self.clock.run_for(0.1)
+        self.log.faults.down = True
+        self.clock.run_for(3.0)
+        self.follower.note_confirmed(-1, self.clock.now)
+        self.assertGreater(self.follower.confirmed_age, 2.5)
--- a/postspring/peering/__init__.py
+++ b/postspring/peering/__init__.py
@@ -8,6 +8,7 @@
 
 from postspring.peering.failover import FailoverLog
 from postspring.peering.isolation import Isolation
+from postspring.peering.loads import collector_of
 from postspring.peering.loads import LoadExchange
 from postspring.peering.members import Member
 from postspring.peering.members import Members
@@ -18,7 +19,6 @@
 from postspring.peering.service import PeerService
 
 __all__ = [
-    "Permits",
     "FailoverLog",
     "Isolation",
     "LoadExchange",
@@ -26,6 +26,8 @@
     "Members",
     "PeerClient",
     "PeerService",
+    "Permits",
     "Promises",
     "STORE_PREFIX",
+    "collector_of",
 ]
--- a/postspring/peering/loads.py
+++ b/postspring/peering/loads.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from postspring import errors
+from postspring import keyedlog
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring.peering import sightings as sightings_module
@@ -123,6 +124,9 @@
         The VMs.
     directory : Directory
         The upstreams, with this VM's calls there.
+    configuration : Follower, optional
+        What the log has confirmed of the configuration; answers pass it on.
+        Only who asks can tell how old it is at the most: reports don't.
     """
 
     def __init__(
@@ -131,7 +135,9 @@
         timers: timers_module.Timers,
         members: members_module.Members,
         directory: upstreams.Directory,
+        configuration: keyedlog.Follower | None = None,
     ):
+        self._configuration = configuration
         self._http = http
         self._timers = timers
         self._members = members
@@ -142,6 +148,11 @@
         self._collects_until = -math.inf
         self._avoided_until: dict[str, float] = {}
 
+    @property
+    def is_collecting(self) -> bool:
+        """Whether other VMs report to this one."""
+        return self._timers.now() < self._collects_until
+
     def start(self) -> None:
         """Begin to report."""
         self._timers.call_every(EXCHANGE_SECONDS, self._report)
@@ -156,7 +167,16 @@
         if report.is_data_center:
             return messages.Loads([])
         calls = self._collector.others(report.source)
-        return messages.Loads(list(calls.items()), self._sightings.suspects())
+        end, age = -1, 0.0
+        if self._configuration is not None:
+            end = self._configuration.confirmed_end
+            age = self._configuration.confirmed_age
+        return messages.Loads(
+            list(calls.items()),
+            self._sightings.suspects(),
+            end,
+            age if end >= 0 else 0.0,
+        )
 
     # -- own ------------------------------------------------------------------
 
@@ -181,7 +201,8 @@
             report = messages.LoadsReport(
                 own.name, False, list(calls.items()), sightings
             )
-            self._send(collector, report, self._answered)
+            answered = functools.partial(self._answered, now)
+            self._send(collector, report, answered)
 
     def _own_calls(self) -> Calls:
         return {
@@ -223,7 +244,7 @@
         failed = functools.partial(self._unanswered, member)
         self._http.send(request, transport.AnswerCollector(on_answer, failed))
 
-    def _answered(self, status: int, body: bytes) -> None:
+    def _answered(self, asked_at: float, status: int, body: bytes) -> None:
         if status != 200:
             return
         try:
@@ -233,6 +254,10 @@
             return
         self._note(dict(loads.calls))
         self._sightings.heed(loads.suspects)
+        if self._configuration is not None:
+            self._configuration.note_confirmed(
+                loads.configuration_end, asked_at - loads.confirmed_age
+            )
 
     def _note(self, calls: Calls) -> None:
         now = self._timers.now()
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -189,10 +189,17 @@
     suspects : list of (str, float)
         Upstreams that are probably dead, and seconds since calls last broke
         there.
+    configuration_end : int
+        Offset at which the configuration's records ended when the log last
+        confirmed that to the VM that answers; -1 if it never has.
+    confirmed_age : float
+        Seconds since then, at least, when it answers.
     """
 
     calls: list[tuple[str, int]]
     suspects: list[tuple[str, float]] = msgspec.field(default_factory=list)
+    configuration_end: int = -1
+    confirmed_age: float = 0.0
 
 
 class PermitRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/postspring/testing/fleet/memory_fleet.py
+++ b/postspring/testing/fleet/memory_fleet.py
@@ -57,7 +57,7 @@
             CONFIGURATION,
             self._take,
             self._take,
-            wait=WAIT_SECONDS,
+            wait=lambda: WAIT_SECONDS,
         )
         self._timers = timers
 
