Permits by which nothing ran come back; spent programs need none

A turn whose program has spent its budget for good is told so without a permit; a call that is refused as not run after that gives its permit back to the VM that dealt it.

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -10,19 +10,19 @@
 from postspring.forwarding.dispatch import Receiver
 from postspring.forwarding.event_splitter import EventSplitter
 from postspring.forwarding.forwarder import Forwarder
+from postspring.forwarding.limits import Limiter
+from postspring.forwarding.limits import NoLimiter
+from postspring.forwarding.limits import Verdict
 from postspring.forwarding.ports import AnswerFacts
 from postspring.forwarding.ports import CallFacts
 from postspring.forwarding.ports import EventFacts
 from postspring.forwarding.ports import Finding
 from postspring.forwarding.ports import HeaderGetter
-from postspring.forwarding.ports import Limiter
-from postspring.forwarding.ports import NoLimiter
 from postspring.forwarding.ports import NoPeers
 from postspring.forwarding.ports import Peers
 from postspring.forwarding.ports import Question
 from postspring.forwarding.ports import RELAYED_NAME
 from postspring.forwarding.ports import UpstreamExtra
-from postspring.forwarding.ports import Verdict
 from postspring.forwarding.ports import WireFormat
 from postspring.forwarding.refusals import Refusal
 
--- a/postspring/forwarding/choice.py
+++ b/postspring/forwarding/choice.py
@@ -108,7 +108,7 @@
         Parameters
         ----------
         extra : UpstreamExtra
-            What the system adds to the caller's fields.
+            What the delivery adds to the caller's fields.
         """
         wire = dispatcher.wire
 
@@ -121,7 +121,13 @@
             for name, value in self.call.fields
             if name.lower() != ports.RELAYED_NAME.lower()
         ]
-        fields = wire.upstream_fields(given, extra)
+        named = dataclasses.replace(
+            extra,
+            upstream=upstream.id,
+            urgency=dispatcher.urgency.of(self.facts.rank),
+            workspace=self.facts.workspace,
+        )
+        fields = wire.upstream_fields(given, named)
         return transport.HttpRequest(
             address=upstream.address,
             method=self.call.method,
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -179,11 +179,8 @@
     def _request(self, upstream: upstreams.Upstream) -> transport.HttpRequest:
         extra = ports.UpstreamExtra(
             self._deadline - self._dispatcher.timers.now(),
-            upstream.id,
-            self._dispatcher.urgency.of(self._outbound_call.facts.rank),
             last_event=self._position.last_event,
             weights=self._position.weights,
-            workspace=self._outbound_call.facts.workspace,
         )
         return self._outbound_call.request(self._dispatcher, upstream, extra)
 
--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -7,6 +7,7 @@
 from postspring.forwarding import budgeted_call
 from postspring.forwarding import certainty as certainty_module
 from postspring.forwarding import dispatch
+from postspring.forwarding import limits
 from postspring.forwarding import outcome as outcome_module
 from postspring.forwarding import plain
 from postspring.forwarding import ports
@@ -58,13 +59,13 @@
             certainty_module.Certainty(0.0)
         ),
         admission: admission_module.Admission | None = None,
-        limiter: ports.Limiter | None = None,
+        limiter: limits.Limiter | None = None,
     ):
         peers = peers or ports.NoPeers()
         self._admission = admission or admission_module.Admission(
             dispatcher.wire, peers
         )
-        self._limiter = limiter or ports.NoLimiter()
+        self._limiter = limiter or limits.NoLimiter()
         self._routes_certainty = routes_certainty
         self._takes_work = takes_work
         self._dispatcher = dispatcher
@@ -126,7 +127,8 @@
         accepted = dataclasses.replace(accepted, facts=facts)
         peers = self._turn_services.peers
         is_counted = peers.is_relayed(accepted.call.header)
-        if found is None or found.limit is None or is_counted:
+        needs_none = found is None or found.limit is None or is_counted
+        if needs_none or self._is_spent(accepted):
             self._start(accepted)
             return
         # No kind of call has begun yet; who has left needs no permit.
@@ -136,15 +138,28 @@
             lambda verdict: self._permitted(accepted, verdict),
         )
 
+    def _is_spent(self, accepted: "_Accepted") -> bool:
+        """Whether a turn is refused anyway, as its program may not spend.
+
+        One that loops would use its workspace's limit up with what never
+        runs.
+        """
+        facts = accepted.facts
+        return accepted.is_turn and self._turn_services.journal.is_spent(
+            facts.program, facts.ceiling, facts.budget
+        )
+
     def _permitted(
-        self, accepted: "_Accepted", verdict: ports.Verdict
+        self, accepted: "_Accepted", verdict: limits.Verdict
     ) -> None:
         if accepted.call.gone:
+            verdict.give_back()
             accepted.outcome.report(
                 "caller_gone", self._dispatcher.timers.now()
             )
             return
         if verdict.is_granted:
+            accepted.outcome.call_if_not_run(verdict.give_back)
             self._start(accepted)
             return
         accepted.outcome.add(**verdict.facts)
--- a/postspring/forwarding/outcome.py
+++ b/postspring/forwarding/outcome.py
@@ -1,5 +1,6 @@
 """What a call came to: one log line and one count for each."""
 
+from collections.abc import Callable
 import logging
 
 from postspring.forwarding import ports
@@ -43,11 +44,16 @@
         if facts.previous:
             self._fields["previous"] = facts.previous
         self._reported = False
+        self._on_not_run: Callable[[], None] | None = None
 
     def add(self, **fields) -> None:
         """Add what else decided."""
         self._fields.update(fields)
 
+    def call_if_not_run(self, function: Callable[[], None]) -> None:
+        """Call a function if the call is refused, as not run."""
+        self._on_not_run = function
+
     def report(self, text: str, now: float, **fields) -> None:
         """Write the line, once."""
         if self._reported:
@@ -67,6 +73,8 @@
         if not self._reported:
             ran = "no" if refusal.did_not_run else "unknown"
             self._metrics.refused(refusal.reason, ran)
+            if refusal.did_not_run and self._on_not_run is not None:
+                self._on_not_run()
         self.report(
             "refused", now, reason=refusal.reason, status=refusal.status
         )
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -20,14 +20,11 @@
     "EventFacts",
     "Finding",
     "HeaderGetter",
-    "Limiter",
-    "NoLimiter",
     "NoPeers",
     "Peers",
     "RELAYED_NAME",
     "Question",
     "UpstreamExtra",
-    "Verdict",
     "WireFormat",
 ]
 
@@ -325,53 +322,6 @@
         on_done(Finding(doubts=()))
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Verdict:
-    """Whether a workspace's limit allows a call.
-
-    Parameters
-    ==========
-
-    is_known : bool
-        Somebody who deals the limit out has answered.
-    retry_after : float or None
-        Seconds after which it is worth coming back.
-    dealers : int
-        VMs that were asked.
-    """
-
-    is_granted: bool
-    is_known: bool = True
-    retry_after: float | None = None
-    dealers: int = 0
-
-    @property
-    def facts(self) -> dict:
-        """What decided, for the log."""
-        return {"limit_known": self.is_known, "dealers": self.dealers}
-
-
-class Limiter(abc.ABC):
-    """Counts calls against the limits of their workspaces."""
-
-    @abc.abstractmethod
-    def ask(
-        self,
-        workspace: workspaces.Workspace,
-        begins_program: bool,
-        on_done: Callable[[Verdict], None],
-    ) -> None:
-        """Ask whether a call may run; tell it, at once or soon."""
-
-
-class NoLimiter(Limiter):
-    """Allows everything."""
-
-    def ask(self, workspace, begins_program, on_done) -> None:
-        """Allow it."""
-        on_done(Verdict(True))
-
-
 class WireFormat(abc.ABC):
     """Header fields of calls and answers."""
 
--- a/postspring/front/tests/test_limits.py
+++ b/postspring/front/tests/test_limits.py
@@ -57,6 +57,23 @@
         served = sum(item.status == 200 for item in answers)
         self.assertEqual(served, len(self.runs))
 
+    def test_what_is_refused_for_another_reason_does_not_count(self):
+        for tool in self.fleet.tools:
+            self.fleet.announce(tool, "tools", "draining")
+        directory = self.fleet.nodes[0].directory
+        self.fleet.turn_until(lambda: not directory.usable("tools"))
+        for number in range(2 * MOST):
+            answer = self.call("safe", f"n{number}")
+            self.assertEqual(503, answer.status)
+
+    def test_turns_of_a_program_that_has_spent_its_budget_do_not(self):
+        turn = {"token_budget": "16", "token_usage": "100,16"}
+        self.assertEqual(200, self.call("turn", "t0", **turn).status)
+        for number in range(2 * MOST):
+            answer = self.call("turn", f"s{number}", **turn)
+            self.assertEqual(402, answer.status)
+        self.assertEqual(200, self.call("safe", "after").status)
+
     def test_another_workspace_is_not_held_up(self):
         self.call_all(20)
         answer = self.call("safe", "o", test_workspaces.OTHER_KEY)
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -164,6 +164,13 @@
                 timeout = min(timeout, reading.FAILING_TIMEOUT_SECONDS)
             self._openings.open(known, opened, timeout, on_done, on_error)
 
+    def is_spent(
+        self, program: records.ProgramId, ceiling: int, budget: int | None
+    ) -> bool:
+        """Return whether no turn of this size can ever run again."""
+        known = self._partitions.program(program)
+        return known.is_spent(ceiling, budget)
+
     def end_turn(
         self,
         ticket: accounts.Ticket,
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -215,12 +215,15 @@
     ages : list of float
         Seconds since other VMs of the data centre that is asked let requests
         of the workspace run at the VM that asks.
+    is_return : bool
+        Nothing is asked: a permit comes back, by which nothing ran.
     """
 
     workspace: str
     begins_program: bool
     insists: bool = False
     ages: list[float] = msgspec.field(default_factory=list)
+    is_return: bool = False
 
 
 class Permit(msgspec.Struct, frozen=True, array_like=True):
--- a/postspring/peering/permits.py
+++ b/postspring/peering/permits.py
@@ -94,6 +94,9 @@
 
     def answer(self, request: messages.PermitRequest) -> messages.Permit:
         """Answer another VM."""
+        if request.is_return:
+            self._dealer.take_back(request.workspace)
+            return messages.Permit(quotas.DealState.GRANTED.value, 0.0)
         workspace = self._workspace_of(request.workspace)
         if workspace is None or not self._is_staying():
             return messages.Permit(quotas.DealState.NOT_READY.value, 0.0)
@@ -162,6 +165,15 @@
         )
         self._send(member, request, dealt, silent)
 
+    def give_back(self, member: members_module.Member, workspace: str) -> None:
+        """Return a permit to its dealer; if that is lost, it counts on."""
+        self._granted.remove(workspace, member.data_center, member.incarnation)
+        if member.name == self._members.own.name:
+            self._dealer.take_back(workspace)
+            return
+        request = messages.PermitRequest(workspace, False, is_return=True)
+        self._send(member, request, lambda deal: None, lambda: None)
+
     def note_refusal(
         self, workspace: str, begins_program: bool, wait: float
     ) -> None:
@@ -259,7 +271,14 @@
 
     def _take(self, member, insists: bool, deal: quotas.Deal) -> None:
         if deal.state is quotas.DealState.GRANTED:
-            self._on_done(forwarding.Verdict(True, dealers=self._asked))
+            give_back = functools.partial(
+                self._permits.give_back, member, self._workspace.name
+            )
+            self._on_done(
+                forwarding.Verdict(
+                    True, dealers=self._asked, give_back=give_back
+                )
+            )
         elif deal.state is quotas.DealState.REFUSED:
             self._waits.append(deal.wait)
             self._next_place()
--- a/postspring/quotas/dealer.py
+++ b/postspring/quotas/dealer.py
@@ -163,6 +163,12 @@
         account.granted += 1
         return Deal(DealState.GRANTED)
 
+    def take_back(self, workspace: str) -> None:
+        """Take a permit back by which nothing ran, and nothing will."""
+        account = self._account_by_name.get(workspace)
+        if account is not None:
+            account.window.remove_newest()
+
     # -- own ------------------------------------------------------------------
 
     def _part(self, limit: workspaces.RateLimit) -> int:
--- a/postspring/quotas/granted.py
+++ b/postspring/quotas/granted.py
@@ -57,6 +57,14 @@
             if granted_by != dealer and at > now - self._span
         ]
 
+    def remove(self, workspace: str, place: str, dealer: str) -> None:
+        """Forget one permit of a dealer: nothing ran by it."""
+        part = self._by_part.get((workspace, place), ())
+        for entry in reversed(part):
+            if entry[1] == dealer:
+                part.remove(entry)
+                return
+
     def note_told(self, workspace: str, place: str, dealer: str) -> None:
         """Take note that a dealer has heard of them."""
         self._told_by_part[(workspace, place)] = dealer
--- a/postspring/quotas/window.py
+++ b/postspring/quotas/window.py
@@ -37,6 +37,12 @@
         for at in times:
             heapq.heappush(self._times, at)
 
+    def remove_newest(self) -> None:
+        """Take the newest permit out again: nothing ran by it."""
+        if self._times:
+            self._times.remove(max(self._times))
+            heapq.heapify(self._times)
+
     def count(self, now: float) -> int:
         """Return how many were granted in the span before now."""
         while self._times and self._times[0] <= now - self.span:
