--- a/postspring/testing/soak/callers.py
+++ b/postspring/testing/soak/callers.py
@@ -25,6 +25,9 @@
 FINAL = frozenset({400, 401, 402, 403, 404, 410, 413, 431})
 # Longest wait for Retry-After, as a share of the time that is left.
 RETRY_SHARE = 1 / 3
+# Share of the attempts with a key that nobody holds.
+STRANGERS = 0.01
+UNKNOWN_KEY = "key-of-nobody"
 _numbers = itertools.count(1)
 
 
@@ -84,6 +87,7 @@
         self._balancer = balancer
         self._lines = lines
         self._kept: dict[str, list[connection_module.Connection]] = {}
+        self._workspace = draw.choice(list(world_module.KEY_BY_WORKSPACE))
         limits = world_module.configuration(1)["limits"]
         self._idle_seconds = limits["idle_timeout_ms"] / 1000
 
@@ -188,8 +192,16 @@
             previous=request.previous,
             previous_ended=request.previous_ended,
             slow=bool(request.pace.rest),
+            workspace=self._draw_workspace(request),
         )
 
+    def _draw_workspace(self, request: Request) -> str:
+        """Return the caller's workspace, or now and then a stranger's."""
+        is_plain = request.kind is not records.Kind.TURN
+        if is_plain and self.draw.random() < STRANGERS:
+            return ""
+        return self._workspace
+
     @staticmethod
     def _head(request: Request, attempt: records.Attempt) -> h11.Request:
         left = max(1, round((attempt.deadline - time.monotonic()) * 1000))
@@ -197,6 +209,9 @@
             "Host": fleet.HOST,
             names.REQUEST_ID: attempt.id,
             names.DEADLINE_MS: str(left),
+            names.CREDENTIAL: world_module.KEY_BY_WORKSPACE.get(
+                attempt.workspace, UNKNOWN_KEY
+            ),
             **request.headers,
         }
         if request.body:
--- a/postspring/testing/soak/records.py
+++ b/postspring/testing/soak/records.py
@@ -74,6 +74,8 @@
         When the turn that it continues had ended whole; 0 for none.
     deadline : float
         When the caller gives up.
+    workspace : str
+        Who holds its key; empty if nobody does.
     """
 
     id: str
@@ -98,6 +100,7 @@
     echo: str = ""
     retry_after: str = ""
     slow: bool = False
+    workspace: str = ""
 
     def __post_init__(self):
         self.kind = Kind(self.kind)
@@ -122,6 +125,10 @@
         upstream's own doing).
     answer : str
         Digest of what it answered as far as it went.
+    workspace : str
+        Whose it is, as the upstream was told.
+    has_key : bool
+        The upstream was given a caller's key.
     """
 
     id: str
@@ -135,6 +142,8 @@
     end: str = ""
     status: int = 0
     answer: str = ""
+    workspace: str = ""
+    has_key: bool = False
 
 
 def write_record(file: TextIO, record: Attempt | Run) -> None:
--- a/postspring/testing/soak/tests/test_verdict.py
+++ b/postspring/testing/soak/tests/test_verdict.py
@@ -29,6 +29,7 @@
         status=200,
         answer="answer",
         seal=f"e1-1.{name}",
+        workspace="desk",
     )
     return dataclasses.replace(whole, **changes)
 
@@ -46,6 +47,7 @@
         end="whole",
         status=200,
         answer="answer",
+        workspace="desk",
     )
     return dataclasses.replace(whole, **changes)
 
@@ -261,3 +263,37 @@
     def test_an_end_by_itself(self):
         ended = events.Event(at=50.0, action="own_end", vm="vm1", status=1)
         self.assertEqual(self.rules([], [], [ended]), ["PROCESS"])
+
+
+class WorkspaceTest(VerdictCase):
+    """Keys, whose a request is, and limits."""
+
+    def test_a_key_that_was_passed_on(self):
+        self.assertEqual(
+            ["UNASKED"], self.rules([attempt()], [run(has_key=True)])
+        )
+
+    def test_another_workspaces_name(self):
+        self.assertEqual(
+            ["UNASKED"], self.rules([attempt()], [run(workspace="crews")])
+        )
+
+    def test_a_key_that_nobody_holds(self):
+        stranger = attempt(workspace="")
+        self.assertIn("ROUTE", self.rules([stranger], [run(workspace="")]))
+        refused = attempt(workspace="", status=401, seal="", answer="")
+        self.assertEqual([], self.rules([refused]))
+
+    def test_a_limit(self):
+        most = int(verdict.Bounds().limit_by_workspace["crews"] * 1.1) + 20
+        names = [f"r{number}" for number in range(most + 1)]
+        attempts = [
+            attempt(name, workspace="crews", seal=f"{name}.{name}")
+            for name in names
+        ]
+        runs = [
+            run(name, key=name, workspace="crews", began=100.0 + n / most)
+            for n, name in enumerate(names)
+        ]
+        self.assertEqual([], self.rules(attempts[:-1], runs[:-1]))
+        self.assertEqual(["QUOTA"], self.rules(attempts, runs))
--- a/postspring/testing/soak/upstream_process.py
+++ b/postspring/testing/soak/upstream_process.py
@@ -71,6 +71,8 @@
             ran=False,
             body=digests.digest(call.body),
             previous=call.header(names.PREVIOUS_TURN),
+            workspace=call.header(names.TENANT),
+            has_key=bool(call.header(names.CREDENTIAL)),
         )
         if call.header(names.TARGET_INSTANCE) not in ("", self.id):
             self._refuse(call, run, 421)
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -1,11 +1,13 @@
 """Findings of a run, from what callers and upstreams saw alone."""
 
+import bisect
 import collections
 import dataclasses
 import math
 
 from postspring.testing.soak import events as events_module
 from postspring.testing.soak import records
+from postspring.testing.soak import world
 
 __all__ = ["Bounds", "Finding", "Verdict", "judge"]
 
@@ -21,6 +23,11 @@
 # Refusals of one's own that are allowed: so many, and one in so many.
 ALLOWED_DENIALS = 5
 DENIAL_SHARE = 500
+# Over a workspace's limit may be run: so much of it, and so many requests
+# more, in any span of so many seconds.
+LIMIT_OVER = 0.1
+LIMIT_SLACK = 20
+LIMIT_SPAN = 5.0
 # An end this near to the deadline counts as at it, in seconds.
 DEADLINE_SLACK = 0.1
 
@@ -41,6 +48,8 @@
         On so many upstreams a request may run.
     patience_by_kind : dict
         Longest time that the routes keep a request.
+    limit_by_workspace : dict
+        Requests in any span, before what is allowed over it.
     """
 
     slack: float = 0.2
@@ -53,6 +62,12 @@
             records.Kind.TURN: 5.0,
         }
     )
+    limit_by_workspace: dict = dataclasses.field(
+        default_factory=lambda: {
+            world.LIMITED_WORKSPACE: world.LIMIT_RATE * LIMIT_SPAN
+            + world.LIMIT_BURST
+        }
+    )
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -143,6 +158,7 @@
         self._judge_denials()
         self._judge_tries()
         self._judge_counts()
+        self._judge_limits()
         for event in self._history.events:
             if event.action == "own_end":
                 text = f"{event.vm} ended with status {event.status}"
@@ -157,6 +173,9 @@
 
     def _judge_answer(self, attempt, runs) -> None:
         status = attempt.status
+        if not attempt.workspace and 200 <= status < 300:
+            text = f"{status} from {attempt.vm} with a key that nobody holds"
+            self.verdict.add("ROUTE", attempt.id, text)
         if status in PROMISES and not attempt.seal:
             self.verdict.note(f"refused_{status}")
             if runs and attempt.kind is not records.Kind.SAFE:
@@ -230,6 +249,35 @@
             elif run.body != attempt.expected:
                 text = f"{run.upstream} got another body"
                 self.verdict.add("UNASKED", run.id, text)
+            if run.has_key:
+                text = f"{run.upstream} was given the caller's key"
+                self.verdict.add("UNASKED", run.id, text)
+            if attempt is not None and run.ran:
+                self._judge_workspace(attempt, run)
+
+    def _judge_workspace(self, attempt, run) -> None:
+        if not attempt.workspace:
+            text = f"ran at {run.upstream} with a key that nobody holds"
+            self.verdict.add("ROUTE", run.id, text)
+        elif run.workspace != attempt.workspace:
+            text = f"{attempt.workspace}'s, told as {run.workspace!r}'s"
+            self.verdict.add("UNASKED", run.id, text)
+
+    def _judge_limits(self) -> None:
+        for workspace, limit in self._bounds.limit_by_workspace.items():
+            most = limit * (1 + LIMIT_OVER) + LIMIT_SLACK
+            began = sorted(
+                run.began
+                for run in self._runs
+                if run.ran and run.workspace == workspace
+            )
+            fullest = 0
+            for number, moment in enumerate(began):
+                last = bisect.bisect_left(began, moment + LIMIT_SPAN)
+                fullest = max(fullest, last - number)
+            if fullest > most:
+                text = f"{fullest} runs in {LIMIT_SPAN} s, {limit} allowed"
+                self.verdict.add("QUOTA", workspace, text)
 
     def _judge_denials(self) -> None:
         denied = [
@@ -239,6 +287,7 @@
             and not attempt.seal
             and 300 <= attempt.status < 500
             and attempt.status not in PROMISES
+            and attempt.workspace
         ]
         allowed = ALLOWED_DENIALS + len(self._attempts) / DENIAL_SHARE
         if len(denied) > allowed:
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -31,7 +31,20 @@
     "loss_slack_ms": 200,
     "config_ms": 2000,
     "recover_s": 12,
+    "strict_revoke": True,
+    "revoke_ms": 5000,
+    "quota_window_s": 5,
 }
+# Workspaces by name, each with its key; no two callers' names mean the same.
+KEY_BY_WORKSPACE = {
+    "crews": "key-of-crews-4c1f",
+    "dispatch": "key-of-dispatch-91ab",
+    "desk": "key-of-desk-07de",
+}
+# What the first of them may have run, in requests a second and on top.
+LIMITED_WORKSPACE = "crews"
+LIMIT_RATE = 60.0
+LIMIT_BURST = 60.0
 RETENTION_SECONDS = 60.0
 ROUTE_FIELDS = ("timeout_ms", "target_latency_ms", "max_attempts")
 HEARTBEAT_SECONDS = 1.2
@@ -246,6 +259,13 @@
         if "engine" in service:
             service["engine"] |= {"slots": 64, "kv_capacity_tokens": 211_374}
     document["limits"]["max_body_bytes"] = 4 * 1024 * 1024
+    document["tenants"] = [
+        {"name": name, "api_keys": [key], "priority": 1}
+        for name, key in KEY_BY_WORKSPACE.items()
+    ]
+    for tenant in document["tenants"]:
+        if tenant["name"] == LIMITED_WORKSPACE:
+            tenant |= {"rate_per_s": LIMIT_RATE, "burst": LIMIT_BURST}
     return document
 
 
