--- a/postspring/testing/soak/callers.py
+++ b/postspring/testing/soak/callers.py
@@ -71,6 +71,12 @@
 
     lines : TextIO
         Takes a line for each attempt.
+
+    Attributes
+    ==========
+
+    workspace : str
+        Whose key it has.
     """
 
     def __init__(
@@ -87,7 +93,7 @@
         self._balancer = balancer
         self._lines = lines
         self._kept: dict[str, list[connection_module.Connection]] = {}
-        self._workspace = draw.choice(list(world_module.KEY_BY_WORKSPACE))
+        self.workspace = draw.choice(list(world_module.KEY_BY_WORKSPACE))
         limits = world_module.configuration(1)["limits"]
         self._idle_seconds = limits["idle_timeout_ms"] / 1000
 
@@ -200,7 +206,7 @@
         is_plain = request.kind is not records.Kind.TURN
         if is_plain and self.draw.random() < STRANGERS:
             return ""
-        return self._workspace
+        return self.workspace
 
     @staticmethod
     def _head(request: Request, attempt: records.Attempt) -> h11.Request:
--- a/postspring/testing/soak/programs.py
+++ b/postspring/testing/soak/programs.py
@@ -91,8 +91,11 @@
         self._until = 0.0
         self._lines = callers.open_lines(world)
         self._balancer = balancer_module.Balancer(world.vms)
-        self._turns: collections.deque[Turn] = collections.deque(
-            maxlen=REMEMBERED_TURNS
+        # Those of another workspace are not there for a caller.
+        self._turns_by_workspace: dict[str, collections.deque[Turn]] = (
+            collections.defaultdict(
+                lambda: collections.deque(maxlen=REMEMBERED_TURNS)
+            )
         )
 
     async def run(self) -> None:
@@ -116,7 +119,8 @@
         places = sorted({vm.data_center for vm in self._world.vms})
         place = number % len(places)
         half_close = self._world.half_close
-        user = _User(caller, places, place, self._turns, half_close)
+        turns = self._turns_by_workspace[caller.workspace]
+        user = _User(caller, places, place, turns, half_close)
         await asyncio.sleep(draw.uniform(0, PROGRAM_PAUSE))
         while time.monotonic() < self._until:
             if number % PLAIN_USERS:
