--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -76,6 +76,8 @@
 
     is_announced, is_leaving, has_left : bool
         This VM stands in the list; takes itself off it; is off it.
+    revision : int
+        Grows when a VM comes or goes.
     """
 
     def __init__(
@@ -94,6 +96,7 @@
         self._seen_at_by_name: dict[str, float] = {}
         self._expired_by_name: dict[str, Member] = {}
         self._struck_by_name: dict[str, str] = {}
+        self.revision = 0
         self._is_read = False
         self._has_predecessor = False
         self._announced_at = math.inf
@@ -267,6 +270,7 @@
             if seen_at < oldest and name in self.by_name:
                 LOG.info("member expired", extra={"member": name})
                 self._expired_by_name[name] = self.by_name.pop(name)
+                self.revision += 1
         self._drop_gone()
 
     def _drop_gone(self) -> None:
@@ -296,6 +300,7 @@
 
     def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
         self.by_name.clear()
+        self.revision += 1
         self._take(entries)
         if not self._is_read:
             self._is_read = True
@@ -322,6 +327,7 @@
         if self._struck_by_name.get(name) == member.incarnation:
             return
         self._expired_by_name.pop(name, None)
+        self.revision += self.by_name.get(name) != member
         self.by_name[name] = member
         self._seen_at_by_name[name] = self._timers.now()
 
@@ -339,6 +345,7 @@
             member = members.get(name)
             if member and incarnation in ("", member.incarnation):
                 del members[name]
+                self.revision += 1
 
 
 def _encode(member: Member) -> bytes:
--- a/postspring/peering/permits.py
+++ b/postspring/peering/permits.py
@@ -72,6 +72,12 @@
         )
         self._granted = quotas.GrantedPermits(span)
         self._avoided_until: dict[str, float] = {}
+        # As of a revision of the list of VMs: hashing all of them for each
+        # call would cost more than the call to the dealer.
+        self._revision = -1
+        self._dealers_by_part: dict[
+            tuple[str, str], list[members_module.Member]
+        ] = {}
         self._refused_until: dict[tuple[str, bool], float] = {}
 
     def start(self) -> None:
@@ -120,6 +126,19 @@
         self, workspace: str, place: str
     ) -> list[members_module.Member]:
         """Return who may deal a workspace's limit out in a data centre."""
+        if self._members.revision != self._revision:
+            self._revision = self._members.revision
+            self._dealers_by_part.clear()
+        part = (workspace, place)
+        found = self._dealers_by_part.get(part)
+        if found is None:
+            found = self._find_dealers(workspace, place)
+            self._dealers_by_part[part] = found
+        return found
+
+    def _find_dealers(
+        self, workspace: str, place: str
+    ) -> list[members_module.Member]:
         vms = [*self._members.by_name.values()]
         own = self._members.own
         if own.name not in self._members.by_name:
