Tools go before turns, and turns before new programs, when a limit binds

A tenth of the limit is left to plain calls, a fifth to programs under way; a refusal says how long it takes, up to 2 s (callers heed a third of what they have).

--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -15,6 +15,7 @@
 from postspring.forwarding import relay
 from postspring.forwarding import turn_call
 from postspring import histories
+from postspring import quotas
 from postspring import routing
 from postspring import transport
 
@@ -134,7 +135,7 @@
         # No kind of call has begun yet; who has left needs no permit.
         self._limiter.ask(
             found,
-            accepted.begins_program,
+            accepted.use,
             lambda verdict: self._permitted(accepted, verdict),
         )
 
@@ -250,13 +251,13 @@
         return self.route.has_programs and bool(self.facts.request)
 
     @property
-    def begins_program(self) -> bool:
-        """Whether nothing of a program would be in vain without the call."""
-        return (
-            self.is_turn
-            and self.route.keeps_history
-            and self.facts.previous is None
-        )
+    def use(self) -> quotas.Use:
+        """What it is for, as far as its workspace's limit is concerned."""
+        if not self.is_turn:
+            return quotas.Use.PLAIN_CALL
+        if self.route.keeps_history and self.facts.previous is None:
+            return quotas.Use.BEGINS_PROGRAM
+        return quotas.Use.GOES_ON
 
     @property
     def deadline(self) -> float:
--- a/postspring/forwarding/limits.py
+++ b/postspring/forwarding/limits.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import dataclasses
 
+from postspring import quotas
 from postspring import workspaces
 
 __all__ = ["Limiter", "NoLimiter", "Verdict"]
@@ -45,7 +46,7 @@
     def ask(
         self,
         workspace: workspaces.Workspace,
-        begins_program: bool,
+        use: quotas.Use,
         on_done: Callable[[Verdict], None],
     ) -> None:
         """Ask whether a call may run; tell it, at once or soon."""
@@ -54,6 +55,6 @@
 class NoLimiter(Limiter):
     """Allows everything."""
 
-    def ask(self, workspace, begins_program, on_done) -> None:
+    def ask(self, workspace, use, on_done) -> None:
         """Allow it."""
         on_done(Verdict(True))
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -6,6 +6,7 @@
 import msgspec
 
 from postspring import errors
+from postspring import quotas
 from postspring import transport
 
 __all__ = [
@@ -208,8 +209,8 @@
     Parameters
     ==========
 
-    begins_program : bool
-        Nothing of a program is in vain if it may not.
+    use : Use
+        What the request is for.
     insists : bool
         No VM that may tell is ready; this one is to tell all the same.
     ages : list of float
@@ -220,7 +221,7 @@
     """
 
     workspace: str
-    begins_program: bool
+    use: quotas.Use
     insists: bool = False
     ages: list[float] = msgspec.field(default_factory=list)
     is_return: bool = False
@@ -232,13 +233,13 @@
     Parameters
     ==========
 
-    state : str
+    state : DealState
         Granted, refused, or that this VM can't tell.
     wait : float
         Seconds after which it may be granted.
     """
 
-    state: str
+    state: quotas.DealState
     wait: float
 
 
--- a/postspring/peering/permits.py
+++ b/postspring/peering/permits.py
@@ -23,12 +23,11 @@
 ANSWER_SECONDS = 0.12
 AVOID_SECONDS = 0.7
 TICK_SECONDS = 0.2
-# A refusal stands for this long at the most, in seconds: limits change, and
-# calls that don't run give nothing back.
-LONGEST_REFUSAL_SECONDS = 1.0
+# A refusal stands for this long at the most, in seconds: limits change.
+LONGEST_REFUSAL_SECONDS = 2.0
 LEAST_REFUSAL_SECONDS = 0.05
 # Callers that are refused together come back spread over so much more time.
-SPREAD = 1.0
+SPREAD = 0.3
 
 OnVerdict = Callable[[forwarding.Verdict], None]
 LimitOf = Callable[[str], workspaces.Workspace | None]
@@ -78,7 +77,7 @@
         self._dealers_by_part: dict[
             tuple[str, str], list[members_module.Member]
         ] = {}
-        self._refused_until: dict[tuple[str, bool], float] = {}
+        self._refused_until: dict[tuple[str, quotas.Use], float] = {}
 
     def start(self) -> None:
         """Begin to deal."""
@@ -87,29 +86,29 @@
     def ask(
         self,
         workspace: workspaces.Workspace,
-        begins_program: bool,
+        use: quotas.Use,
         on_done: OnVerdict,
     ) -> None:
         """Ask whether a call may run."""
         now = self._timers.now()
-        until = self._refused_until.get((workspace.name, begins_program), 0.0)
+        until = self._refused_until.get((workspace.name, use), 0.0)
         if until > now:
             on_done(_refused(until - now, 0))
             return
-        _Question(self, workspace, begins_program, on_done).start()
+        _Question(self, workspace, use, on_done).start()
 
     def answer(self, request: messages.PermitRequest) -> messages.Permit:
         """Answer another VM."""
         if request.is_return:
             self._dealer.take_back(request.workspace)
-            return messages.Permit(quotas.DealState.GRANTED.value, 0.0)
+            return messages.Permit(quotas.DealState.GRANTED, 0.0)
         workspace = self._workspace_of(request.workspace)
         if workspace is None or not self._is_staying():
-            return messages.Permit(quotas.DealState.NOT_READY.value, 0.0)
+            return messages.Permit(quotas.DealState.NOT_READY, 0.0)
         deal = self._deal(
-            workspace, request.begins_program, request.insists, request.ages
+            workspace, request.use, request.insists, request.ages
         )
-        return messages.Permit(deal.state.value, deal.wait)
+        return messages.Permit(deal.state, deal.wait)
 
     # -- for questions --------------------------------------------------------
 
@@ -154,7 +153,7 @@
         self,
         member: members_module.Member,
         workspace: workspaces.Workspace,
-        begins_program: bool,
+        use: quotas.Use,
         insists: bool,
         on_deal: Callable[[quotas.Deal], None],
         on_silence: Callable[[], None],
@@ -177,11 +176,9 @@
             on_silence()
 
         if member.name == self._members.own.name:
-            dealt(self._deal(workspace, begins_program, insists, ages))
+            dealt(self._deal(workspace, use, insists, ages))
             return
-        request = messages.PermitRequest(
-            workspace.name, begins_program, insists, ages
-        )
+        request = messages.PermitRequest(workspace.name, use, insists, ages)
         self._send(member, request, dealt, silent)
 
     def give_back(self, member: members_module.Member, workspace: str) -> None:
@@ -190,25 +187,25 @@
         if member.name == self._members.own.name:
             self._dealer.take_back(workspace)
             return
-        request = messages.PermitRequest(workspace, False, is_return=True)
+        request = messages.PermitRequest(
+            workspace, quotas.Use.GOES_ON, is_return=True
+        )
         self._send(member, request, lambda deal: None, lambda: None)
 
     def note_refusal(
-        self, workspace: str, begins_program: bool, wait: float
+        self, workspace: str, use: quotas.Use, wait: float
     ) -> None:
         """Refuse more of the same at once, until it is worth asking."""
         until = self._timers.now() + wait
-        self._refused_until[(workspace, begins_program)] = until
+        self._refused_until[(workspace, use)] = until
 
     # -- own ------------------------------------------------------------------
 
-    def _deal(self, workspace, begins_program, insists, ages) -> quotas.Deal:
+    def _deal(self, workspace, use, insists, ages) -> quotas.Deal:
         own = self._members.own
         first = self.dealers(workspace.name, own.data_center)[0]
         is_first = first.name == own.name
-        return self._dealer.ask(
-            workspace, begins_program, is_first, insists, ages
-        )
+        return self._dealer.ask(workspace, use, is_first, insists, ages)
 
     def _send(self, member, request, on_deal, on_silence) -> None:
         def answered(status: int, body: bytes) -> None:
@@ -236,12 +233,12 @@
         self,
         permits: Permits,
         workspace: workspaces.Workspace,
-        begins_program: bool,
+        use: quotas.Use,
         on_done: OnVerdict,
     ):
         self._permits = permits
         self._workspace = workspace
-        self._begins_program = begins_program
+        self._use = use
         self._on_done = on_done
         self._places = permits.places()
         self._dealers: list[members_module.Member] = []
@@ -282,7 +279,7 @@
         self._permits.ask_dealer(
             member,
             self._workspace,
-            self._begins_program,
+            self._use,
             insists,
             functools.partial(self._take, member, insists),
             self._next_dealer,
@@ -316,9 +313,7 @@
             max(min(self._waits), LEAST_REFUSAL_SECONDS),
             LONGEST_REFUSAL_SECONDS,
         )
-        self._permits.note_refusal(
-            self._workspace.name, self._begins_program, wait
-        )
+        self._permits.note_refusal(self._workspace.name, self._use, wait)
         self._on_done(_refused(wait, self._asked))
 
 
@@ -333,6 +328,6 @@
         return None
     try:
         permit = messages.decode(messages.Permit, body)
-        return quotas.Deal(quotas.DealState(permit.state), permit.wait)
-    except (errors.PeerError, ValueError):
+        return quotas.Deal(permit.state, permit.wait)
+    except errors.PeerError:
         return None
--- a/postspring/quotas/__init__.py
+++ b/postspring/quotas/__init__.py
@@ -3,6 +3,7 @@
 from postspring.quotas.dealer import Deal
 from postspring.quotas.dealer import Dealer
 from postspring.quotas.dealer import DealState
+from postspring.quotas.dealer import Use
 from postspring.quotas.granted import GrantedPermits
 from postspring.quotas.order import dealers_of
 from postspring.quotas.window import SlidingWindow
@@ -13,5 +14,6 @@
     "Dealer",
     "GrantedPermits",
     "SlidingWindow",
+    "Use",
     "dealers_of",
 ]
--- a/postspring/quotas/dealer.py
+++ b/postspring/quotas/dealer.py
@@ -16,7 +16,7 @@
 from postspring.quotas import window as window_module
 from postspring import workspaces
 
-__all__ = ["Deal", "DealState", "Dealer"]
+__all__ = ["Deal", "DealState", "Dealer", "Use"]
 
 # A VM that has just started is not on all VMs' lists yet, which they read
 # every 5 s: until then whoever dealt before goes on, or both would.
@@ -32,9 +32,24 @@
 # A VM that stands in for another and is not asked for this long learns anew,
 # in seconds.
 IDLE_SECONDS = 1.0
-# Part of the limit that is left to programs under way: one that is stopped
-# halfway has used its requests in vain.
-RESERVED_SHARE = 0.2
+
+
+class Use(enum.Enum):
+    """What a request is for; its value goes over the wire."""
+
+    BEGINS_PROGRAM = "begins_program"
+    GOES_ON = "goes_on"
+    PLAIN_CALL = "plain_call"
+
+
+# Part of a limit that is left to other uses.  A program that is stopped
+# halfway has used its requests in vain; turns are tried again for longer than
+# calls of tools, which end their program when they are refused twice.
+RESERVED_SHARE_BY_USE = {
+    Use.BEGINS_PROGRAM: 0.2,
+    Use.GOES_ON: 0.1,
+    Use.PLAIN_CALL: 0.0,
+}
 
 
 class DealState(enum.Enum):
@@ -93,9 +108,9 @@
     >>> limit = workspaces.RateLimit(rate=1.0, burst=1.0)
     >>> acme = workspaces.Workspace("acme", limit=limit)
     >>> dealer = Dealer(3, 5.0, lambda: 100.0, lambda: 60.0)
-    >>> dealer.ask(acme, False, is_first=True, ages=[0.5]).state
+    >>> dealer.ask(acme, Use.PLAIN_CALL, is_first=True, ages=[0.5]).state
     <DealState.GRANTED: 'granted'>
-    >>> dealer.ask(acme, False, is_first=True)
+    >>> dealer.ask(acme, Use.PLAIN_CALL, is_first=True)
     Deal(state=<DealState.REFUSED: 'refused'>, wait=4.5)
     """
 
@@ -123,7 +138,7 @@
     def ask(
         self,
         workspace: workspaces.Workspace,
-        begins_program: bool,
+        use: Use,
         is_first: bool,
         insists: bool = False,
         ages: Sequence[float] = (),
@@ -152,8 +167,7 @@
         most = self._part(workspace.limit)
         if not is_ready:
             most = self._after_start(most, now)
-        if begins_program:
-            most = max(1, math.floor(most * (1.0 - RESERVED_SHARE)))
+        most = max(1, math.floor(most * (1.0 - RESERVED_SHARE_BY_USE[use])))
         if account.window.count(now) + 1 > most:
             wait = account.window.seconds_until(most, now)
             return Deal(DealState.REFUSED, wait)
--- a/postspring/quotas/tests/test_dealer.py
+++ b/postspring/quotas/tests/test_dealer.py
@@ -16,6 +16,8 @@
 GRANTED = quotas.DealState.GRANTED
 REFUSED = quotas.DealState.REFUSED
 NOT_READY = quotas.DealState.NOT_READY
+BEGINS = quotas.Use.BEGINS_PROGRAM
+TOOL = quotas.Use.PLAIN_CALL
 # Seconds over which requests are counted.
 SPAN = 5.0
 
@@ -54,14 +56,14 @@
         self.now += seconds
         self.is_new = True
 
-    def ask(self, begins=False, limited=None, **options):
+    def ask(self, use=TOOL, limited=None, **options):
         """Ask for a permit."""
         ages = []
         if self.is_new:
             ages = [self.now - at for at in self.granted_at]
             ages = [age for age in ages if age < SPAN]
         options = {"is_first": True, "ages": ages} | options
-        deal = self.dealer.ask(limited or workspace(), begins, **options)
+        deal = self.dealer.ask(limited or workspace(), use, **options)
         self.is_new = deal.state is NOT_READY
         if deal.state is GRANTED:
             self.granted_at.append(self.now)
@@ -130,24 +132,31 @@
     def test_new_ones_leave_something(self):
         world = World()
         world.wait(SPAN + 1.0)
-        while world.ask(begins=True).state is GRANTED:
+        while world.ask(use=BEGINS).state is GRANTED:
             pass
-        self.assertIs(GRANTED, world.ask().state)
+        self.assertIs(GRANTED, world.ask(quotas.Use.GOES_ON).state)
+
+    def test_turns_leave_something_to_tools(self):
+        world = World()
+        world.wait(SPAN + 1.0)
+        while world.ask(quotas.Use.GOES_ON).state is GRANTED:
+            pass
+        self.assertIs(GRANTED, world.ask(TOOL).state)
 
     def test_new_ones_are_let_in_by_the_smallest_limit(self):
         world = World(parts=3)
         small = workspace(rate=1.0, burst=1.0)
         world.wait(4.0)
-        self.assertIs(GRANTED, world.ask(True, small).state)
+        self.assertIs(GRANTED, world.ask(BEGINS, small).state)
 
     def test_they_are_told_when_to_come_back(self):
         world = World()
         world.wait(SPAN + 1.0)
-        while world.ask(begins=True).state is GRANTED:
+        while world.ask(use=BEGINS).state is GRANTED:
             pass
-        deal = world.ask(begins=True)
+        deal = world.ask(use=BEGINS)
         world.wait(deal.wait + 0.01)
-        self.assertIs(GRANTED, world.ask(begins=True).state)
+        self.assertIs(GRANTED, world.ask(use=BEGINS).state)
 
 
 class SuccessionTest(unittest.TestCase):
--- a/postspring/quotas/tests/ways.py
+++ b/postspring/quotas/tests/ways.py
@@ -121,7 +121,9 @@
         for step in range(PLACES):
             dealer = self._dealers[(vm + step) % PLACES]
             self.messages += 1
-            deal = dealer.ask(self._workspace, False, is_first=True)
+            deal = dealer.ask(
+                self._workspace, quotas.Use.PLAIN_CALL, is_first=True
+            )
             if deal.state is quotas.DealState.GRANTED:
                 return True
         return False
