--- a/postspring/peering/permits.py
+++ b/postspring/peering/permits.py
@@ -309,17 +309,16 @@
                 forwarding.Verdict(False, False, dealers=self._asked)
             )
             return
-        wait = min(
-            max(min(self._waits), LEAST_REFUSAL_SECONDS),
-            LONGEST_REFUSAL_SECONDS,
-        )
+        wait = min(*self._waits, LONGEST_REFUSAL_SECONDS)
         self._permits.note_refusal(self._workspace.name, self._use, wait)
         self._on_done(_refused(wait, self._asked))
 
 
 def _refused(wait: float, asked: int) -> forwarding.Verdict:
+    """Return the refusal of a limit that is used up for some seconds."""
     spread = 1.0 + SPREAD * random.random()
-    return forwarding.Verdict(False, retry_after=wait * spread, dealers=asked)
+    seconds = max(wait, LEAST_REFUSAL_SECONDS) * spread
+    return forwarding.Verdict(False, retry_after=seconds, dealers=asked)
 
 
 def _deal_in(status: int, body: bytes) -> quotas.Deal | None:
