--- a/postspring/peering/message_budget.py
+++ b/postspring/peering/message_budget.py
@@ -6,9 +6,9 @@
 
 # Messages a second that a VM sends for questions, in the mean and at once.
 # One costs both ends about 0.4 ms of processor time, and a VM is asked as
-# much as it asks: a sixth of a core, however many VMs there are.
-MESSAGES_A_SECOND = 200.0
-MOST_AT_ONCE = 600.0
+# much as it asks: a twentieth of a core, however many VMs there are.
+MESSAGES_A_SECOND = 60.0
+MOST_AT_ONCE = 300.0
 
 
 class MessageBudget:
@@ -31,7 +31,7 @@
     ========
 
     >>> budget = MessageBudget(lambda: 0.0)
-    >>> budget.take(500), budget.take(200), budget.take(100)
+    >>> budget.take(250), budget.take(100), budget.take(50)
     (True, False, True)
     """
 
