--- a/postspring/front/tests/test_workspaces.py
+++ b/postspring/front/tests/test_workspaces.py
@@ -1,9 +1,12 @@
 """Callers' keys: whose a call is, on every way that leads to an upstream."""
 
+from postspring import forwarding
+from postspring import histories
 from postspring import peering
 from postspring.platform import names
 from postspring.testing.fleet import case
 from postspring.testing.fleet import fleet as fleet_module
+from postspring import workspaces
 
 KEY = "key-of-acme-1"
 OTHER_KEY = "key-of-other"
@@ -251,3 +254,41 @@
         self.fleet.turn_for(1.0)
         self.call("safe", vm=vm)
         self.fleet.turn_until(lambda: follower.confirmed_age < 1.0)
+
+
+class PassedOnTest(WorkspacesCase):
+    """Turns that another VM runs, as the store is away."""
+
+    vms = 4
+
+    def setUp(self):
+        super().setUp()
+        for node in self.fleet.nodes:
+            self.fleet.turn_until(
+                lambda node=node: len(node.members.listed) == self.vms - 1
+            )
+        self.fleet.store.refuse = 503
+        claim = histories.Claim("author", 16, 1000)
+        turn = histories.WholeTurn(
+            histories.ProgramId(workspaces.scoped("acme", "p1")),
+            histories.TurnId(workspaces.scoped("acme", "a")),
+            claim,
+            None,
+            4,
+            b"<a>",
+            b"w\n",
+        )
+        self.fleet.nodes[0].journal.keep_copy(histories.encode_record(turn))
+
+    def test_it_is_told_whose_they_are_and_no_key(self):
+        answer = self.call("turn", "b", vm=1, previous_turn="a")
+        self.assertEqual(200, answer.status)
+        (run,) = self.runs
+        self.assertEqual("acme", run.header(names.TENANT))
+        self.assertNotIn(KEY, str(run.fields))
+        self.assertEqual("", run.header(forwarding.RELAYED_NAME))
+
+    def test_another_workspace_does_not_get_them(self):
+        answer = self.call("turn", "b", OTHER_KEY, vm=1, previous_turn="a")
+        self.assertEqual(503, answer.status)
+        self.assertEqual([], self.runs)
