One piece of code leaves VMs alone that were asked in vain

All five are AvoidedVms now. No behaviour changed: same seconds, same bounds; counting from the later of two moments, as the failover did, is what the others did with a clock that only goes on. Ruled out: another, RetryBudget for the budget of messages (it is fed by first attempts and not by time).

--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -5,6 +5,7 @@
 import math
 
 from postspring import keyedlog
+from postspring.peering import avoidance
 from postspring.peering import failover_call
 from postspring.peering import members as members_module
 from postspring.transport import timers as timers_module
@@ -87,7 +88,7 @@
         self._probed_at = -math.inf
         self._was_down = False
         self._probed_at_by_place: dict[keyedlog.LogPlace, float] = {}
-        self._avoided_until: dict[str, float] = {}
+        self._avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
         self._away_until: dict[keyedlog.LogPlace, float] = {}
 
     @property
@@ -277,9 +278,7 @@
         if is_away and place.subject is not keyedlog.Subject.CONFIGURATION:
             return []
         found = [
-            member
-            for member in self._members()
-            if self._avoided_until.get(member.name, 0.0) <= now
+            member for member in self._members() if member not in self._avoided
         ]
         found.sort(key=lambda member: member.name != self._helper)
         return found
@@ -306,10 +305,7 @@
         """
         if member.name == self._helper:
             self._helper = None
-        until = max(
-            asked_at + AVOID_SECONDS, self._avoided_until.get(member.name, 0.0)
-        )
-        self._avoided_until[member.name] = until
+        self._avoided.add(member, asked_at)
 
     def now(self) -> float:
         """Return the monotonic time in seconds."""
--- a/postspring/peering/loads.py
+++ b/postspring/peering/loads.py
@@ -16,6 +16,7 @@
 
 from postspring import errors
 from postspring import keyedlog
+from postspring.peering import avoidance
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring.peering import sightings as sightings_module
@@ -146,7 +147,7 @@
         self._sightings = sightings_module.Sightings(directory, timers.now)
         self._busy_at = -math.inf
         self._collects_until = -math.inf
-        self._avoided_until: dict[str, float] = {}
+        self._avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
 
     @property
     def is_collecting(self) -> bool:
@@ -192,7 +193,7 @@
         reachable = [
             member
             for member in (*self._members.listed, own)
-            if self._avoided_until.get(member.name, 0.0) <= now
+            if member not in self._avoided
         ]
         collector = collector_of(reachable, own.data_center)
         if collector is None or collector.name == own.name:
@@ -265,5 +266,4 @@
             upstream.note_others(calls.get(upstream.incarnation, 0), now)
 
     def _unanswered(self, member, error) -> None:
-        until = self._timers.now() + AVOID_SECONDS
-        self._avoided_until[member.name] = until
+        self._avoided.add(member)
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -10,6 +10,7 @@
 from postspring import forwarding
 from postspring import histories
 from postspring import keyedlog
+from postspring.peering import avoidance
 from postspring.peering import isolation as isolation_module
 from postspring.peering import members as members_module
 from postspring.peering import message_budget
@@ -76,8 +77,8 @@
         self._isolation = isolation
         self._promises = promises
         self._started_at = timers.now()
-        self._avoided_until: dict[str, float] = {}
-        self._keeps_nothing_until: dict[str, float] = {}
+        self._avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
+        self._not_keeping = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
         # Incarnations that said so; a few for each time the fleet is rolled.
         self._stopping: set[str] = set()
         self._budget = message_budget.MessageBudget(timers.now)
@@ -162,13 +163,11 @@
     ) -> None:
         if is_stopping:
             self._stopping.add(member.incarnation)
-        until = self._timers.now() + AVOID_SECONDS
-        self._keeps_nothing_until[member.name] = until
+        self._not_keeping.add(member)
 
     def _keeps_nothing(self, member: members_module.Member) -> bool:
         """Whether a VM did not keep a record a moment ago: it may stop."""
-        until = self._keeps_nothing_until.get(member.name, 0.0)
-        return until > self._timers.now() or self._is_avoided(member)
+        return member in self._not_keeping or member in self._avoided
 
     # -- questions ------------------------------------------------------------
 
@@ -292,7 +291,7 @@
         others = [
             member
             for member in self._members.listed
-            if not self._is_avoided(member)
+            if member not in self._avoided
         ]
         if hears_all:
             return [others]
@@ -325,14 +324,9 @@
                 self._found_settled[program] = None
 
     def _unanswered(self, member, search: search_module.Search, error) -> None:
-        until = self._timers.now() + AVOID_SECONDS
-        self._avoided_until[member.name] = until
+        self._avoided.add(member)
         search.failed()
 
-    def _is_avoided(self, member: members_module.Member) -> bool:
-        until = self._avoided_until.get(member.name, 0.0)
-        return until > self._timers.now()
-
     # -- views ----------------------------------------------------------------
 
     def ask_view(
--- a/postspring/peering/permits.py
+++ b/postspring/peering/permits.py
@@ -10,6 +10,7 @@
 
 from postspring import errors
 from postspring import forwarding
+from postspring.peering import avoidance
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring import quotas
@@ -70,7 +71,7 @@
             parts, span, timers.now, lambda: members.listed_seconds
         )
         self._granted = quotas.GrantedPermits(span)
-        self._avoided_until: dict[str, float] = {}
+        self.avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
         # As of a revision of the list of VMs: hashing all of them for each
         # call would cost more than the call to the dealer.
         self._revision = -1
@@ -144,11 +145,6 @@
             vms.append(own)
         return quotas.dealers_of(workspace, vms, place)
 
-    def is_avoided(self, member: members_module.Member) -> bool:
-        """Return whether a VM did not answer a moment ago."""
-        until = self._avoided_until.get(member.name, 0.0)
-        return until > self._timers.now()
-
     def ask_dealer(
         self,
         member: members_module.Member,
@@ -171,8 +167,7 @@
             on_deal(deal)
 
         def silent() -> None:
-            until = self._timers.now() + AVOID_SECONDS
-            self._avoided_until[member.name] = until
+            self.avoided.add(member)
             on_silence()
 
         if member.name == self._members.own.name:
@@ -259,7 +254,7 @@
         place = self._places.pop(0)
         found = self._permits.dealers(self._workspace.name, place)
         self._dealers = [
-            member for member in found if not self._permits.is_avoided(member)
+            member for member in found if member not in self._permits.avoided
         ]
         self._unready = None
         self._next_dealer()
