--- a/postspring/front/followers.py
+++ b/postspring/front/followers.py
@@ -5,16 +5,17 @@
 
 from postspring import forwarding
 from postspring.front import configuration as configuration_module
+from postspring.front import upstream_list
 from postspring.front import upstream_watch
 from postspring import keyedlog
 from postspring import peering
 from postspring import platform
 from postspring import transport
+from postspring import upstreams
 
 __all__ = ["Followers"]
 
 CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
-UPSTREAMS_PLACE = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
 # A read of the configuration waits for a change during this share of the
 # time in which one has to be in force: a read that is never answered is
 # noticed only after that.
@@ -26,9 +27,6 @@
 # A VM that passes on what the log confirms reads more often: so the others
 # know it as of a second ago, and believe keys for longer when the log is away.
 COLLECTOR_WAIT_SECONDS = 0.4
-# Upstreams write every heartbeat; they are read once in this share of the
-# time in which a leaving one has to be left alone.
-UPSTREAMS_PACE_SHARE = 0.45
 
 
 class Followers:
@@ -39,14 +37,14 @@
 
     current : CurrentConfiguration
         Takes what is read of the configuration.
+    directory : Directory
+        Holds the upstreams.
     watch : UpstreamWatch
         Takes what is read of the upstreams.
     members : callable
         Returns the list of VMs.
     ask_view : callable
         Asks other VMs for their view of a place.
-    on_regained : callable
-        Told when the log answers again.
     is_collecting : callable
         Returns whether this VM passes on what the log confirms.
     """
@@ -57,10 +55,10 @@
         timers: transport.Timers,
         vm: platform.VmSettings,
         current: configuration_module.CurrentConfiguration,
+        directory: upstreams.Directory,
         watch: upstream_watch.UpstreamWatch,
         members: Callable[[], peering.Members],
         ask_view: keyedlog.AskOthers,
-        on_regained: Callable[[float], None],
         is_collecting: Callable[[], bool],
     ):
         self._current = current
@@ -79,21 +77,21 @@
             ),
             ask_others=ask_view,
         )
-        self.upstreams = keyedlog.Follower(
+        self._upstream_list = upstream_list.UpstreamList(
             log,
             timers,
-            UPSTREAMS_PLACE,
-            watch.reset,
-            watch.take,
-            pace=UPSTREAMS_PACE_SHARE * vm.drain,
-            on_regained=on_regained,
-            ask_others=ask_view,
+            vm.drain,
+            directory,
+            watch,
+            ask_view,
+            self.configuration.read_now,
         )
+        self.upstreams = self._upstream_list.follower
 
     def start(self) -> None:
         """Begin to follow."""
         self.configuration.start()
-        self.upstreams.start()
+        self._upstream_list.start()
 
     def decision_inputs(self) -> dict:
         """Return what decisions rest on, for the log."""
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -34,7 +34,6 @@
 
 # Share of the store's rate for catching up; the rest is for other turns.
 CATCH_UP_SHARE = 0.5
-MISSING_SWEEP_SECONDS = 0.5
 # Calls that VMs pass on name the process that is to take them, which callers
 # can't guess.
 INCARNATION_BYTES = 8
@@ -129,9 +128,6 @@
         self.loads.start()
         self.permits.start()
         self.followers.start()
-        self.timers.call_every(
-            MISSING_SWEEP_SECONDS, self.directory.drop_missing
-        )
         self.journal.hand_over_while(lambda: self.shutdown.leaving)
 
     def reconfigure(self, vm: platform.VmSettings) -> None:
@@ -182,10 +178,10 @@
             self.timers,
             self.vm,
             self.configuration,
+            self.directory,
             watch,
             lambda: self.members,
             self._ask_view,
-            self._log_regained,
             lambda: self.loads.is_collecting,
         )
 
@@ -372,10 +368,6 @@
     def _ask_view(self, place, on_page) -> None:
         self.peer_client.ask_view(place, on_page)
 
-    def _log_regained(self, seconds: float) -> None:
-        self.directory.tolerate_missing()
-        self.followers.configuration.read_now()
-
     def _upstream_gone(self, upstream: upstreams.Upstream) -> None:
         self.http.discard(upstream.address)
 
