--- /dev/null
+++ b/postspring/front/tests/test_leaving_upstreams.py
@@ -0,0 +1,116 @@
+"""Requests to an upstream that leaves while the log is away.
+
+Seen: 2.25 s after the store had acknowledged that an upstream leaves, a
+request reached it; the bound was 2.0 s.  Its data centre had been cut off.
+Its entry lapsed meanwhile, so that the acknowledgement changed nothing in
+the log, and VMs went on with an upstream without an entry for longer than
+the bound.
+"""
+
+import unittest
+
+from postspring.front import upstream_list
+from postspring.front import upstream_watch
+from postspring import keyedlog
+from postspring.testing.fleet import memory_log
+from postspring.testing.virtual import clock as clock_module
+from postspring import upstreams
+
+PLACE = upstream_list.UPSTREAMS_PLACE
+STEP_SECONDS = 0.05
+
+
+def decode(name, value):
+    """Read an entry, which here is no more than the state."""
+    return upstreams.Announcement(
+        id=name,
+        service="s",
+        address=("10.0.0.1", 80),
+        leaving=value == b"leaving",
+    )
+
+
+class LeavingCase(unittest.TestCase):
+    """One VM's list of upstreams, in virtual time."""
+
+    drain = 2.0
+
+    def setUp(self):
+        self.start()
+
+    def start(self):
+        """Start a VM that knows upstreams ``a`` and ``b``."""
+        self.clock = clock_module.VirtualClock()
+        self.timers = clock_module.VirtualTimers(
+            self.clock, clock_module.VirtualProcess("vm")
+        )
+        self.data = memory_log.LogData()
+        self.log = memory_log.MemoryLog(self.data, self.timers)
+        self.log.faults.gives_up_after = 1.2
+        self.directory = upstreams.Directory(self.timers.now)
+        self.list = upstream_list.UpstreamList(
+            self.log,
+            self.timers,
+            self.drain,
+            self.directory,
+            upstream_watch.UpstreamWatch(self.directory, decode),
+            lambda place, on_page: None,
+        )
+        self.write("a", b"ready")
+        self.write("b", b"ready")
+        self.list.start()
+        self.clock.run_for(10.0)
+
+    def write(self, name, value):
+        """Write an upstream's entry; without a value, remove it."""
+        self.data.append(PLACE, [keyedlog.LogEntry(name, value)])
+
+    @property
+    def usable(self):
+        """Names of the upstreams that may get work now."""
+        return {item.id for item in self.directory.usable("s")}
+
+    def seconds_used(self, name="a", longest=15.0):
+        """Return for how long from now on an upstream may get work."""
+        begun = self.timers.now()
+        used = 0.0
+        while self.timers.now() - begun < longest:
+            self.clock.run_for(STEP_SECONDS)
+            if name in self.usable:
+                used = self.timers.now() - begun
+        return used
+
+
+class LapsedEntryTest(LeavingCase):
+    """An entry lapsed while the log was away, and does not come back."""
+
+    # How calls fail meanwhile.
+    faults = ("down", "silent")
+
+    def go_away(self, seconds, fault="down"):
+        """Let the log be away for this VM."""
+        setattr(self.log.faults, fault, True)
+        self.clock.run_for(seconds)
+        setattr(self.log.faults, fault, False)
+
+    def test_an_upstream_without_an_entry_gets_no_work_after_the_bound(self):
+        used = {}
+        for fault in self.faults:
+            for tenths in range(40):
+                self.start()
+                self.clock.run_for(tenths / 10)
+                self.write("a", b"")
+                self.go_away(6.0, fault)
+                used[fault, tenths] = self.seconds_used()
+        too_long = {
+            case: seconds
+            for case, seconds in used.items()
+            if seconds > self.drain + STEP_SECONDS
+        }
+        self.assertEqual({}, too_long)
+
+
+class LongerBoundTest(LapsedEntryTest):
+    """A deployment whose bound is longer."""
+
+    drain = 4.0
