An upstream without an entry gets no work past the bound

Cause: its entry had lapsed while its data centre was cut off, so that the acknowledgement, 0.9 s after the return, changed nothing in the log.

Now the time ends at a moment that is looked at when an upstream is chosen. It counts from when the log may have been back, the sending of the last call that failed, and lasts no longer than the bound; an outage too short for an entry to lapse (two heartbeats) gives none. The list is read four times a second until entries have to be back.

Ruled out: an old list (0.81 and 0.89 s at the two sends), an old choice (11 ms). Test (virtual time, 40 moments, two kinds of failing calls): 2.4 to 3.6 s before, 2.05 s at most now; removals behind a short outage up to 2.65 s before, now within 2.0 s; an upstream that comes back at the last moment was left unused for up to 1.3 s with a bound of 4.0 s, now 0.5 s at most.

--- a/postspring/front/followers.py
+++ b/postspring/front/followers.py
@@ -81,6 +81,7 @@
             log,
             timers,
             vm.drain,
+            vm.heartbeat,
             directory,
             watch,
             ask_view,
--- a/postspring/front/tests/test_leaving_upstreams.py
+++ b/postspring/front/tests/test_leaving_upstreams.py
@@ -18,6 +18,9 @@
 
 PLACE = upstream_list.UPSTREAMS_PLACE
 STEP_SECONDS = 0.05
+# What an upstream needs at most to write its entry again, by the platform's
+# page.
+BACK_SECONDS = 2.0
 
 
 def decode(name, value):
@@ -52,6 +55,7 @@
             self.log,
             self.timers,
             self.drain,
+            1.2,
             self.directory,
             upstream_watch.UpstreamWatch(self.directory, decode),
             lambda place, on_page: None,
@@ -109,6 +113,47 @@
         }
         self.assertEqual({}, too_long)
 
+    def test_one_that_is_alive_is_used_until_it_can_be_back(self):
+        for tenths in range(20):
+            self.start()
+            self.clock.run_for(tenths / 10)
+            self.write("a", b"")
+            self.go_away(6.0)
+            unused = 0.0
+            for step in range(round(4.0 / STEP_SECONDS)):
+                if step == round(BACK_SECONDS / STEP_SECONDS):
+                    self.write("a", b"ready")
+                self.clock.run_for(STEP_SECONDS)
+                if "a" not in self.usable:
+                    unused += STEP_SECONDS
+            with self.subTest(tenths=tenths):
+                self.assertLessEqual(unused, 0.5)
+                self.assertIn("a", self.usable)
+
+    def test_an_outage_too_short_for_an_entry_to_lapse(self):
+        # A call that failed was taken for an outage: a removal that was
+        # acknowledged right behind it counted as a lapse.
+        for tenths in range(20):
+            self.start()
+            self.clock.run_for(tenths / 20)
+            self.go_away(1.0)
+            self.clock.run_for(0.35)
+            self.write("a", b"")
+            with self.subTest(tenths=tenths):
+                self.assertLessEqual(self.seconds_used(), self.drain)
+
+    def test_calls_that_fail_now_and_then(self):
+        # Each one began the time anew in which a removal was not believed.
+        self.write("a", b"")
+        begun = self.timers.now()
+        used = 0.0
+        while self.timers.now() - begun < 12.0:
+            self.log.faults.busy = 1
+            self.clock.run_for(0.4)
+            if "a" in self.usable:
+                used = self.timers.now() - begun
+        self.assertLessEqual(used, self.drain)
+
 
 class LongerBoundTest(LapsedEntryTest):
     """A deployment whose bound is longer."""
--- a/postspring/front/upstream_list.py
+++ b/postspring/front/upstream_list.py
@@ -14,6 +14,14 @@
 # time in which a leaving one has to be left alone.
 PACE_SHARE = 0.45
 MISSING_SWEEP_SECONDS = 0.5
+# The entry of an upstream that lives is back this long after the log's
+# return, by the platform's page.
+BACK_SECONDS = 2.0
+# How often the list is read until then, in seconds.
+RETURN_PACE_SECONDS = 0.25
+# An entry lapses after three heartbeats of silence, the first of which may
+# lie before the outage.
+HEARTBEATS_TO_LAPSE = 2
 
 
 class UpstreamList:
@@ -24,6 +32,8 @@
 
     drain : float
         Within this time a leaving upstream gets no more work; seconds.
+    heartbeat : float
+        How often upstreams write their entries; seconds.
     ask_others : callable
         Asks other VMs for their view of a place.
     on_regained : callable
@@ -35,6 +45,7 @@
         log: keyedlog.KeyedLog,
         timers: transport.Timers,
         drain: float,
+        heartbeat: float,
         directory: upstreams.Directory,
         watch: upstream_watch.UpstreamWatch,
         ask_others: keyedlog.AskOthers,
@@ -42,6 +53,9 @@
     ):
         self._timers = timers
         self._directory = directory
+        self._drain = drain
+        self._heartbeat = heartbeat
+        self._quick_until = 0.0
         self._on_regained = on_regained
         self.follower = keyedlog.Follower(
             log,
@@ -49,7 +63,7 @@
             UPSTREAMS_PLACE,
             watch.reset,
             watch.take,
-            pace=PACE_SHARE * drain,
+            pace=self._pace,
             on_regained=self._regained,
             ask_others=ask_others,
         )
@@ -61,6 +75,20 @@
             MISSING_SWEEP_SECONDS, self._directory.drop_missing
         )
 
-    def _regained(self, seconds: float) -> None:
-        self._directory.tolerate_missing()
+    def _pace(self) -> float:
+        pace = PACE_SHARE * self._drain
+        if self._timers.now() < self._quick_until:
+            return min(pace, RETURN_PACE_SECONDS)
+        return pace
+
+    def _regained(self, outage: keyedlog.Outage) -> None:
+        """Let upstreams whose entries lapsed in an outage get work for now.
+
+        One that left meanwhile looks the same, and its leaving may have been
+        acknowledged as soon as the log was back: the bound counts from there.
+        """
+        if outage.longest >= HEARTBEATS_TO_LAPSE * self._heartbeat:
+            seconds = min(BACK_SECONDS, self._drain)
+            self._directory.tolerate_missing(outage.failed_at + seconds)
+            self._quick_until = outage.regained_at + BACK_SECONDS
         self._on_regained()
--- a/postspring/keyedlog/__init__.py
+++ b/postspring/keyedlog/__init__.py
@@ -7,6 +7,7 @@
 from postspring.keyedlog.errors import LogUnavailable
 from postspring.keyedlog.follower import AskOthers
 from postspring.keyedlog.follower import Follower
+from postspring.keyedlog.follower import Outage
 from postspring.keyedlog.ports import KeyedLog
 from postspring.keyedlog.ports import LogEntry
 from postspring.keyedlog.ports import LogPage
@@ -26,6 +27,7 @@
     "LogPage",
     "LogPlace",
     "LogUnavailable",
+    "Outage",
     "Subject",
     "UsualTime",
 ]
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -3,12 +3,13 @@
 from collections.abc import Callable
 import logging
 import math
+from typing import NamedTuple
 
 from postspring.keyedlog import errors
 from postspring.keyedlog import ports
 from postspring.transport import timers as timers_module
 
-__all__ = ["AskOthers", "Follower"]
+__all__ = ["AskOthers", "Follower", "Outage"]
 
 LOG = logging.getLogger(__name__)
 
@@ -20,6 +21,40 @@
 AskOthers = Callable[[ports.LogPlace, Callable[[ports.LogPage], None]], None]
 
 
+class Outage(NamedTuple):
+    """What a VM can tell of the time in which it could not read the log.
+
+    A call that failed was made while the log was away at the latest when it
+    failed; that it was away when a call ended in nothing is not known.
+
+    Parameters
+    ==========
+
+    answered_at : float
+        When the last call that was answered before it was made; seconds.
+    failed_at : float
+        When the last call that failed was made: the log may have been back
+        from then on.
+    regained_at : float
+        When a call was answered again.
+
+    Examples
+    ========
+
+    >>> Outage(answered_at=1.0, failed_at=5.0, regained_at=5.5).longest
+    4.5
+    """
+
+    answered_at: float
+    failed_at: float
+    regained_at: float
+
+    @property
+    def longest(self) -> float:
+        """Seconds that it lasted at most."""
+        return self.regained_at - self.answered_at
+
+
 class Follower:
     """Keeps a VM's view of one partition up to date.
 
@@ -32,9 +67,9 @@
     Parameters
     ==========
 
-    pace : float
-        Least seconds between two reads: each call is paid for, and records
-        of no interest end a waiting read as well.
+    pace : callable
+        Returns the least seconds between two reads: each call is paid for,
+        and records of no interest end a waiting read as well.
     wait : callable
         Returns the seconds that a read waits for a record.
     on_reset : callable
@@ -42,8 +77,8 @@
     on_entries : callable
         Called with what was added since.
     on_regained : callable
-        Called when the log answers again, with how many seconds it was
-        away.
+        Called with the outage when the log answers again, before the
+        records that were read.
     ask_others : callable, optional
         Asks other VMs for their view while the log does not answer; called
         with the place and who takes a page.
@@ -56,9 +91,9 @@
         place: ports.LogPlace,
         on_reset: Callable[[list[ports.LogEntry]], None],
         on_entries: Callable[[list[ports.LogEntry]], None],
-        pace: float = 0.0,
+        pace: Callable[[], float] = lambda: 0.0,
         wait: Callable[[], float] = lambda: 0.0,
-        on_regained: Callable[[float], None] = lambda seconds: None,
+        on_regained: Callable[[Outage], None] = lambda outage: None,
         ask_others: AskOthers = lambda place, on_page: None,
     ):
         self._ask_others = ask_others
@@ -81,6 +116,8 @@
         self._confirmed_at = -math.inf
         self._confirmed_end = -1
         self.lost_since: float | None = None
+        self._answered_at = timers.now()
+        self._failed_at = timers.now()
 
     def start(self) -> None:
         """Begin to follow."""
@@ -179,8 +216,8 @@
 
     def _pause(self, page: ports.LogPage) -> float:
         if page.entries or page.known_after >= self._asked:
-            return self._pace
-        return max(self._pace, RETRY_SECONDS)
+            return self._pace()
+        return max(self._pace(), RETRY_SECONDS)
 
     def _keep(self, page: ports.LogPage, was_reset: bool) -> None:
         if was_reset:
@@ -211,6 +248,7 @@
             self._next = None
             self._plan(0.0)
             return
+        self._failed_at = self._sent_at
         if self.lost_since is None:
             self.lost_since = self._timers.now()
             LOG.warning(
@@ -230,6 +268,8 @@
             self.fresh_at = min(now, self._sent_at + page.known_after)
         if page.next == page.end:
             self.note_confirmed(page.end, self._sent_at)
+        outage = Outage(self._answered_at, self._failed_at, now)
+        self._answered_at = self._sent_at
         if self.lost_since is None:
             return
         seconds = now - self.lost_since
@@ -239,9 +279,11 @@
             extra={
                 "subject": self._place.subject.value,
                 "seconds": round(seconds, 3),
+                "longest": round(outage.longest, 3),
+                "back_for": round(now - outage.failed_at, 3),
             },
         )
-        self._on_regained(seconds)
+        self._on_regained(outage)
 
     def _plan(self, seconds: float) -> None:
         number = self._round
--- a/postspring/keyedlog/tests/test_follower.py
+++ b/postspring/keyedlog/tests/test_follower.py
@@ -27,7 +27,7 @@
             PLACE,
             self.resets.append,
             self.added.extend,
-            pace=0.5,
+            pace=lambda: 0.5,
             on_regained=self.regained.append,
         )
         self.put("a", b"1")
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -110,7 +110,7 @@
             PLACE,
             self._reset,
             self._take,
-            pace=HEARTBEAT_SECONDS,
+            pace=lambda: HEARTBEAT_SECONDS,
             on_regained=self._log_regained,
             ask_others=ask_others,
         )
@@ -292,7 +292,7 @@
                     PLACE, [entry], lambda offset: None, lambda error: None
                 )
 
-    def _log_regained(self, seconds: float) -> None:
+    def _log_regained(self, outage: keyedlog.Outage) -> None:
         """Nobody could renew an entry while the log was away."""
         now = self._timers.now()
         for name in self.by_name:
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -40,6 +40,8 @@
         Where some other VMs listen for VMs; they may be gone.
     drain : float
         Within this time a leaving upstream gets no more work.
+    heartbeat : float
+        How often upstreams write their entries.
     configuration : float
         Within this time a new configuration is in force.
     key_removal : float or None
@@ -75,6 +77,7 @@
     key_removal: float | None = None
     limit_span: float = 5.0
     data_centers: int = 1
+    heartbeat: float = 1.2
 
 
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
@@ -129,6 +132,7 @@
         call_bytes=int(store.get("call_bytes") or 2 * 1024 * 1024),
         key_removal=_key_removal(bounds),
         limit_span=float(bounds.get("quota_window_s") or 5.0),
+        heartbeat=float(raw.get("heartbeat_ms") or 1200) / 1000,
         data_centers=max(1, len(raw.get("zones") or ())),
     )
 
--- a/postspring/upstreams/directory.py
+++ b/postspring/upstreams/directory.py
@@ -30,9 +30,6 @@
 # One start of an upstream.
 IncarnationId = NewType("IncarnationId", str)
 
-# Entries that lapsed while the log was away come back within about 2 s of
-# its return (the platform's page); one still missing then is gone.
-RETURN_SECONDS = 2.3
 # An upstream whose machine does not acknowledge is left alone for this
 # long; when two of a data centre are, all of it is, in seconds.
 UNREACHABLE_SECONDS = 1.5
@@ -83,8 +80,9 @@
     Parameters
     ==========
 
-    missing : bool
-        It has no entry any more, and it is too early to say that it is gone.
+    missing_until : float
+        It has no entry any more, and may be alive all the same: until then
+        it gets new work; without end while it has one.  Seconds.
     unreadable : bool
         Its entry is none that it can have written: it gets no new work.
 
@@ -111,7 +109,7 @@
     warm_at: float = 0.0
     unreachable_at: float = -math.inf
     born: int | None = None
-    missing: bool = False
+    missing_until: float = math.inf
     unreadable: bool = False
 
     @property
@@ -121,6 +119,10 @@
             return IncarnationId(self.id)
         return IncarnationId(f"{self.id}@{self.born}")
 
+    def is_gone(self, now: float) -> bool:
+        """Return whether it has had no entry for too long."""
+        return now >= self.missing_until
+
     def is_unreachable(self, now: float) -> bool:
         """Return whether the machine did not acknowledge lately."""
         return now - self.unreachable_at < UNREACHABLE_SECONDS
@@ -186,7 +188,7 @@
             upstream = None
         if upstream is None:
             upstream = self._add(entry)
-        upstream.missing = False
+        upstream.missing_until = math.inf
         upstream.unreadable = False
         upstream.concurrency = entry.slots
         upstream.warm_at = self._now() + entry.warm_up
@@ -211,7 +213,7 @@
         if upstream is None:
             return
         if self._now() < self._tolerant_until:
-            upstream.missing = True
+            upstream.missing_until = self._tolerant_until
             self._log("upstream missing", upstream)
         else:
             self._drop(upstream)
@@ -233,17 +235,20 @@
             if upstream_id not in present:
                 self.withdraw(upstream_id)
 
-    def tolerate_missing(self) -> None:
-        """The log has just come back: entries may have lapsed meanwhile."""
-        self._tolerant_until = self._now() + RETURN_SECONDS
+    def tolerate_missing(self, until: float) -> None:
+        """Take note that entries may have lapsed while the log was away.
+
+        An upstream that lives writes its entry again; until a moment it
+        gets work without one.
+        """
+        self._tolerant_until = until
 
     def drop_missing(self) -> None:
-        """Drop what is still missing some time after the log's return."""
+        """Forget the upstreams that have had no entry for too long."""
         self._forget_starts()
-        if self._now() < self._tolerant_until:
-            return
+        now = self._now()
         for upstream in list(self.by_id.values()):
-            if upstream.missing:
+            if upstream.is_gone(now):
                 self._drop(upstream)
 
     def usable(self, service: str) -> list[Upstream]:
@@ -303,12 +308,14 @@
     # -- own ------------------------------------------------------------------
 
     def _staying(self, service: str) -> list[Upstream]:
+        now = self._now()
         return [
             upstream
             for upstream in self.by_id.values()
             if upstream.service == service
             and not upstream.leaving
             and not upstream.unreadable
+            and not upstream.is_gone(now)
         ]
 
     def _add(self, entry: Announcement) -> Upstream:
--- a/postspring/upstreams/tests/test_directory.py
+++ b/postspring/upstreams/tests/test_directory.py
@@ -64,7 +64,7 @@
     def setUp(self):
         super().setUp()
         self.announce("a")
-        self.directory.tolerate_missing()
+        self.directory.tolerate_missing(self.now + 2.0)
         self.directory.withdraw("a")
 
     def test_a_missing_one_is_used_for_a_while(self):
@@ -77,8 +77,14 @@
         self.directory.drop_missing()
         self.assertEqual(["a"], self.usable())
 
+    def test_it_gets_no_work_from_that_moment_on(self):
+        # What forgets it runs now and then, and came up to 0.5 s late.
+        self.now += 2.0
+        self.assertEqual([], self.usable())
+        self.assertEqual([], self.directory.last_resort("s"))
+
     def test_then_it_is_gone(self):
-        self.now += 3
+        self.now += 2.0
         self.directory.drop_missing()
         self.assertEqual([], self.usable())
 
