Two reads without an answer fit the bounds on upstreams and configuration

A read of the list of upstreams that was never answered was given up after 1.2 s by a VM that no other one could help: pause 0.9 + 1.2 + 0.3 + answer = 2.6 s of 2.0 s with one lost, 4.07 s with two. A waiting read of the configuration (1.4 s) made 1.94 s with one and up to 3.38 s with two lost.

Reads of both are now sent once more on another connection each 0.3 s, three times in all; the wait and the pause are what is left of the bound when two are lost and the last answer takes 0.3 s (front/read_budget.py).

Ruled out: a shorter time-out alone, which drops answers of a slow log that come after it.

--- a/postspring/front/followers.py
+++ b/postspring/front/followers.py
@@ -5,6 +5,7 @@
 
 from postspring import forwarding
 from postspring.front import configuration as configuration_module
+from postspring.front import read_budget
 from postspring.front import upstream_list
 from postspring.front import upstream_watch
 from postspring import keyedlog
@@ -16,8 +17,8 @@
 __all__ = ["Followers"]
 
 CONFIGURATION_PLACE = keyedlog.LogPlace(keyedlog.Subject.CONFIGURATION, 0)
-# A read of the configuration waits for a change during this share of the
-# time in which one has to be in force: a read that is never answered is
+# A read of the configuration waits for a change during this share, at most, of
+# the time in which one has to be in force: a read that is never answered is
 # noticed only after that.
 CONFIGURATION_WAIT_SHARE = 0.7
 # The same of the time in which a key that was taken away has to be without
@@ -121,7 +122,10 @@
 
 
 def _configuration_wait(vm: platform.VmSettings) -> float:
-    wait = CONFIGURATION_WAIT_SHARE * vm.configuration
+    wait = min(
+        CONFIGURATION_WAIT_SHARE * vm.configuration,
+        read_budget.longest_pause(vm.configuration),
+    )
     if vm.key_removal is None:
         return wait
     return min(wait, KEY_REMOVAL_WAIT_SHARE * vm.key_removal)
--- a/postspring/front/upstream_list.py
+++ b/postspring/front/upstream_list.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 
+from postspring.front import read_budget
 from postspring.front import upstream_watch
 from postspring import keyedlog
 from postspring import transport
@@ -76,7 +77,9 @@
         )
 
     def _pace(self) -> float:
-        pace = PACE_SHARE * self._drain
+        pace = min(
+            PACE_SHARE * self._drain, read_budget.longest_pause(self._drain)
+        )
         if self._timers.now() < self._quick_until:
             return min(pace, RETURN_PACE_SECONDS)
         return pace
--- a/postspring/peering/failover_call.py
+++ b/postspring/peering/failover_call.py
@@ -24,6 +24,15 @@
 # After so many calls in a row that nobody could help with, the log is away for
 # all: one VM is asked then, for each message costs processor time.
 CALLS_IN_VAIN = 2
+# A read of what has to be known within a bound is sent once more on another
+# connection each time that it was not answered for this long, in seconds, and
+# so often in all.
+NEXT_TRY_SECONDS = 0.3
+MOST_TRIES = 3
+BOUNDED_SUBJECTS = (
+    keyedlog.Subject.CONFIGURATION,
+    keyedlog.Subject.UPSTREAMS,
+)
 # A VM that was asked for the configuration and has not answered for this
 # long may itself be turned away: the next one is asked too, in seconds.
 NEXT_HELPER_SECONDS = 0.1
@@ -63,6 +72,8 @@
         self._is_configuration = (
             place.subject is keyedlog.Subject.CONFIGURATION
         )
+        self._is_bounded = place.subject in BOUNDED_SUBJECTS
+        self._tries = 0
         self._open = 0
         self._helpers: list[members_module.Member] | None = None
         self._asked = 0
@@ -87,16 +98,18 @@
             error = keyedlog.LogDown("down")
             self._log.call_later(0, functools.partial(self._fail, error))
         elif self._log.try_direct(self._place):
-            self._open += 1
             if self._is_configuration and not self._log.works(self._place):
                 self._timeout = NEXT_HELPER_SECONDS
             self._timer = self._log.call_later(self._timeout, self._overdue)
-            self._start(
-                self._log.direct, self._direct_done, self._direct_failed
-            )
+            self._send_direct()
         else:
             self._ask(keyedlog.LogUnavailable("direct way lost"))
 
+    def _send_direct(self) -> None:
+        self._open += 1
+        self._tries += 1
+        self._start(self._log.direct, self._direct_done, self._direct_failed)
+
     def _direct_done(self, result) -> None:
         self._log.direct_done(self._place)
         self._done(result)
@@ -142,15 +155,22 @@
             self._timer = self._log.call_later(more, self._overdue)
             return
         self._log.direct_failed(self._place, "slow")
-        if worked and self._is_configuration:
-            # The connection may be silent, and not the log: a VM that was
-            # alone heard of a configuration at the call's time-out.
-            self._open += 1
-            self._start(
-                self._log.direct, self._direct_done, self._direct_failed
-            )
+        if self._is_bounded and (worked or self._tries > 1):
+            self._try_again()
         self._ask(keyedlog.LogUnavailable("slow"))
 
+    def _try_again(self) -> None:
+        """Read once more: the connection may be silent, and not the log.
+
+        A VM that was alone heard of a configuration, and of upstreams that
+        left, at the call's time-out.
+        """
+        if self._tries < MOST_TRIES:
+            self._timer = self._log.call_later(NEXT_TRY_SECONDS, self._overdue)
+            self._send_direct()
+        elif not self._asked:
+            self._give_up()
+
     def _give_up(self) -> None:
         if not self._finished:
             self._fail(keyedlog.LogUnavailable("slow"))
