A VM that is gone drops off the list while calls fail now and then

With a log that refuses each first read a VM that was gone stayed on the list for good (test: still there after 40 s, expiry 13 s), and was asked, waited for and counted as a sharer of the log's rate. Now an outage is two failed calls in a row, and entries get the time that it lasted at most. A test keeps VMs on the list through an outage of 40 s and 20 s after it.

--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -32,6 +32,8 @@
 
     answered_at : float
         When the last call that was answered before it was made; seconds.
+    lost_at : float
+        When the first call that failed was made.
     failed_at : float
         When the last call that failed was made: the log may have been back
         from then on.
@@ -41,14 +43,21 @@
     Examples
     ========
 
-    >>> Outage(answered_at=1.0, failed_at=5.0, regained_at=5.5).longest
-    4.5
+    >>> outage = Outage(1.0, 2.0, failed_at=5.0, regained_at=5.5)
+    >>> outage.shortest, outage.longest
+    (3.0, 4.5)
     """
 
     answered_at: float
+    lost_at: float
     failed_at: float
     regained_at: float
 
+    @property
+    def shortest(self) -> float:
+        """Seconds that it lasted at least; 0 if one call alone failed."""
+        return self.failed_at - self.lost_at
+
     @property
     def longest(self) -> float:
         """Seconds that it lasted at most."""
@@ -117,6 +126,7 @@
         self._confirmed_end = -1
         self.lost_since: float | None = None
         self._answered_at = timers.now()
+        self._lost_at = timers.now()
         self._failed_at = timers.now()
 
     def start(self) -> None:
@@ -250,6 +260,7 @@
             return
         self._failed_at = self._sent_at
         if self.lost_since is None:
+            self._lost_at = self._sent_at
             self.lost_since = self._timers.now()
             LOG.warning(
                 "log lost",
@@ -268,7 +279,7 @@
             self.fresh_at = min(now, self._sent_at + page.known_after)
         if page.next == page.end:
             self.note_confirmed(page.end, self._sent_at)
-        outage = Outage(self._answered_at, self._failed_at, now)
+        outage = Outage(self._answered_at, self._lost_at, self._failed_at, now)
         self._answered_at = self._sent_at
         if self.lost_since is None:
             return
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -293,10 +293,15 @@
                 )
 
     def _log_regained(self, outage: keyedlog.Outage) -> None:
-        """Nobody could renew an entry while the log was away."""
-        now = self._timers.now()
+        """Nobody could renew an entry while the log was away.
+
+        One call that failed is no outage: a busy log refuses some.
+        """
+        if not outage.shortest:
+            return
         for name in self.by_name:
-            self._seen_at_by_name[name] = now
+            seen_at = self._seen_at_by_name[name] + outage.longest
+            self._seen_at_by_name[name] = min(self._timers.now(), seen_at)
 
     def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
         self.by_name.clear()
--- a/postspring/peering/tests/test_members.py
+++ b/postspring/peering/tests/test_members.py
@@ -1,5 +1,6 @@
 """The list of the entry VMs, in virtual time."""
 
+import itertools
 import unittest
 
 from postspring import peering
@@ -73,6 +74,31 @@
         self.assertEqual([], self.names(self.one.others))
         self.assertEqual(["two"], self.names(self.one.absent))
 
+    def test_it_expires_while_calls_fail_now_and_then(self):
+        # Each one was taken for an outage, in which nobody renews an entry.
+        log = self.one._log
+        read = log.read
+        refused = itertools.cycle((True, False))
+
+        def read_or_refuse(*arguments, **options):
+            log.faults.busy = int(next(refused))
+            read(*arguments, **options)
+
+        log.read = read_or_refuse
+        self.clock.run_for(40.0)
+        self.assertEqual([], self.names(self.one.listed))
+
+    def test_it_is_listed_through_an_outage(self):
+        self.two._log.faults.silent = False
+        for members in (self.one, self.two):
+            members._log.faults.down = True
+        self.clock.run_for(40.0)
+        for members in (self.one, self.two):
+            members._log.faults.down = False
+        for _ in range(40):
+            self.clock.run_for(0.5)
+            self.assertEqual(["two"], self.names(self.one.listed))
+
     def test_it_is_listed_again_when_it_comes_back(self):
         self.clock.run_for(20.0)
         self.two._log.faults.silent = False
