Lines of calls say when an upstream without an entry was sent to

No line said whether the upstream that a request was sent to had an entry then; it had to be put together from two others.

--- a/postspring/forwarding/attempts.py
+++ b/postspring/forwarding/attempts.py
@@ -45,11 +45,13 @@
         self.count = 0
         self.unsent = 0
         self.may_have_run = False
+        self.without_entry = 0
 
-    def begin(self, upstream: str) -> None:
+    def begin(self, upstream: str, has_entry: bool = True) -> None:
         """Take note that the call is sent to an upstream."""
         self.tried.add(upstream)
         self._is_counted = False
+        self.without_entry += not has_entry
 
     def note_run(self) -> None:
         """Take note that the upstream ran it, or may have."""
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -133,7 +133,7 @@
         if upstream is None:
             self._give_up(self._why_none())
             return
-        self.attempts.begin(upstream.incarnation)
+        self.attempts.begin(upstream.incarnation, upstream.has_entry)
         self.upstream = upstream
         upstream.in_flight += 1
         self._holds_place = True
--- a/postspring/upstreams/directory.py
+++ b/postspring/upstreams/directory.py
@@ -119,6 +119,11 @@
             return IncarnationId(self.id)
         return IncarnationId(f"{self.id}@{self.born}")
 
+    @property
+    def has_entry(self) -> bool:
+        """Whether the log has an entry of it, as far as is known here."""
+        return self.missing_until == math.inf
+
     def is_gone(self, now: float) -> bool:
         """Return whether it has had no entry for too long."""
         return now >= self.missing_until
