Soak: upstreams leave, and requests that reach one too late are found

Its verdict had no DRAIN rule and no upstream that leaves, so the incident could not show in it. Upstreams now leave and come back under new ids (profile leaves), some by the removal of their entry alone; entries lapse after three heartbeats of silence. Judged from the upstreams' own lines and the store's acknowledgement.

--- a/postspring/testing/fleet/store_service.py
+++ b/postspring/testing/fleet/store_service.py
@@ -25,8 +25,7 @@
 
     ``refuse`` is a status with which calls are turned away, ``silent``
     leaves them unanswered, ``lose_answers`` appends are done and not
-    answered.  ``refused_callers`` are IP numbers that alone get the
-    refusal.  ``too_large`` counts appends whose records or whose sum of
+    answered.  ``too_large`` counts appends whose records or whose sum of
     records is above the bounds; they are refused.  An append takes
     ``append_seconds``, and a partition does one at a time; those whose
     caller is gone by then have not arrived.
--- a/postspring/testing/soak/events.py
+++ b/postspring/testing/soak/events.py
@@ -123,11 +123,20 @@
                 return event.at
         return 0.0
 
-    def is_disturbed(self, begin: float, end: float) -> bool:
-        """Whether anything unplanned was going on, or had been lately."""
+    def is_disturbed(
+        self, begin: float, end: float, stability: float | None = None
+    ) -> bool:
+        """Whether anything unplanned was going on, or had been lately.
+
+        Parameters
+        ----------
+        stability : float, optional
+            In place of the deployment's; seconds.
+        """
+        if stability is None:
+            stability = self.stability
         return any(
-            event.at <= end
-            and max(event.at, event.until) + self.stability >= begin
+            event.at <= end and max(event.at, event.until) + stability >= begin
             for event in self.events
             if event.action in _UNPLANNED
         )
--- a/postspring/testing/soak/plan.py
+++ b/postspring/testing/soak/plan.py
@@ -52,6 +52,8 @@
     final : float
         So long before the end all VMs are killed at once; nothing is done
         after that.
+    leaves : float
+        From an upstream's start until it leaves.
     """
 
     stops: float = 0.0
@@ -61,6 +63,7 @@
     pauses: float = 0.0
     store: float = 0.0
     final: float = 0.0
+    leaves: float = 0.0
 
 
 PROFILES = {
@@ -76,6 +79,7 @@
         store=12.0,
     ),
     "herds": Profile(kills=6.0, store=8.0),
+    "leaves": Profile(stops=12.0, store=5.0, leaves=10.0),
     "final": Profile(stops=6.0, store=8.0, final=25.0),
 }
 # Nothing is done before this, nor in the last seconds.
--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -2,6 +2,7 @@
 
 import collections
 import contextlib
+import dataclasses
 import pathlib
 import shutil
 import signal
@@ -30,11 +31,16 @@
         self.folder = folder
         self.lines = lines
         self.verdict = verdict_module.judge(
-            lines.attempts, lines.runs, lines.events
+            lines.attempts,
+            lines.runs,
+            lines.events,
+            leaves=lines.leaves,
         )
         self.counts = collections.Counter(
             event.action for event in lines.events
         )
+        if lines.leaves:
+            self.counts["leave"] = len(lines.leaves)
         self.rules = collections.Counter(
             finding.rule for finding in self.verdict.findings
         )
@@ -81,13 +87,13 @@
 ) -> Outcome:
     """Play one run in a folder and judge it."""
     folder.mkdir(parents=True)
+    chosen = plan_module.PROFILES[profile]
+    shape = dataclasses.replace(shape, leaves=chosen.leaves)
     network, claim = world_module.claim_network()
     world = world_module.build_world(
         shape, seed, str(folder.resolve()), network
     )
-    steps = plan_module.draw_plan(
-        seed, plan_module.PROFILES[profile], seconds, shape.vms
-    )
+    steps = plan_module.draw_plan(seed, chosen, seconds, shape.vms)
     with contextlib.closing(claim):
         stage = stage_module.Stage(world, burners, stalls)
         return Outcome(seed, folder, stage.play(steps, seconds))
--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -13,6 +13,7 @@
 from postspring.testing.fleet import fleet
 from postspring.testing import processes
 from postspring.testing.soak import events as events_module
+from postspring.testing.soak import leaving
 from postspring.testing.soak import plan as plan_module
 from postspring.testing.soak import records
 from postspring.testing.soak import world as world_module
@@ -41,6 +42,7 @@
     attempts: list[records.Attempt]
     runs: list[records.Run]
     events: list[events_module.Event]
+    leaves: list[leaving.Leave]
 
 
 @dataclasses.dataclass(slots=True)
@@ -282,6 +284,9 @@
             records.load_records([folder / "attempts.jsonl"], records.Attempt),
             records.load_records(upstreams, records.Run),
             events_module.load_events(folder / "events.jsonl"),
+            records.load_records(
+                sorted(folder.glob("leaves-*.jsonl")), leaving.Leave
+            ),
         )
 
 
--- a/postspring/testing/soak/store_process.py
+++ b/postspring/testing/soak/store_process.py
@@ -6,7 +6,9 @@
 from circuits import BaseComponent
 from circuits.core import pollers
 
+from postspring.platform import names
 from postspring.testing.fleet import store_service
+from postspring.testing.soak import leaving
 from postspring import transport
 
 __all__ = ["SlowStore", "run_store"]
@@ -66,5 +68,6 @@
     root = BaseComponent()
     pollers.EPoll().register(root)
     timers = transport.Timers().register(root)
-    SlowStore(root, timers, address, control, seed)
+    service = SlowStore(root, timers, address, control, seed)
+    leaving.EntryLeases(timers, names.SERVERS_TOPIC, service).start()
     root.run()
--- a/postspring/testing/soak/upstream_process.py
+++ b/postspring/testing/soak/upstream_process.py
@@ -7,12 +7,12 @@
 from circuits import BaseComponent
 from circuits.core import pollers
 
-from postspring import keyedlog
 from postspring import platform
 from postspring.platform import names
 from postspring.testing.fleet import engine_service
 from postspring.testing.fleet import fleet
 from postspring.testing.soak import digests
+from postspring.testing.soak import leaving
 from postspring.testing.soak import records
 from postspring.testing.soak import world as world_module
 from postspring import transport
@@ -49,10 +49,10 @@
         self._slots = SLOTS_BY_SERVICE[place.service]
         self._sequence = 0
 
-    def fresh_entry(self) -> bytes:
+    def fresh_entry(self, state: str = "ready") -> bytes:
         """Return what it writes into the store at a heartbeat."""
         self._sequence += 1
-        entry = self.entry(self.place.service) | {
+        entry = self.entry(self.place.service, state) | {
             "zone": self.place.data_center,
             "slots": self._slots,
             "sequence": self._sequence,
@@ -65,7 +65,7 @@
         self.arrivals += 1
         run = records.Run(
             id=call.header(names.REQUEST_ID),
-            key=f"{self.id}-{self.arrivals}",
+            key=f"{self.place.id}-{self.arrivals}",
             upstream=self.id,
             began=self._timers.now(),
             ran=False,
@@ -164,19 +164,13 @@
     store = platform.Store(http, world.store, 24)
     name = f"upstream-{service}.jsonl"
     lines = open(pathlib.Path(world.folder, name), "a")
+    left = open(pathlib.Path(world.folder, f"leaves-{service}.jsonl"), "a")
     for place in world.upstreams:
         if place.service != service:
             continue
         upstream = SoakUpstream(root, timers, place, lines, world.seed)
-        timers.call_later(0, _beat, timers, store, upstream)
+        beats = leaving.Beats(
+            timers, store, upstream, world.leaves, left, world.seed
+        )
+        timers.call_later(0, beats.start)
     root.run()
-
-
-def _beat(timers, store, upstream: SoakUpstream) -> None:
-    """Write the upstream's entry, again and again."""
-    timers.call_later(
-        world_module.HEARTBEAT_SECONDS, _beat, timers, store, upstream
-    )
-    entry = keyedlog.LogEntry(upstream.id, upstream.fresh_entry())
-    place = keyedlog.LogPlace(keyedlog.Subject.UPSTREAMS, 0)
-    store.append(place, [entry], lambda first: None, lambda error: None)
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -2,10 +2,12 @@
 
 import bisect
 import collections
+from collections.abc import Sequence
 import dataclasses
 import math
 
 from postspring.testing.soak import events as events_module
+from postspring.testing.soak import leaving
 from postspring.testing.soak import records
 from postspring.testing.soak import world
 
@@ -50,10 +52,13 @@
         Longest time that the routes keep a request.
     limit_by_workspace : dict
         Requests in any span, before what is allowed over it.
+    drain : float
+        Within this an upstream that leaves is left alone.
     """
 
     slack: float = 0.2
     retention: float = 60.0
+    drain: float = world.BOUNDS["drain_ms"] / 1000
     upstreams: int = 3
     patience_by_kind: dict = dataclasses.field(
         default_factory=lambda: {
@@ -112,6 +117,7 @@
     runs: list[records.Run],
     events: list[events_module.Event],
     bounds: Bounds | None = None,
+    leaves: Sequence[leaving.Leave] = (),
 ) -> Verdict:
     """Return the findings in the lines of a run."""
     run = _Judgement(
@@ -119,6 +125,7 @@
         {item.key: item for item in runs}.values(),
         events_module.History(events),
         bounds or Bounds(),
+        leaves,
     )
     run.judge()
     return run.verdict
@@ -127,11 +134,12 @@
 class _Judgement:
     """The lines of one run, by request."""
 
-    def __init__(self, attempts, runs, history, bounds: Bounds):
+    def __init__(self, attempts, runs, history, bounds: Bounds, leaves):
         self.verdict = Verdict()
         self._attempts = attempts
         self._history = history
         self._bounds = bounds
+        self._leaves = leaves
         self._by_id = {attempt.id: attempt for attempt in attempts}
         self._runs = list(runs)
         self._runs_by_id = collections.defaultdict(list)
@@ -159,6 +167,7 @@
         self._judge_tries()
         self._judge_counts()
         self._judge_limits()
+        self._judge_leaves()
         for event in self._history.events:
             if event.action == "own_end":
                 text = f"{event.vm} ended with status {event.status}"
@@ -279,6 +288,14 @@
                 text = f"{fullest} runs in {LIMIT_SPAN} s, {limit} allowed"
                 self.verdict.add("QUOTA", workspace, text)
 
+    def _judge_leaves(self) -> None:
+        late_runs = leaving.late_runs(
+            self._leaves, self._runs, self._history, self._bounds.drain
+        )
+        for run, late in late_runs:
+            text = f"reached {run.upstream} {late:.3f} s after it left"
+            self.verdict.add("DRAIN", run.id, text)
+
     def _judge_denials(self) -> None:
         denied = [
             attempt
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -64,6 +64,8 @@
     half_close : float
         Share of the plain calls whose callers end their own sending with
         the request.
+    leaves : float
+        Mean seconds after which an upstream leaves; 0 for never.
     """
 
     vms: int = 11
@@ -71,6 +73,7 @@
     services: int = 13
     users: int = 80
     half_close: float = 0.0
+    leaves: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -126,6 +129,7 @@
     folder: str
     users: int
     half_close: float
+    leaves: float
     vms: tuple[Vm, ...]
     upstreams: tuple[Upstream, ...]
 
@@ -182,6 +186,7 @@
             "bootstrap": bootstrap,
             "limits": {"memory_mb": 160, "max_fds": 8200},
             "data_dir": None,
+            "heartbeat_ms": round(HEARTBEAT_SECONDS * 1000),
             "bounds": BOUNDS,
             "platform": {
                 "address": "{}:{}".format(*self.store),
@@ -227,6 +232,7 @@
         folder=folder,
         users=shape.users,
         half_close=shape.half_close,
+        leaves=shape.leaves,
         vms=vms,
         upstreams=tuple(upstreams),
     )
