--- a/postspring/front/tests/test_lost_reads.py
+++ b/postspring/front/tests/test_lost_reads.py
@@ -41,6 +41,7 @@
         self._lossy = None
         self._left = 0
         self._under_way = {}
+        self._refusals = []
 
     def lose(self, place, count):
         """Lose that many answers from now on, the one due next first."""
@@ -50,8 +51,16 @@
             for answer in self._under_way[place]:
                 answer.is_lost = True
 
+    def refuse(self, place, errors):
+        """Refuse the next reads, each with an error."""
+        self._lossy, self._refusals = place, list(errors)
+
     def read(self, place, start, on_page, on_error, wait=0.0):
-        """Read, or let the caller's time run out."""
+        """Read, be refused, or let the caller's time run out."""
+        if place == self._lossy and self._refusals:
+            error = self._refusals.pop()
+            self._timers.call_later(self.faults.latency, on_error, error)
+            return
         answer = _Answer(self._timers, on_page, on_error, wait)
         if place == self._lossy and self._left:
             self._left -= 1
@@ -148,12 +157,12 @@
         """Add a record."""
         self.data.append(place, [keyedlog.LogEntry(key, value)])
 
-    def seconds_until_known(self, place, key, value, lost, bound, moment):
+    def seconds_until_known(self, place, key, value, spoil, bound, moment):
         """Return how long a record takes to have its effect."""
         self.start(bound)
         self.clock.run_for(bound * moment / MOMENTS)
         self.direct.faults.latency = SLOW_SECONDS
-        self.direct.lose(place, lost)
+        spoil(place)
         begun = self.timers.now()
         self.known_at.clear()
         self.write(place, key, value)
@@ -161,17 +170,29 @@
         return self.known_at[place] - begun
 
     def check(self, place, key, value):
-        """Look at every bound, number of lost reads and moment."""
+        """Look at every bound, each way in which reads fail, and moment."""
         late = {}
-        cases = itertools.product(BOUNDS, (0, 1, 2), range(MOMENTS))
-        for bound, lost, moment in cases:
+        cases = itertools.product(BOUNDS, self.ways(), range(MOMENTS))
+        for bound, (name, spoil), moment in cases:
             seconds = self.seconds_until_known(
-                place, key, value, lost, bound, moment
+                place, key, value, spoil, bound, moment
             )
             if seconds > bound:
-                late[bound, lost, moment] = round(seconds, 2)
+                late[bound, name, moment] = round(seconds, 2)
         self.assertEqual({}, late)
 
+    def ways(self):
+        """Return how reads fail, by name."""
+        busy = keyedlog.LogBusy("status_429")
+        away = keyedlog.LogUnavailable("status_503")
+        return (
+            ("none lost", lambda place: None),
+            ("one lost", lambda place: self.direct.lose(place, 1)),
+            ("two lost", lambda place: self.direct.lose(place, 2)),
+            ("one busy", lambda place: self.direct.refuse(place, [busy])),
+            ("one away", lambda place: self.direct.refuse(place, [away])),
+        )
+
     def test_an_upstream_that_leaves_is_left_alone_within_the_bound(self):
         self.check(upstream_list.UPSTREAMS_PLACE, "a", b"leaving")
 
