For how long a call is retried is called a timeout

patience was a word of our own in the client library, the emulator's callers and the soak; the client's argument is retry_timeout now, as its connections have a timeout already.

--- a/examples/demo_program.py
+++ b/examples/demo_program.py
@@ -71,7 +71,7 @@
 def ready(vm):
     """Return whether a VM has the configuration and all slots an owner."""
     connection = client.EntryClient([CALLER_ADDRESS_BY_VM[vm]])
-    status = connection.request("GET", "/v1/status", patience=0).body
+    status = connection.request("GET", "/v1/status", retry_timeout=0).body
     owners = status["slot_owners"].values()
     return status["configuration_version"] and all(owners)
 
--- a/postspring/client/connection.py
+++ b/postspring/client/connection.py
@@ -95,7 +95,11 @@
         self._timeout = timeout
 
     def request(
-        self, method: str, path: str, body: Any = None, patience: float = 20.0
+        self,
+        method: str,
+        path: str,
+        body: Any = None,
+        retry_timeout: float = 20.0,
     ) -> Answer:
         """Return a whole answer.
 
@@ -104,7 +108,7 @@
 
         Parameters
         ----------
-        patience : float
+        retry_timeout : float
             Seconds for which refusals that say when to come back, and VMs
             that don't answer, are retried.
 
@@ -116,7 +120,8 @@
             If no VM answered.
         """
         return self._retry(
-            lambda address: self._once(address, method, path, body), patience
+            lambda address: self._once(address, method, path, body),
+            retry_timeout,
         )
 
     def stream(
@@ -124,7 +129,7 @@
         path: str,
         body: Any,
         on_text: Callable[[str], None] | None = None,
-        patience: float = 20.0,
+        retry_timeout: float = 20.0,
     ) -> dict[str, Any]:
         """Return the turn that ends a streamed answer.
 
@@ -133,11 +138,13 @@
         """
         return self._retry(
             lambda address: self._stream_once(address, path, body, on_text),
-            patience,
+            retry_timeout,
         )
 
-    def _retry(self, attempt: Callable[[str], Any], patience: float) -> Any:
-        deadline = time.monotonic() + patience
+    def _retry(
+        self, attempt: Callable[[str], Any], retry_timeout: float
+    ) -> Any:
+        deadline = time.monotonic() + retry_timeout
         while True:
             address = self._addresses[self._next % len(self._addresses)]
             try:
--- a/postspring/client/program.py
+++ b/postspring/client/program.py
@@ -116,7 +116,7 @@
         text: str,
         on_text: Callable[[str], None] | None = None,
         max_tokens: int | None = None,
-        patience: float = 20.0,
+        retry_timeout: float = 20.0,
     ) -> CallResult:
         """Call a model with a user's message; the answer is streamed."""
         body: dict[str, Any] = {
@@ -129,7 +129,7 @@
             body["max_tokens"] = max_tokens
         path = self._path("/calls")
         turn = self._client.stream(
-            path, self._numbered(body), on_text, patience
+            path, self._numbered(body), on_text, retry_timeout
         )
         return self._took(turn)
 
@@ -137,7 +137,7 @@
         self,
         tool: str,
         arguments: Any,
-        patience: float = 20.0,
+        retry_timeout: float = 20.0,
         key: str | None = None,
     ) -> CallResult:
         """Call a tool; it runs at most once, however often we ask.
@@ -154,7 +154,7 @@
         if key is not None:
             body["key"] = key
         answer = self._client.request(
-            "POST", self._path("/calls"), body, patience
+            "POST", self._path("/calls"), body, retry_timeout
         )
         return self._took(answer.body)
 
--- a/postspring/client/tests/test_connection.py
+++ b/postspring/client/tests/test_connection.py
@@ -38,7 +38,7 @@
         self.addCleanup(server.shutdown)
         return server
 
-    def ask(self, refusal, patience):
+    def ask(self, refusal, retry_timeout):
         """Ask a VM that refuses and one that answers."""
         first = self.serve(refusal)
         second = self.serve({"status": "ok"})
@@ -48,7 +48,7 @@
         ]
         entry = client.EntryClient(addresses)
         try:
-            return entry.request("GET", "/", patience=patience).body
+            return entry.request("GET", "/", retry_timeout=retry_timeout).body
         finally:
             self.first, self.second = first, second
 
--- a/postspring/peering/tests/test_failover.py
+++ b/postspring/peering/tests/test_failover.py
@@ -96,7 +96,7 @@
         self.assertEqual(helped, len(self.helped.calls))
 
     def test_one_partition_that_is_silent_is_waited_for_once(self):
-        # By reading: each try of a way that is lost had the patience of a
+        # By reading: each try of a way that is lost had the time-out of a
         # slow log's, as the log took other calls; a turn waits for 0.6 s.
         direct, append = self.direct, self.direct.append
         direct.append = lambda place, *rest: (
--- a/postspring/testing/process_stage.py
+++ b/postspring/testing/process_stage.py
@@ -11,7 +11,7 @@
 
 __all__ = ["ProcessStage", "run_on_processes"]
 
-PATIENCE_SECONDS = 40.0
+RETRY_SECONDS = 40.0
 REQUEST_SECONDS = 12.0
 SETTLE_SECONDS = 30.0
 
@@ -27,13 +27,15 @@
 
     def call(self, kind: str, key: str, once: bool) -> None:
         """Issue a call and note what was told."""
-        patience = 0.0 if once else PATIENCE_SECONDS
+        retry_timeout = 0.0 if once else RETRY_SECONDS
         try:
             if kind == "model":
-                result = self.program.ask("advisor", key, patience=patience)
+                result = self.program.ask(
+                    "advisor", key, retry_timeout=retry_timeout
+                )
             else:
                 result = self.program.use_tool(
-                    "parts", {"key": key}, patience=patience, key=key
+                    "parts", {"key": key}, retry_timeout=retry_timeout, key=key
                 )
         except connection.RefusedError as error:
             self.told.append(f"refused {error.ran} {error.reason}")
--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -205,11 +205,11 @@
     def _configure(self) -> None:
         """Publish the next version, with other times in it."""
         self._version += 1
-        patience = 5000 + self._version % 2
+        timeout_ms = 5000 + self._version % 2
         record = {
             "topic": names.OPERATOR_TOPIC,
             "key": names.CONFIGURATION_KEY,
-            "value": world_module.configuration(self._version, patience),
+            "value": world_module.configuration(self._version, timeout_ms),
         }
         now = time.monotonic()
         processes.fetch(self._control, "POST", "/put", record)
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -48,7 +48,7 @@
         For so long a turn that was answered can be gone on from.
     upstreams : int
         On so many upstreams a request may run.
-    patience_by_kind : dict
+    timeout_by_kind : dict
         Longest time that the routes keep a request.
     limit_by_workspace : dict
         Requests in any span, before what is allowed over it.
@@ -60,7 +60,7 @@
     retention: float = 60.0
     drain: float = world.BOUNDS["drain_ms"] / 1000
     upstreams: int = 3
-    patience_by_kind: dict = dataclasses.field(
+    timeout_by_kind: dict = dataclasses.field(
         default_factory=lambda: {
             records.Kind.SAFE: 2.0,
             records.Kind.UNSAFE: 6.0,
@@ -238,8 +238,8 @@
     def _is_excluded(self, attempt, runs) -> bool:
         if any(run.end == "broke_off" for run in runs):
             return True
-        patience = self._bounds.patience_by_kind[attempt.kind]
-        end = min(attempt.deadline, attempt.sent + patience)
+        timeout = self._bounds.timeout_by_kind[attempt.kind]
+        end = min(attempt.deadline, attempt.sent + timeout)
         if attempt.ended >= end - DEADLINE_SLACK:
             return True
         stop = self._history.stop_of(attempt.vm, attempt.ended)
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -238,20 +238,20 @@
     )
 
 
-def configuration(version: int, patience: int = 5000) -> dict:
+def configuration(version: int, timeout_ms: int = 5000) -> dict:
     """Return the configuration in the shape of the users' sheet.
 
     Parameters
     ==========
 
-    patience : int
+    timeout_ms : int
         Longest time that a request is kept, in ms.
     """
     document = fleet.default_configuration(version)
     traits = {
         "safe": (2000, 410, 3),
         "once": (6000, 1240, 2),
-        "stream": (patience, 200, 3),
+        "stream": (timeout_ms, 200, 3),
     }
     document["routes"] = [
         route
--- a/postspring/testing/virtual/callers.py
+++ b/postspring/testing/virtual/callers.py
@@ -97,14 +97,14 @@
         The deployment.
     program : str
         The program's id.
-    patience : float
+    retry_timeout : float
         Seconds for which a call is asked again.
     """
 
-    def __init__(self, world: Any, program: str, patience: float = 120.0):
+    def __init__(self, world: Any, program: str, retry_timeout: float = 120.0):
         self._world = world
         self.program = program
-        self.patience = patience
+        self.retry_timeout = retry_timeout
         self.step = 0
         self.digest = ""
         self.receipts: list[str] = []
@@ -131,7 +131,7 @@
         self._busy = True
         outcome, once = self._queue.pop(0)
         outcome.step = self.step + 1
-        deadline = self._world.clock.now + self.patience
+        deadline = self._world.clock.now + self.retry_timeout
         _Asking(self, self._world, outcome, once, deadline).ask()
 
     def settle(self, outcome: Outcome) -> None:
--- a/postspring/testing/virtual/world.py
+++ b/postspring/testing/virtual/world.py
@@ -245,7 +245,7 @@
         vm: str | None = None,
         budget: int | None = None,
         parent: str | None = None,
-        patience: float = 120.0,
+        retry_timeout: float = 120.0,
     ) -> callers.VirtualCaller:
         """Create a program and return its caller."""
         body: dict[str, Any] = {"service": "agentes", "key": f"create-{name}"}
@@ -276,7 +276,7 @@
             return bool(made)
 
         self.run_until(ask, 60, f"program {name}")
-        caller = callers.VirtualCaller(self, made[0], patience)
+        caller = callers.VirtualCaller(self, made[0], retry_timeout)
         self.caller_by_name[name] = caller
         return caller
 
