--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -12,7 +12,7 @@
 
 __all__ = ["JournalReader"]
 
-# Patience with a partition that failed just now, in seconds; above the
+# For how long a partition that failed just now is tried, in seconds; above the
 # store's usual 4 ms.
 FAILING_TIMEOUT_SECONDS = 0.05
 
