--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -292,7 +292,7 @@
                 "subject": self._place.subject.value,
                 "seconds": round(seconds, 3),
                 "longest": round(outage.longest, 3),
-                "back_for": round(now - outage.away_at, 3),
+                "shortest": round(outage.shortest, 3),
             },
         )
         self._on_regained(outage)
