Test of homes waits for the promise that binds the other VMs

Traced with the VMs' lines: the next turns were refused as budget_reserved with is_deferred, 0.07 s after another VM had asked for the home; its promise holds for 0.5 s, recorded or not, so the refusal is allowed.

What is asserted stays.

--- a/postspring/front/tests/test_homes.py
+++ b/postspring/front/tests/test_homes.py
@@ -14,6 +14,7 @@
 
 from postspring.front.tests import test_absence
 from postspring import histories
+from postspring.peering import promises
 from postspring.testing.fleet import case
 
 # The stand-in's turns: three events of four tokens.
@@ -190,6 +191,8 @@
         partition._retry_now()
         home = self.fleet.nodes[0].journal
         self.fleet.turn_until(lambda: not home.unrecorded)
+        # Until then other VMs stay back for the home, recorded or not.
+        self.fleet.turn_for(promises.PROMISE_SECONDS)
         self.spend("next", vm=1)
         self.assertEqual(36, self.handed)
 
