--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -93,8 +93,8 @@
             attempts=delivery.attempts.count,
             unsent=delivery.attempts.unsent,
         )
-        if delivery.attempts.without_entry:
-            without = delivery.attempts.without_entry
-            self._outcome.add(without_entry=without)
+        without_entry = delivery.attempts.without_entry
+        if without_entry:
+            self._outcome.add(without_entry=without_entry)
         if delivery.resumed:
             self._outcome.add(resumed=delivery.resumed)
--- a/postspring/testing/soak/leaving.py
+++ b/postspring/testing/soak/leaving.py
@@ -3,7 +3,6 @@
 from collections.abc import Iterable
 from collections.abc import Iterator
 import dataclasses
-import json
 import random
 from typing import TextIO
 
@@ -124,8 +123,7 @@
 
     def _acknowledged(self, said_at: float) -> None:
         leave = Leave(self._upstream.id, said_at, self._timers.now())
-        self._lines.write(json.dumps(dataclasses.asdict(leave)) + "\n")
-        self._lines.flush()
+        records.write_record(self._lines, leave)
         drain = world_module.BOUNDS["drain_ms"] / 1000
         seconds = drain + self._draw.uniform(*LINGER_SECONDS)
         self._timers.call_later(seconds, self._come_back)
--- a/postspring/testing/soak/records.py
+++ b/postspring/testing/soak/records.py
@@ -4,6 +4,7 @@
 import enum
 import json
 import pathlib
+from typing import Any
 from typing import TextIO
 
 from postspring.platform import names
@@ -146,8 +147,8 @@
     has_key: bool = False
 
 
-def write_record(file: TextIO, record: Attempt | Run) -> None:
-    """Append a line and hand it to the kernel."""
+def write_record(file: TextIO, record: Any) -> None:
+    """Append a line of a dataclass's fields and hand it to the kernel."""
     file.write(json.dumps(dataclasses.asdict(record)) + "\n")
     file.flush()
 
