A lost answer is made up for at once while the log takes other calls

Cause, from a trace of all calls of a partition: (1) after a failed call the next one was sent once, though the log answered other partitions meanwhile; (2) the time until any of the calls was answered, lost ones included, counted as what appends usually take, and 2.5 times that was waited before the next was sent. Ruled out: connections that stay silent (the stand-in has none).

--- a/postspring/histories/appending.py
+++ b/postspring/histories/appending.py
@@ -1,6 +1,7 @@
 """One batch of records on its way to the log."""
 
 from collections.abc import Callable
+import functools
 
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
@@ -23,7 +24,8 @@
     may_resend : callable
         Returns whether the log is known not to fail.
     on_done : callable
-        Told the offset of the first record, once.
+        Told once the offset of the first record, and the seconds that the
+        call took which was answered.
     on_error : callable
         Told the last failure, once no call is open any more.
     """
@@ -37,7 +39,7 @@
         timers: timers_module.Timers,
         pauses: list[float],
         may_resend: Callable[[], bool],
-        on_done: Callable[[int], None],
+        on_done: Callable[[int, float], None],
         on_error: Callable[[keyedlog.KeyedLogError], None],
     ):
         self._send = send
@@ -59,7 +61,8 @@
                 self._pauses[self._sent], self._again
             )
         self._sent += 1
-        self._send(self._appended, self._failed)
+        appended = functools.partial(self._appended, self._timers.now())
+        self._send(appended, self._failed)
 
     # -- own ------------------------------------------------------------------
 
@@ -67,11 +70,11 @@
         if not self._done:
             self.start()
 
-    def _appended(self, first: int) -> None:
+    def _appended(self, sent_at: float, first: int) -> None:
         if self._done:
             return
         self._finish()
-        self._on_done(first)
+        self._on_done(first, self._timers.now() - sent_at)
 
     def _failed(self, error: keyedlog.KeyedLogError) -> None:
         self._open -= 1
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -100,7 +100,7 @@
 
     @property
     def has_failed(self) -> bool:
-        """Whether the last call failed: then it is sent once."""
+        """Whether the last call failed."""
         return self._reach.has_failed
 
     @property
@@ -230,15 +230,17 @@
             functools.partial(self._log.append, self._place, entries[:count]),
             self._timers,
             self._answers.resend_seconds,
-            lambda: not self.has_failed,
+            lambda: self._reach.may_answer,
             functools.partial(self._appended, self._commits[:count]),
             self._not_appended,
         ).start()
 
-    def _appended(self, commits: list[_Waiter], first: int) -> None:
+    def _appended(
+        self, commits: list[_Waiter], first: int, seconds: float
+    ) -> None:
         """Take note that a batch stands in the log."""
         self._note_success()
-        self._answers.note_append(self._timers.now() - self._sent_at)
+        self._answers.note_append(seconds)
         self._sent_at = math.inf
         end = first + len(commits)
         if self.end is None and first == 0 or self.end == first:
