A turn counts when it stands in the log with its chain, if any VM reaches it

(2) A turn was logged, the one that it goes on from was held at another VM and never recorded: the chain can't be read.

Now a VM that keeps a copy says whether it reaches the log; one that does is asked to record the turn together with what it rests on, and answers when all of it stands there; up to 1.2 s the end waits for that. An author's own record counts when the chain before it stands in the log, too; copies of it that the VM keeps are written then and not after 2 to 3 s. Lines: "copy kept", "copy recorded", "recorded by another VM".

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -265,6 +265,7 @@
             self.members.introduce,
             takes_copies=lambda: not self.shutdown.leaving,
             is_direct=lambda: self.log.is_direct,
+            reaches_log=lambda: self.log.reaches_log,
             takes_work=lambda: self.shutdown.takes_work,
             take_loads=self.loads.answer,
             permit=self.permits.answer,
--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -35,6 +35,8 @@
 HELD = "held"
 NOWHERE = "nowhere"
 
+HaveRecorded = Callable[[float, Callable[[bool], None]], None]
+
 
 class Both:
     """Calls a function when two things are done.
@@ -71,6 +73,11 @@
         Returns whether the log is known to be away.
     timeout : float
         Seconds after which its caller is told, if nobody keeps it, so.
+    is_late : callable
+        Returns whether the log takes longer than usual, or is away.
+    have_recorded : callable
+        Asks VMs that reach the log to record the turn; takes for how many
+        seconds, and who is told whether one has.
     """
 
     def __init__(
@@ -80,6 +87,8 @@
         record: bytes,
         is_away: Callable[[], bool],
         timeout: float,
+        is_late: Callable[[], bool],
+        have_recorded: HaveRecorded,
     ):
         self._timers = timers
         self._replica_holders = replica_holders
@@ -91,6 +100,10 @@
         self._is_away = is_away
         self._began = timers.now()
         self._timeout = timeout
+        self._is_late = is_late
+        self._have_recorded = have_recorded
+        # None while nobody was asked to record the turn.
+        self._is_being_recorded: bool | None = None
         self._expiry: timers_module.TimerHandle | None = None
 
     def start(self, on_done: Callable[[str], None]) -> None:
@@ -138,14 +151,29 @@
             self._timer = self._timers.call_later(AGAIN_SECONDS, self._hold)
 
     def _wait_for_log(self) -> None:
-        """End by copies if the log is away, or too slow for callers."""
-        waited = self._timers.now() - self._began
-        if self._is_away() or waited >= LONGEST_WAIT_SECONDS:
+        """End by copies if the log is away for all, or too slow for callers.
+
+        What only VMs keep is lost if all lose power, so as long as any of
+        them reaches the log the turn waits to be recorded.
+        """
+        if self._on_done is None:
+            return
+        left = self._began + LONGEST_WAIT_SECONDS - self._timers.now()
+        is_away = self._is_away()
+        if left <= 0 or is_away and self._is_being_recorded is False:
+            self._finish(HELD)
+            return
+        if self._is_being_recorded is None and self._is_late():
+            self._is_being_recorded = True
+            self._have_recorded(left, self._recorded_by_others)
+        self._timer = self._timers.call_later(LOOK_SECONDS, self._wait_for_log)
+
+    def _recorded_by_others(self, is_recorded: bool) -> None:
+        self._is_being_recorded = False
+        if is_recorded:
+            self.logged()
+        elif self._is_kept and self._is_away():
             self._finish(HELD)
-        elif self._on_done is not None:
-            self._timer = self._timers.call_later(
-                LOOK_SECONDS, self._wait_for_log
-            )
 
     def _finish(self, how: str) -> None:
         on_done, self._on_done = self._on_done, None
--- /dev/null
+++ b/postspring/histories/held.py
@@ -0,0 +1,113 @@
+"""Whole turns whose records the log may lack, as far as this VM knows."""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import dataclasses
+
+from postspring.histories import records
+
+__all__ = ["HeldTurns"]
+
+
+@dataclasses.dataclass(slots=True, eq=False)
+class _Wait:
+    """Somebody who waits until some turns are recorded."""
+
+    missing: set[records.TurnRef]
+    on_done: Callable[[], None]
+
+
+class HeldTurns(dict[records.TurnRef, records.WholeTurn]):
+    """The turns that this VM keeps until it has their records from the log.
+
+    Explanation
+    ===========
+
+    One that another VM has recorded stays here, for this VM may not reach
+    the log and callers go on from it; but it is not missing any more.
+
+    Examples
+    ========
+
+    >>> held = HeldTurns()
+    >>> claim = records.Claim("vm", ceiling=8, budget=None)
+    >>> turn = records.WholeTurn("p", "t", claim, None, 4, b"", b"")
+    >>> ref = held.add(turn)
+    >>> held.when_recorded([ref], lambda: print("recorded"))
+    >>> held.note_recorded_elsewhere(ref)
+    recorded
+    >>> len(held), list(held.missing)
+    (1, [])
+    """
+
+    def __init__(self) -> None:
+        super().__init__()
+        self._recorded_elsewhere: set[records.TurnRef] = set()
+        self._offered: set[records.TurnRef] = set()
+        self._waits: list[_Wait] = []
+
+    @property
+    def missing(self) -> Iterable[records.WholeTurn]:
+        """Those that are not known to stand in the log."""
+        return (turn for ref, turn in self.items() if self.is_missing(ref))
+
+    def is_missing(self, ref: records.TurnRef) -> bool:
+        """Return whether a turn could be lost with the VMs that keep it."""
+        return ref in self and ref not in self._recorded_elsewhere
+
+    def add(self, turn: records.WholeTurn) -> records.TurnRef:
+        """Keep a turn; return its reference."""
+        ref = records.TurnRef(turn.program, turn.turn)
+        self[ref] = turn
+        return ref
+
+    def offer(self, ref: records.TurnRef) -> bool:
+        """Take note that the log is offered a turn; tell if it is the first.
+
+        Offered once, it is tried until it stands there.
+        """
+        is_first = ref not in self._offered
+        self._offered.add(ref)
+        return is_first
+
+    def note_recorded(self, ref: records.TurnRef) -> None:
+        """Take note that this VM has a turn from the log."""
+        self._forget(ref)
+        self._release(ref)
+
+    def note_lost(self, ref: records.TurnRef) -> None:
+        """Take note that a turn will never stand in the log."""
+        self._forget(ref)
+        self._waits = [item for item in self._waits if ref not in item.missing]
+
+    def note_recorded_elsewhere(self, ref: records.TurnRef) -> None:
+        """Take note that another VM has recorded a turn."""
+        if ref in self:
+            self._recorded_elsewhere.add(ref)
+            self._release(ref)
+
+    def when_recorded(
+        self, refs: Iterable[records.TurnRef], on_done: Callable[[], None]
+    ) -> None:
+        """Call a function once none of these turns is missing."""
+        missing = {ref for ref in refs if self.is_missing(ref)}
+        if missing:
+            self._waits.append(_Wait(missing, on_done))
+        else:
+            on_done()
+
+    # -- own ------------------------------------------------------------------
+
+    def _forget(self, ref: records.TurnRef) -> None:
+        self.pop(ref, None)
+        self._recorded_elsewhere.discard(ref)
+        self._offered.discard(ref)
+
+    def _release(self, ref: records.TurnRef) -> None:
+        """Call those that waited for nothing but this turn."""
+        for wait in self._waits:
+            wait.missing.discard(ref)
+        done = [wait for wait in self._waits if not wait.missing]
+        self._waits = [wait for wait in self._waits if wait.missing]
+        for wait in done:
+            wait.on_done()
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -18,6 +18,7 @@
 from postspring.histories import errors
 from postspring.histories import fold as fold_module
 from postspring.histories import handover
+from postspring.histories import held
 from postspring.histories import openings
 from postspring.histories import partitions
 from postspring.histories import ports
@@ -26,6 +27,7 @@
 from postspring.histories import records
 from postspring.histories import shares
 from postspring.histories import sizes as sizes_module
+from postspring.histories import whole_turns
 from postspring import keyedlog
 from postspring.transport import timers as timers_module
 
@@ -86,7 +88,10 @@
             ),
             self._record_end_copy,
         )
-        self._held_by_ref: dict[records.TurnRef, records.WholeTurn] = {}
+        self._held_by_ref = held.HeldTurns()
+        self._whole_turns = whole_turns.WholeTurns(
+            self._partitions, self._held_by_ref, self.known_turn, self._lost
+        )
         self._settling: dict[records.TurnRef, records.EndedTurn] = {}
         self._handover = handover.Handover(
             lambda: self._owed,
@@ -103,13 +108,13 @@
     @property
     def unrecorded(self) -> int:
         """Number of turns and charges that could be lost with this VM."""
-        held = len(self._held_by_ref)
-        return held + len(self._settling) + len(self._end_copies)
+        missing = len(list(self._held_by_ref.missing))
+        return missing + len(self._settling) + len(self._end_copies)
 
     @property
     def _owed(self) -> list[records.WholeTurn | records.EndedTurn]:
         return [
-            *self._held_by_ref.values(),
+            *self._held_by_ref.missing,
             *self._settling.values(),
             *self._end_copies.kept,
         ]
@@ -241,15 +246,18 @@
         )
         self._openings.end(records.TurnRef(ticket.program, ticket.turn))
         self.accounts.spent(ticket, tokens)
-        data = records.encode_record(record)
         safe = completion.Completion(
             self._timers,
             self.replica_holders,
-            data,
+            records.encode_record(record),
             lambda: recording.is_away(self._partitions, record),
             timeout,
+            lambda: recording.is_late(self._partitions, record),
+            lambda seconds, on_answer: self._whole_turns.have_recorded(
+                record, self.replica_holders, seconds, on_answer
+            ),
         )
-        self._record_whole(
+        self._whole_turns.record_with_chain(
             record,
             lambda fold: self._claims.settled(fold, record, ticket),
             safe.logged,
@@ -274,24 +282,43 @@
         if isinstance(record, records.EndedTurn):
             self._end_copies.keep(record)
             return
-        if not isinstance(record, records.WholeTurn):
-            raise errors.MalformedRecord("not the end of a turn")
+        _check_is_whole(record)
         ref = records.TurnRef(record.program, record.turn)
         is_held = ref in self._held_by_ref
         if not is_held and not self._partitions.is_recorded(ref):
-            self._held_by_ref[ref] = record
+            self._held_by_ref.add(record)
             lost = self._lost(record)
             check = copies.CopyCheck(self, self._timers, record, lost)
             place = partitions.place_of_program(record.program)
-            check.start(is_log_away and self._partitions.is_quick(place))
+            is_urgent = is_log_away and self._partitions.is_quick(place)
+            names = {"program": record.program, "request": record.turn}
+            LOG.info("copy kept", extra=names | {"is_urgent": is_urgent})
+            check.start(is_urgent)
+
+    def record_for_another(
+        self, turns: list[bytes], on_done: Callable[[], None]
+    ) -> None:
+        """Append whole turns of a VM without the log, with their places.
+
+        ``on_done`` is told once all of them stand there.
+
+        Raises
+        ------
+        MalformedRecord
+            If one is no record of a whole turn.
+        """
+        decoded = [records.decode_record(data) for data in turns]
+        for record in decoded:
+            _check_is_whole(record)
+        self._whole_turns.record_for_another(decoded, on_done)
 
     def drop_copy(self, ref: records.TurnRef) -> None:
         """Forget a copy whose records stand in the log."""
-        self._held_by_ref.pop(ref, None)
+        self._held_by_ref.note_recorded(ref)
 
     def record_copy(self, record: records.WholeTurn) -> None:
         """Append a copy that is not in the log."""
-        self._record_whole(record, lambda fold: None, lambda: None, 0.0)
+        self._whole_turns.record_copy(record, 0.0)
 
     def record_location(self, record: records.WholeTurn) -> None:
         """Append where a copy stands whose place is not in the log."""
@@ -302,33 +329,12 @@
 
     # -- own ------------------------------------------------------------------
 
-    def _record_whole(
-        self,
-        record: records.WholeTurn,
-        on_folded: Callable[[fold_module.ProgramFold], None],
-        on_logged: Callable[[], None],
-        awaited: float = recording.AWAITED_SECONDS,
-    ) -> None:
-        """Append a whole turn and its place."""
-        ref = records.TurnRef(record.program, record.turn)
-        self._held_by_ref[ref] = record
-
-        def logged() -> None:
-            # Without its place no other program finds it in the log.
-            self.drop_copy(ref)
-            on_logged()
-
-        lost = self._lost(record)
-        recording.append_whole(
-            self._partitions, record, on_folded, logged, lost, awaited
-        )
-
     def _lost(self, item) -> openings.OnError:
         """Return what reports a record that never got into the log."""
 
         def report(error: errors.HistoryError) -> None:
             ref = records.TurnRef(item.program, item.turn)
-            self._held_by_ref.pop(ref, None)
+            self._held_by_ref.note_lost(ref)
             self._settling.pop(ref, None)
             where = {"program": item.program, "request": item.turn}
             LOG.error("record lost", extra=where | {"reason": str(error)})
@@ -352,3 +358,8 @@
     def _claim(self, ticket: accounts.Ticket, tokens: int) -> records.Claim:
         known = self._partitions.program(ticket.program)
         return self._claims.settling(known, ticket, tokens)
+
+
+def _check_is_whole(record: records.Record) -> None:
+    if not isinstance(record, records.WholeTurn):
+        raise errors.MalformedRecord("not the end of a turn")
--- a/postspring/histories/ports.py
+++ b/postspring/histories/ports.py
@@ -21,6 +21,25 @@
         If the log is away here, one that has it records the copy at once.
         """
 
+    def record(
+        self,
+        turns: list[bytes],
+        timeout: float,
+        on_done: Callable[[bool], None],
+    ) -> None:
+        """Have a VM that reaches the log record whole turns, for certain.
+
+        Nobody does, unless this is overridden.
+
+        Parameters
+        ----------
+        timeout : float
+            Seconds after which the answer is that nobody has.
+        on_done : callable
+            Told whether all of them stand in the log.
+        """
+        on_done(False)
+
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
     ) -> None:
--- a/postspring/histories/recording.py
+++ b/postspring/histories/recording.py
@@ -14,7 +14,9 @@
     "append_location",
     "append_record",
     "append_whole",
+    "hurry",
     "is_away",
+    "is_late",
 ]
 
 # How long records that have to get into the log are offered to it; seconds,
@@ -87,12 +89,31 @@
     append_location(partitions, record, both.one_done, on_error, awaited)
 
 
+def hurry(
+    partitions: partitions_module.Partitions, record: records.WholeTurn
+) -> None:
+    """Have what waits to record a whole turn tried now, if the log is back."""
+    for place in _places_of(record):
+        partitions.get(place).hurry()
+
+
 def is_away(
     partitions: partitions_module.Partitions, record: records.WholeTurn
 ) -> bool:
     """Return whether a whole turn can't be recorded now, as far as known."""
-    places = (
+    return any(partitions.is_away(place) for place in _places_of(record))
+
+
+def is_late(
+    partitions: partitions_module.Partitions, record: records.WholeTurn
+) -> bool:
+    """Return whether recording a whole turn fails, or takes unusually long."""
+    return any(partitions.is_failing(place) for place in _places_of(record))
+
+
+def _places_of(record: records.WholeTurn) -> tuple[keyedlog.LogPlace, ...]:
+    """Return the partitions that a whole turn and its place stand in."""
+    return (
         partitions_module.place_of_program(record.program),
         partitions_module.place_of_location(record.turn),
     )
-    return any(partitions.is_away(place) for place in places)
--- /dev/null
+++ b/postspring/histories/whole_turns.py
@@ -0,0 +1,174 @@
+"""Gets whole turns into the log, each with the chain that it rests on.
+
+A turn whose record stands in the log can be gone on from by any VM, also
+after all have lost what they kept, only if the turns before it stand there as
+well.  So it counts as recorded when they do.
+"""
+
+from collections.abc import Callable
+from collections.abc import Iterable
+import logging
+
+from postspring.histories import fold as fold_module
+from postspring.histories import held as held_module
+from postspring.histories import openings
+from postspring.histories import partitions as partitions_module
+from postspring.histories import ports
+from postspring.histories import program as program_module
+from postspring.histories import recording
+from postspring.histories import records
+
+__all__ = ["WholeTurns"]
+
+LOG = logging.getLogger(__name__)
+
+KnownTurn = Callable[[records.TurnRef], program_module.Turn | None]
+
+
+class WholeTurns:
+    """Records whole turns: this VM's own, and copies of others'.
+
+    Parameters
+    ==========
+
+    held : HeldTurns
+        Those whose records this VM does not have from the log.
+    known_turn : callable
+        Returns a whole turn if this VM has it in memory.
+    lost : callable
+        Returns what reports that a turn never got into the log.
+    """
+
+    def __init__(
+        self,
+        partitions: partitions_module.Partitions,
+        held: held_module.HeldTurns,
+        known_turn: KnownTurn,
+        lost: Callable[[records.WholeTurn], openings.OnError],
+    ):
+        self._partitions = partitions
+        self._held = held
+        self._known_turn = known_turn
+        self._lost = lost
+
+    def record_with_chain(
+        self,
+        turn: records.WholeTurn,
+        on_folded: Callable[[fold_module.ProgramFold], None],
+        on_recorded: Callable[[], None],
+    ) -> None:
+        """Append a turn that ended here; report when its chain stands, too.
+
+        While the log is away the chain is left to those who have offered it:
+        all who keep a part would append it at once when the log is back.
+        """
+        if not recording.is_away(self._partitions, turn):
+            self._offer(self._missing_chain(turn))
+
+        def recorded() -> None:
+            chain = self._missing_chain(turn)
+            self._offer(chain)
+            self._held.when_recorded(map(_ref_of, chain), on_recorded)
+
+        self._record(turn, on_folded, recorded, recording.AWAITED_SECONDS)
+
+    def have_recorded(
+        self,
+        turn: records.WholeTurn,
+        holders: ports.ReplicaHolders,
+        timeout: float,
+        on_done: Callable[[bool], None],
+    ) -> None:
+        """Have a VM that reaches the log record a turn and its chain."""
+        turns = [*self._missing_chain(turn), turn]
+
+        def answered(is_recorded: bool) -> None:
+            if is_recorded:
+                for item in turns:
+                    self._held.note_recorded_elsewhere(_ref_of(item))
+                LOG.info("recorded by another VM", extra=_names(turn))
+            on_done(is_recorded)
+
+        holders.record(
+            [records.encode_record(item) for item in turns], timeout, answered
+        )
+
+    def record_for_another(
+        self, turns: list[records.WholeTurn], on_done: Callable[[], None]
+    ) -> None:
+        """Append turns of a VM without the log; report when all stand."""
+        new = [turn for turn in turns if not self._is_recorded(turn)]
+        for turn in new:
+            self._held.add(turn)
+        self._offer(new)
+        self._held.when_recorded(map(_ref_of, new), on_done)
+
+    def record_copy(self, turn: records.WholeTurn, awaited: float) -> None:
+        """Append a copy, unless the log has been offered it."""
+        if not self._held.offer(_ref_of(turn)):
+            return
+
+        def recorded() -> None:
+            LOG.info("copy recorded", extra=_names(turn))
+
+        self._record(turn, lambda fold: None, recorded, awaited)
+
+    # -- own ------------------------------------------------------------------
+
+    def _record(
+        self,
+        turn: records.WholeTurn,
+        on_folded: Callable[[fold_module.ProgramFold], None],
+        on_recorded: Callable[[], None],
+        awaited: float,
+    ) -> None:
+        """Append a turn and its place."""
+        ref = self._held.add(turn)
+        self._held.offer(ref)
+
+        def recorded() -> None:
+            # Without its place no other program finds it in the log.
+            self._held.note_recorded(ref)
+            on_recorded()
+
+        recording.append_whole(
+            self._partitions,
+            turn,
+            on_folded,
+            recorded,
+            self._lost(turn),
+            awaited,
+        )
+
+    def _offer(self, turns: Iterable[records.WholeTurn]) -> None:
+        """See to it that turns get into the log now."""
+        for turn in turns:
+            self.record_copy(turn, recording.AWAITED_SECONDS)
+            recording.hurry(self._partitions, turn)
+
+    def _missing_chain(
+        self, turn: records.WholeTurn
+    ) -> list[records.WholeTurn]:
+        """Return the turns before one that the log may lack, oldest first."""
+        missing: list[records.WholeTurn] = []
+        ref = turn.parent
+        while ref is not None and self._held:
+            if self._held.is_missing(ref):
+                missing.append(self._held[ref])
+            known = self._known_turn(ref)
+            ref = None if known is None else known.parent
+        missing.reverse()
+        return missing
+
+    def _is_recorded(self, turn: records.WholeTurn) -> bool:
+        ref = _ref_of(turn)
+        return ref not in self._held and self._partitions.is_recorded(ref)
+
+
+def _ref_of(turn: records.WholeTurn) -> records.TurnRef:
+    return records.TurnRef(turn.program, turn.turn)
+
+
+def _names(turn: records.WholeTurn) -> dict[str, str]:
+    """Return a turn's ids for a log line."""
+    return {"program": turn.program, "request": turn.turn}
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -13,10 +13,12 @@
     "FindRequest",
     "Found",
     "KeepRequest",
+    "Kept",
     "Loads",
     "Permit",
     "PermitRequest",
     "LoadsReport",
+    "RecordRequest",
     "View",
     "ViewRequest",
     "decode",
@@ -30,8 +32,11 @@
 PING_PATH = "/peer/ping"
 LOADS_PATH = "/peer/loads"
 PERMIT_PATH = "/peer/permit"
+RECORD_PATH = "/peer/record"
 # Answer of a VM that stops to what it is asked to keep.
 STOPPING_STATUS = 503
+# Answer of a VM that does not reach the log to what it is asked to record.
+WITHOUT_LOG_STATUS = 503
 # Calls to the platform's store that are to be passed on stand behind this.
 STORE_PREFIX = "/peer/store"
 
@@ -50,6 +55,32 @@
     is_log_away: bool = False
 
 
+class Kept(msgspec.Struct, frozen=True, array_like=True):
+    """The answer to :class:`KeepRequest`.
+
+    Parameters
+    ==========
+
+    reaches_log : bool
+        The log takes calls of the VM that answers, as far as it knows.
+    """
+
+    reaches_log: bool = False
+
+
+class RecordRequest(msgspec.Struct, frozen=True, array_like=True):
+    """Append these whole turns, and answer when all stand in the log.
+
+    Parameters
+    ==========
+
+    turns : list of bytes
+        A turn that goes on from others of them stands behind those.
+    """
+
+    turns: list[bytes]
+
+
 class FindRequest(msgspec.Struct, frozen=True, array_like=True):
     """What is known of a program, and could its next turn run there?
 
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -16,6 +16,7 @@
 from postspring.peering import message_budget
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
+from postspring.peering import recorders
 from postspring.peering import replicas
 from postspring.peering import search as search_module
 from postspring import transport
@@ -76,6 +77,7 @@
         self._timers = timers
         self._isolation = isolation
         self._promises = promises
+        self._recorders = recorders.Recorders(http, timers)
         self._started_at = timers.now()
         self._avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
         self._not_keeping = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
@@ -126,9 +128,23 @@
         )
         rest = [member for member in rest if not self._keeps_nothing(member)]
         replicas.Replicas(
-            self._http, first + rest, False, self._not_kept, on_done
+            self._http,
+            first + rest,
+            False,
+            self._recorders.reachers.note,
+            self._not_kept,
+            on_done,
         ).send([record], KEEP_SECONDS, is_log_away)
 
+    def record(
+        self,
+        turns: list[bytes],
+        timeout: float,
+        on_done: Callable[[bool], None],
+    ) -> None:
+        """Have turns recorded by VMs that said that they reach the log."""
+        self._recorders.record(turns, timeout, on_done)
+
     def hand_over(
         self, records: list[bytes], on_done: Callable[[bool], None]
     ) -> None:
@@ -148,6 +164,7 @@
             self._http,
             holders,
             True,
+            self._recorders.reachers.note,
             self._not_kept,
             lambda copies: on_done(copies >= enough),
         ).send(records, HAND_OVER_SECONDS)
--- a/postspring/peering/replicas.py
+++ b/postspring/peering/replicas.py
@@ -3,6 +3,7 @@
 from collections.abc import Callable
 from collections.abc import Sequence
 
+from postspring import errors
 from postspring.peering import members as members_module
 from postspring.peering import messages
 from postspring import transport
@@ -52,6 +53,8 @@
         Whom to ask, first to last.
     is_thorough : bool
         Nobody waits: ask until there are enough copies, or nobody is left.
+    on_kept : callable
+        Told of each VM that keeps them, and whether it reaches the log.
     on_failed : callable
         Told of each VM that did not keep the records, and whether it said
         so: it is stopping.
@@ -64,12 +67,14 @@
         http: transport.HttpClient,
         holders: list[members_module.Member],
         is_thorough: bool,
+        on_kept: Callable[[members_module.Member, bool], None],
         on_failed: Callable[[members_module.Member, bool], None],
         on_done: Callable[[int], None],
     ):
         self._http = http
         self._left = list(holders)
         self._is_thorough = is_thorough
+        self._on_kept = on_kept
         self._on_failed = on_failed
         self._on_done: Callable[[int], None] | None = on_done
         self._open = 0
@@ -96,6 +101,7 @@
         def answered(status: int, answer: bytes) -> None:
             if status == 200:
                 self._kept += 1
+                self._on_kept(member, _reaches_log(answer))
                 ended(False)
             else:
                 self._on_failed(member, status == messages.STOPPING_STATUS)
@@ -125,3 +131,11 @@
         on_done, self._on_done = self._on_done, None
         if on_done is not None:
             on_done(self._kept)
+
+
+def _reaches_log(answer: bytes) -> bool:
+    """Return what a VM that keeps a record says of itself."""
+    try:
+        return messages.decode(messages.Kept, answer).reaches_log
+    except errors.PeerError:
+        return False
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -41,6 +41,9 @@
         nothing more, and others are asked at once.
     is_direct : callable
         Returns whether this VM reaches the log itself.
+    reaches_log : callable
+        Returns whether the log takes calls of this VM, though the answers
+        of some may be lost.
     takes_work : callable
         Returns whether this VM takes new calls: one that is about to end
         refuses them, so it tells nobody that it could run a turn.
@@ -60,6 +63,7 @@
         introduce: Callable[[str, bytes], None],
         takes_copies: Callable[[], bool] = lambda: True,
         is_direct: Callable[[], bool] = lambda: True,
+        reaches_log: Callable[[], bool] = lambda: False,
         takes_work: Callable[[], bool] = lambda: True,
         take_loads: TakeLoads | None = None,
         permit: Permit | None = None,
@@ -69,6 +73,7 @@
         self._takes_copies = takes_copies
         self._takes_work = takes_work
         self._is_direct = is_direct
+        self._reaches_log = reaches_log
         self._introduce = introduce
         self._view_of = view_of
         self._journal = journal
@@ -84,6 +89,8 @@
                 self._pass(call, call.target[len(prefix) :])
             elif call.target == messages.KEEP_PATH:
                 self._keep(call)
+            elif call.target == messages.RECORD_PATH:
+                self._record(call)
             elif call.target == messages.VIEW_PATH:
                 self._view(call)
             elif call.target == messages.PING_PATH:
@@ -120,7 +127,17 @@
             return
         for record in request.records:
             self._journal.keep_copy(record, request.is_log_away)
-        call.respond(200, [])
+        kept = messages.Kept(reaches_log=self._reaches_log())
+        call.respond(200, [], messages.encode(kept))
+
+    def _record(self, call: transport.IncomingCall) -> None:
+        request = messages.decode(messages.RecordRequest, call.body)
+        if not self._takes_copies() or not self._reaches_log():
+            call.respond(messages.WITHOUT_LOG_STATUS, [])
+            return
+        self._journal.record_for_another(
+            request.turns, lambda: call.respond(200, [])
+        )
 
     def _view(self, call: transport.IncomingCall) -> None:
         request = messages.decode(messages.ViewRequest, call.body)
--- a/postspring/testing/fleet/memory_log.py
+++ b/postspring/testing/fleet/memory_log.py
@@ -4,6 +4,7 @@
 from collections.abc import Sequence
 import dataclasses
 import math
+import random
 
 from postspring import keyedlog
 
@@ -28,6 +29,9 @@
         0 for never.
     lose_answers : int
         So many appends are done and not answered.
+    lost_share : float
+        This share of the appends is not answered, and done
+        ``lost_seconds`` (from, to) after.
     late_appends : int
         So many appends fail now and are done ``late_seconds`` after.
     down_places : set
@@ -42,6 +46,8 @@
     silent: bool = False
     gives_up_after: float = 0.0
     lose_answers: int = 0
+    lost_share: float = 0.0
+    lost_seconds: tuple[float, float] = (1.0, 6.0)
     late_appends: int = 0
     late_seconds: float = 3.0
     latency: float = LATENCY_SECONDS
@@ -128,10 +134,13 @@
 
     timers : Timers
         Virtual or real ones.
+    seed : int
+        Decides which appends are not answered.
     """
 
-    def __init__(self, data: LogData, timers):
+    def __init__(self, data: LogData, timers, seed: int = 0):
         self.data = data
+        self._random = random.Random(seed)
         self.faults = LogFaults()
         self.calls: list[str] = []
         self._timers = timers
@@ -150,6 +159,13 @@
             )
             self._fail(on_error)
             return
+        if self._random.random() < faults.lost_share:
+            seconds = self._random.uniform(*faults.lost_seconds)
+            self._timers.call_later(
+                seconds, self.data.append, place, list(entries)
+            )
+            self._give_up(on_error)
+            return
         first = self.data.append(place, entries)
         if faults.lose_answers:
             faults.lose_answers -= 1
