--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -39,6 +39,9 @@
 # seconds.  Then calls fail at once but for one in each PROBE_SECONDS: all VMs
 # together would otherwise send it thousands of calls a second.
 BREAKER_SECONDS = 0.5
+# A way that has been lost for this long is not expected back at once, in
+# seconds; the end of a turn waits about as long.
+LOST_SECONDS = 1.0
 # A log that has taken a call within this time and refuses others as too many
 # is busy; otherwise it turns this VM away.  In seconds.
 BUSY_SECONDS = 1.0
@@ -106,16 +109,13 @@
     def reaches_log(self) -> bool:
         """Whether the direct way leads to the log, if not for each call.
 
-        Answers that are lost one after the other look like a lost way.  A
-        VM that has asked nothing lately may find that out.
+        Answers that are lost one after the other look like a lost way, and
+        most interruptions are short: it counts as one that leads there for
+        as long as what is asked of this VM may wait for its return.
         """
-        if self.takes_calls:
+        if self.is_direct or self.takes_calls:
             return True
-        since = self._unanswered_since
-        is_waiting = since is not None
-        if is_waiting and self._timers.now() - since > BUSY_SECONDS:
-            return False
-        return self.is_direct
+        return self._timers.now() - self._failing_since < LOST_SECONDS
 
     def has_taken_since(self, moment: float) -> bool:
         """Whether the direct way has answered since a moment."""
