A VM that was started lately asks each other VM once whether it knows of homes

Cause: a new VM asked all others about each program, 60 messages a second. Now an answer says whether its VM knows of any home at all; one that does not is asked no more, and turns that come while the first question is under way wait for its answers. What must hold: whoever lets a program go on afterwards tells this VM as it tells those that were never restarted; a VM that has homes, was not heard or joins later is asked for each program as before.

--- a/postspring/histories/accounts.py
+++ b/postspring/histories/accounts.py
@@ -297,6 +297,12 @@
         """Return whether the program began here while the log was away."""
         return program in self._home_by_program
 
+    @property
+    def has_homes(self) -> bool:
+        """Whether any program began here, or has not settled it yet."""
+        origins = {origin for program, origin in self._unsettled}
+        return bool(self._home_by_program) or Origin.HOME in origins
+
     def close_home(self, program: records.ProgramId) -> None:
         """End a home if all its turns stand in the log."""
         if not self._unsettled.get((program, Origin.HOME)):
--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -39,6 +39,11 @@
             **self.accounts.unsettled_at_home(program),
         }
 
+    @property
+    def knows_homes(self) -> bool:
+        """Whether any turn that ran at a home may not be charged yet."""
+        return self.accounts.has_homes or len(self._end_copies) > 0
+
     def home_left(self, program: records.ProgramId) -> int:
         """Return what a program may still spend here without the log."""
         place = partitions.place_of_program(program)
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -139,6 +139,9 @@
         that it does not charge for them yet.
     home_left : int
         Tokens that the program may still spend there without the log.
+    knows_homes : bool
+        Any program may have gone on there without the log, or elsewhere as
+        far as the VM was told, whose records the log may lack.
     """
 
     can_take: bool
@@ -152,6 +155,7 @@
     has_gone_on: bool = False
     unsettled: list[tuple[str, int]] = msgspec.field(default_factory=list)
     home_left: int = 0
+    knows_homes: bool = True
 
 
 class ViewRequest(msgspec.Struct, frozen=True, array_like=True):
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -19,6 +19,7 @@
 from postspring.peering import recorders
 from postspring.peering import replicas
 from postspring.peering import search as search_module
+from postspring.peering import settlement
 from postspring import transport
 from postspring import upstreams
 
@@ -38,13 +39,8 @@
 AVOID_SECONDS = 1.0
 # VMs that are asked for their view at the same time.
 VIEW_VMS = 3
-# After an outage of the log its homes are recorded within seconds; a VM that
-# was started meanwhile asks for them for this long, in seconds.
-NEW_SECONDS = 8.0
 # VMs that let a program go on before, and are asked before all others.
 LATEST_ASKERS = 2
-# Programs that a VM which was started lately keeps in mind as settled.
-MOST_SETTLED = 10_000
 
 
 class PeerClient(forwarding.Peers, histories.ReplicaHolders):
@@ -77,14 +73,18 @@
         self._timers = timers
         self._isolation = isolation
         self._promises = promises
-        self._recorders = recorders.Recorders(http, timers)
-        self._started_at = timers.now()
         self._avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
         self._not_keeping = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
         # Incarnations that said so; a few for each time the fleet is rolled.
         self._stopping: set[str] = set()
+        self._recorders = recorders.Recorders(http, timers)
         self._budget = message_budget.MessageBudget(timers.now)
-        self._found_settled: dict[str, None] = {}
+        self._settlement = settlement.Settlement(
+            members.own.incarnation,
+            promises,
+            lambda: self._is_complete(),
+            timers.now,
+        )
         self._http = http
         self._members = members
         self._is_complete = is_complete
@@ -199,6 +199,12 @@
         Those of this data centre first: most programs stay in one, and a VM
         there that can run the turn saves asking all others.
         """
+        if question is forwarding.Question.UNSETTLED:
+            self._settlement.ask_once(
+                facts.program,
+                functools.partial(self._ask_for_unsettled, facts, on_done),
+            )
+            return
         if question is not forwarding.Question.TURN:
             self._ask_all(facts, question, False, on_done)
             return
@@ -207,6 +213,21 @@
             functools.partial(self._ask_all, facts, question, False, on_done),
         )
 
+    def _ask_for_unsettled(
+        self,
+        facts: forwarding.CallFacts,
+        on_done: Callable[[forwarding.Finding], None],
+        on_heard: Callable[[], None],
+    ) -> None:
+        """Ask the VMs that may know what a program owes."""
+
+        def found(finding: forwarding.Finding) -> None:
+            self._settlement.note_finding(facts.program, finding)
+            on_done(finding)
+            on_heard()
+
+        self._ask_all(facts, forwarding.Question.UNSETTLED, False, found)
+
     def _ask_all(
         self,
         facts: forwarding.CallFacts,
@@ -227,7 +248,9 @@
         )
         others = self._members.listed
         hears_all = question is forwarding.Question.UNSETTLED
-        stages = self._stages(facts.program, hears_all)
+        if hears_all:
+            others = self._settlement.to_ask(facts.program, others)
+        stages = self._stages(facts.program, others, hears_all)
         if is_for_home:
             self._promises.begin_asking(facts.program)
         asked_at = self._timers.now()
@@ -239,8 +262,10 @@
             finding = self._judge(
                 facts.program, search, is_newest_list, waited
             )
-            if hears_all:
-                self._note_settled(facts.program, finding)
+            for member in others:
+                found = search.answer_by_name.get(member.name)
+                if found is not None:
+                    self._settlement.note_answer(member, found)
             on_done(finding)
 
         body = messages.encode(request)
@@ -298,18 +323,17 @@
         return finding
 
     def _stages(
-        self, program: histories.ProgramId, hears_all: bool
+        self,
+        program: histories.ProgramId,
+        listed: list[members_module.Member],
+        hears_all: bool,
     ) -> list[list[members_module.Member]]:
         """Return whom to ask first, and whom if that finds nobody.
 
         Who let the program go on last most likely still does: it is asked
         alone, and most turns cost one message instead of one for each VM.
         """
-        others = [
-            member
-            for member in self._members.listed
-            if member not in self._avoided
-        ]
+        others = [member for member in listed if member not in self._avoided]
         if hears_all:
             return [others]
         here = self._members.own.data_center
@@ -321,24 +345,8 @@
         return [likely, near, far]
 
     def may_owe(self, program: histories.ProgramId) -> bool:
-        """Return whether other VMs may have turns that are not charged.
-
-        A VM that was started a moment ago has heard of none of their homes.
-        """
-        own = self._members.own
-        uptime = self._timers.now() - self._started_at
-        is_new = uptime < NEW_SECONDS and not self._is_complete()
-        if program in self._found_settled:
-            # Whoever lets it go on after that has told this VM, too.
-            is_new = False
-        return is_new or self._promises.owes(program, own.incarnation)
-
-    def _note_settled(self, program, finding: forwarding.Finding) -> None:
-        is_heard = forwarding.Doubt.VM_UNHEARD not in finding.doubts
-        if is_heard and not finding.unsettled and not finding.home_left:
-            self._promises.note_settled(program)
-            if len(self._found_settled) < MOST_SETTLED:
-                self._found_settled[program] = None
+        """Return whether other VMs may have turns that are not charged."""
+        return self._settlement.may_owe(program, self._members.listed)
 
     def _unanswered(self, member, search: search_module.Search, error) -> None:
         self._avoided.add(member)
--- a/postspring/peering/promises.py
+++ b/postspring/peering/promises.py
@@ -80,6 +80,14 @@
         settled = self._settled_by_program.get(program, set())
         return bool(askers - settled - {incarnation})
 
+    @property
+    def owes_any(self) -> bool:
+        """Whether any program that was let go on may not be settled."""
+        return any(
+            set(askers) - self._settled_by_program.get(program, set())
+            for program, askers in self._askers_by_program.items()
+        )
+
     def note_settled(self, program: str) -> None:
         """Take note that all who asked until now have settled.
 
--- a/postspring/peering/search.py
+++ b/postspring/peering/search.py
@@ -1,6 +1,7 @@
 """The answers of other VMs to one question, and what they add up to."""
 
 from collections.abc import Callable
+from collections.abc import Mapping
 from collections.abc import Sequence
 import logging
 
@@ -80,6 +81,11 @@
             self._chain_holder = member
         self._count_down()
 
+    @property
+    def answer_by_name(self) -> Mapping[str, messages.Found]:
+        """What each VM that was heard has answered."""
+        return self._answers
+
     def failed(self) -> None:
         """Take note that a VM did not answer."""
         self._count_down()
--- a/postspring/peering/service.py
+++ b/postspring/peering/service.py
@@ -188,5 +188,6 @@
             has_gone_on=has_gone_on,
             unsettled=list(journal.unsettled(program).items()),
             home_left=journal.home_left(program),
+            knows_homes=journal.knows_homes or self._promises.owes_any,
         )
         call.respond(200, [], messages.encode(found))
