A turn whose chain is incomplete is refused as that, and the line names what lacks

Cause: an incomplete chain was told as a log that is away. Status and Retry-After stay: a VM may still record the turn, and 404 for one that was whole is never right. The new test fails before (reason journal_unavailable).

--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -42,6 +42,8 @@
     NO_UPSTREAM = ("no_upstream", 503, 0.3)
     UPSTREAMS_REFUSED = ("upstreams_refused", 503, 0.1)
     JOURNAL_UNAVAILABLE = ("journal_unavailable", 503, 1.2)
+    # The turn is known, one before it is not: nobody who was asked has it.
+    HISTORY_INCOMPLETE = ("history_incomplete", 503, 1.2)
     TURN_UNCERTAIN = ("turn_uncertain", 503, 1.2)
     BUDGET_RESERVED = ("budget_reserved", 503, 0.2)
     BUDGET_SPENT = ("budget_spent", 402, None)
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -54,7 +54,7 @@
             self._facts.previous,
             OPEN_TIMEOUT_SECONDS,
             self._chain_found,
-            lambda error: self._ask_others(self._unavailable),
+            self._chain_not_read,
         )
 
     def _chain_found(self, chain: histories.Chain | None) -> None:
@@ -66,6 +66,13 @@
         self._chain = chain
         self._open()
 
+    def _chain_not_read(self, error: histories.HistoryError) -> None:
+        if isinstance(error, histories.IncompleteChain):
+            self._outcome.add(missing=error.missing)
+            self._ask_others(self._incomplete)
+        else:
+            self._ask_others(self._unavailable)
+
     def _outbound_call(self) -> choice.OutboundCall:
         body = b"".join((*self._chain.parts, self._call.body))
         return choice.OutboundCall(
@@ -107,6 +114,9 @@
         self._chain = chain
         self._open()
 
+    def _incomplete(self, finding: ports.Finding) -> None:
+        self._close(refusals.Refusal.HISTORY_INCOMPLETE)
+
     def _uncertain(self, *doubts: certainty.Doubt) -> None:
         if not self._closed:
             self._outcome.add(doubts=[doubt.value for doubt in doubts])
--- a/postspring/front/tests/test_relayed.py
+++ b/postspring/front/tests/test_relayed.py
@@ -46,3 +46,26 @@
             for number in range(PROGRAMS)
         ]
         self.assertEqual([200] * PROGRAMS, statuses)
+
+
+class IncompleteHistoryTest(case.FleetCase):
+    """The log has a turn, and nobody has the one before it."""
+
+    vms = 2
+
+    def test_the_caller_hears_what_is_the_matter(self):
+        """Seen: refused as if the log were away, with the log well."""
+        parent = histories.TurnRef("p1", "lost")
+        claim = histories.Claim("author", 16, 1000)
+        turn = histories.WholeTurn("p1", "a", claim, parent, 4, b"<a>", b"w\n")
+        recorded = []
+        self.fleet.nodes[0].journal.record_for_another(
+            [histories.encode_record(turn)], lambda: recorded.append(True)
+        )
+        self.fleet.turn_until(lambda: recorded)
+        with self.assertLogs("postspring.calls", "INFO") as logs:
+            answer = self.fleet.take_turn("b", previous_turn="a", vm=1)
+        self.assertEqual(503, answer.status)
+        line = logs.records[-1]
+        self.assertEqual("history_incomplete", line.reason)
+        self.assertEqual("lost", line.missing)
--- a/postspring/histories/__init__.py
+++ b/postspring/histories/__init__.py
@@ -6,6 +6,7 @@
 from postspring.histories.chains import Chain
 from postspring.histories.completion import NOWHERE
 from postspring.histories.errors import HistoryError
+from postspring.histories.errors import IncompleteChain
 from postspring.histories.errors import JournalUnavailable
 from postspring.histories.errors import MalformedRecord
 from postspring.histories.fold import LocationFold
@@ -36,6 +37,7 @@
     "Claim",
     "EndedTurn",
     "HistoryError",
+    "IncompleteChain",
     "Journal",
     "JournalUnavailable",
     "LocalAccounts",
--- a/postspring/histories/chains.py
+++ b/postspring/histories/chains.py
@@ -77,8 +77,7 @@
                 when_missing()
             else:
                 # The turn exists; what precedes it is not in the log yet.
-                error = errors.JournalUnavailable("incomplete_chain")
-                self._on_error(error)
+                self._on_error(errors.IncompleteChain(missing.turn))
             return
         self._refreshed.add(missing.program)
         self._journal.refresh_program(
--- a/postspring/histories/errors.py
+++ b/postspring/histories/errors.py
@@ -2,7 +2,12 @@
 
 from postspring import errors
 
-__all__ = ["HistoryError", "JournalUnavailable", "MalformedRecord"]
+__all__ = [
+    "HistoryError",
+    "IncompleteChain",
+    "JournalUnavailable",
+    "MalformedRecord",
+]
 
 
 class HistoryError(errors.PostspringError):
@@ -23,5 +28,22 @@
         self.reason = reason
 
 
+class IncompleteChain(JournalUnavailable):
+    """The log has a turn, but not all that precede it.
+
+    They are kept by VMs that have not recorded them yet, or were lost with
+    the VMs that kept them.
+
+    Parameters
+    ----------
+    missing : str
+        The first turn that is missing, from the head.
+    """
+
+    def __init__(self, missing: str):
+        super().__init__("incomplete_chain")
+        self.missing = missing
+
+
 class MalformedRecord(HistoryError):
     """Bytes that are not a record of a history."""
