What keeps records for a VM is a class of its own, peering/holders.py

No change of behaviour; 27 tests around it pass (handover, questions, late answers, after a restart, partial power loss).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -239,7 +239,7 @@
             self.isolation,
             self.timers,
         )
-        self.journal.replica_holders = self.peer_client
+        self.journal.replica_holders = self.peer_client.holders
         self.loads = peering.LoadExchange(
             self._peer_http,
             self.timers,
--- a/postspring/peering/peer_client.py
+++ b/postspring/peering/peer_client.py
@@ -1,4 +1,4 @@
-"""Asks the other VMs: to keep records, and what they know of a program."""
+"""Asks the other VMs what they know of a program, and for their views."""
 
 from collections.abc import Callable
 import dataclasses
@@ -11,13 +11,12 @@
 from postspring import histories
 from postspring import keyedlog
 from postspring.peering import avoidance
+from postspring.peering import holders
 from postspring.peering import isolation as isolation_module
 from postspring.peering import members as members_module
 from postspring.peering import message_budget
 from postspring.peering import messages
 from postspring.peering import promises as promises_module
-from postspring.peering import recorders
-from postspring.peering import replicas
 from postspring.peering import search as search_module
 from postspring.peering import settlement
 from postspring import transport
@@ -30,9 +29,6 @@
 # VMs answer each other in a few ms; one that has not by then is slow, dead
 # or cut off.  In seconds.
 FIND_SECONDS = 0.15
-KEEP_SECONDS = 0.25
-# Nobody waits for what a VM that stops hands over; in seconds.
-HAND_OVER_SECONDS = 1.0
 VIEW_SECONDS = 0.5
 # A VM that did not answer is not asked again for this long, in seconds: in a
 # cut each turn would otherwise open a connection to every VM behind it.
@@ -43,7 +39,7 @@
 LATEST_ASKERS = 2
 
 
-class PeerClient(forwarding.Peers, histories.ReplicaHolders):
+class PeerClient(forwarding.Peers):
     """The other VMs, asked when they are needed.
 
     Parameters
@@ -59,6 +55,12 @@
         Whether this VM is cut off.
     timers : Timers
         For leaving silent VMs alone.
+
+    Attributes
+    ==========
+
+    holders : Holders
+        The same VMs, as those that keep records.
     """
 
     def __init__(
@@ -74,10 +76,7 @@
         self._isolation = isolation
         self._promises = promises
         self._avoided = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
-        self._not_keeping = avoidance.AvoidedVms(AVOID_SECONDS, timers.now)
-        # Incarnations that said so; a few for each time the fleet is rolled.
-        self._stopping: set[str] = set()
-        self._recorders = recorders.Recorders(http, timers)
+        self.holders = holders.Holders(http, members, self._avoided, timers)
         self._budget = message_budget.MessageBudget(timers.now)
         self._settlement = settlement.Settlement(
             members.own.incarnation,
@@ -108,84 +107,6 @@
             self._members.own.incarnation.encode(),
         )
 
-    # -- copies ---------------------------------------------------------------
-
-    def keep(
-        self,
-        record: bytes,
-        on_done: Callable[[int], None],
-        is_log_away: bool = False,
-    ) -> None:
-        """Give a copy to the nearest VM and to others elsewhere."""
-        holders = self._replica_holders()
-        # Of a turn that others keep its author is asked, if they know it.
-        if not holders or not self._members.is_announced:
-            on_done(0)
-            return
-        first, rest = (
-            holders[: replicas.REPLICAS_ASKED],
-            holders[replicas.REPLICAS_ASKED :],
-        )
-        rest = [member for member in rest if not self._keeps_nothing(member)]
-        replicas.Replicas(
-            self._http,
-            first + rest,
-            False,
-            self._recorders.reachers.note,
-            self._not_kept,
-            on_done,
-        ).send([record], KEEP_SECONDS, is_log_away)
-
-    def record(
-        self,
-        turns: list[bytes],
-        timeout: float,
-        on_done: Callable[[bool], None],
-    ) -> None:
-        """Have turns recorded by VMs that said that they reach the log."""
-        self._recorders.record(turns, timeout, on_done)
-
-    def hand_over(
-        self, records: list[bytes], on_done: Callable[[bool], None]
-    ) -> None:
-        """Give records to two VMs that stay, or to the only one.
-
-        One that does not answer may be paused: they are offered again.  One
-        that stops takes none, however often it is asked: when all did, they
-        sent each other all that they had four times a second.
-        """
-        holders = [
-            member
-            for member in self._replica_holders()
-            if member.incarnation not in self._stopping
-        ]
-        enough = max(1, min(replicas.ENOUGH_COPIES, len(holders)))
-        replicas.Replicas(
-            self._http,
-            holders,
-            True,
-            self._recorders.reachers.note,
-            self._not_kept,
-            lambda copies: on_done(copies >= enough),
-        ).send(records, HAND_OVER_SECONDS)
-
-    def _replica_holders(self) -> list[members_module.Member]:
-        here = self._members.own.data_center
-        return replicas.in_order(
-            self._members.others, here, self._keeps_nothing
-        )
-
-    def _not_kept(
-        self, member: members_module.Member, is_stopping: bool
-    ) -> None:
-        if is_stopping:
-            self._stopping.add(member.incarnation)
-        self._not_keeping.add(member)
-
-    def _keeps_nothing(self, member: members_module.Member) -> bool:
-        """Whether a VM did not keep a record a moment ago: it may stop."""
-        return member in self._not_keeping or member in self._avoided
-
     # -- questions ------------------------------------------------------------
 
     def find(
--- a/postspring/testing/fleet/journal_fleet.py
+++ b/postspring/testing/fleet/journal_fleet.py
@@ -165,7 +165,7 @@
             mock.Mock(sends_away=False),
             timers,
         )
-        self.journal.replica_holders = self.peer_client
+        self.journal.replica_holders = self.peer_client.holders
         self.service = self._service(promises)
 
     def _service(self, promises: peering.Promises) -> peering.PeerService:
