Three refusals by a busy log fit the bounds on upstreams and configuration

Now the pauses are 0.1, 0.15 and 0.2 s, and reads that have a bound try a way that failed after 0.1 s. Calls in an outage: a follower still pauses 0.3 s after a failure that is no refusal. test_lost_reads' other checks unchanged; its latency is an attribute now.

--- a/postspring/front/tests/test_lost_reads.py
+++ b/postspring/front/tests/test_lost_reads.py
@@ -100,6 +100,8 @@
 class LostReadTest(unittest.TestCase):
     """A VM that no other one can help."""
 
+    slow_seconds = SLOW_SECONDS
+
     def start(self, bound):
         """Start a VM that knows an upstream and a configuration."""
         self.clock = clock_module.VirtualClock()
@@ -161,7 +163,7 @@
         """Return how long a record takes to have its effect."""
         self.start(bound)
         self.clock.run_for(bound * moment / MOMENTS)
-        self.direct.faults.latency = SLOW_SECONDS
+        self.direct.faults.latency = self.slow_seconds
         spoil(place)
         begun = self.timers.now()
         self.known_at.clear()
@@ -213,3 +215,22 @@
 def decode_configuration(value):
     """Read a configuration, which here is no more than the version."""
     return routing.Snapshot(int(value), (), {})
+
+
+class BusyLogTest(LostReadTest):
+    """Three reads in a row are one too many; a refusal comes at once.
+
+    By reading: the pauses after them made 2.1 s of a bound of 2.0 s.
+    """
+
+    slow_seconds = memory_log.LATENCY_SECONDS
+
+    def ways(self):
+        """Return how reads fail, by name."""
+        busy = keyedlog.LogBusy("status_429")
+        return (
+            (
+                "three busy",
+                lambda place: self.direct.refuse(place, [busy] * 3),
+            ),
+        )
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -16,6 +16,9 @@
 # Pause after a failed call, in seconds, and after a read that was meant to
 # wait and did not: another VM reads without.
 RETRY_SECONDS = 0.3
+# Pauses after a busy log refused a read, the first, the second and so on; in
+# seconds.  What is read has a bound, and such reads are few.
+BUSY_RETRY_SECONDS = (0.1, 0.15, 0.2)
 
 
 AskOthers = Callable[[ports.LogPlace, Callable[[ports.LogPage], None]], None]
@@ -128,6 +131,8 @@
         self._answered_at = timers.now()
         self._lost_at = timers.now()
         self._away_at = -math.inf
+        # Reads in a row that a busy log refused.
+        self._refusals = 0
 
     def start(self) -> None:
         """Begin to follow."""
@@ -272,10 +277,20 @@
             )
         if self._next is None:
             self._ask_others(self._place, self._take_view)
-        self._plan(RETRY_SECONDS)
+        self._plan(self._pause_after(error))
+
+    def _pause_after(self, error: errors.KeyedLogError) -> float:
+        """Return the seconds until a read that failed is made again."""
+        if not isinstance(error, errors.LogBusy):
+            self._refusals = 0
+            return RETRY_SECONDS
+        pauses = BUSY_RETRY_SECONDS[self._refusals :]
+        self._refusals += 1
+        return pauses[0] if pauses else RETRY_SECONDS
 
     def _note_success(self, page: ports.LogPage) -> None:
         now = self._timers.now()
+        self._refusals = 0
         if page.next >= page.end:
             self.fresh_at = min(now, self._sent_at + page.known_after)
         if page.next == page.end:
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -27,6 +27,8 @@
 LONGEST_APPEND_SECONDS = 1.0
 # While the direct way fails, it is tried again this often, in seconds.
 PROBE_SECONDS = 0.5
+# The same for reads that have a bound, in seconds: their callers pause.
+BOUNDED_PROBE_SECONDS = 0.1
 # A VM that could not help is not asked for this long, in seconds.
 AVOID_SECONDS = 1.0
 # After so many failures without a success the whole log counts as out of
@@ -244,9 +246,12 @@
             return True
         now = self._timers.now()
         probed_at = self._probed_at_by_place.get(place, -math.inf)
-        if not self.is_direct and not keyedlog.is_bounded(place):
+        pause = PROBE_SECONDS
+        if keyedlog.is_bounded(place):
+            pause = BOUNDED_PROBE_SECONDS
+        elif not self.is_direct:
             probed_at = max(probed_at, self._way_probed_at)
-        if now - probed_at < PROBE_SECONDS:
+        if now - probed_at < pause:
             return False
         self._probed_at_by_place[place] = self._way_probed_at = now
         return True
