--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -334,10 +334,15 @@
 
         def report(error: errors.HistoryError) -> None:
             ref = records.TurnRef(item.program, item.turn)
-            self._held_by_ref.note_lost(ref)
+            held_by_ref = self._held_by_ref
+            is_recorded = ref in held_by_ref and not held_by_ref.is_missing(
+                ref
+            )
+            held_by_ref.note_lost(ref)
             self._settling.pop(ref, None)
             where = {"program": item.program, "request": item.turn}
-            LOG.error("record lost", extra=where | {"reason": str(error)})
+            if not is_recorded:
+                LOG.error("record lost", extra=where | {"reason": str(error)})
 
         return report
 
--- a/postspring/histories/tests/test_whole_turns.py
+++ b/postspring/histories/tests/test_whole_turns.py
@@ -109,6 +109,12 @@
         self.assertEqual(0, self.one.journal.unrecorded)
         self.assertEqual(1, self.one.journal.held)
 
+    def test_it_is_not_told_as_lost_when_its_author_gives_up(self):
+        self.one.complete("a")
+        with self.assertNoLogs("postspring.histories.journal", "ERROR"):
+            self.clock.run_for(150.0)
+        self.assertEqual(0, self.one.journal.held)
+
     def test_it_is_held_if_no_vm_reaches_the_log(self):
         self.others.reaches_log = False
         began = self.clock.now
