--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -334,14 +334,13 @@
 
         def report(error: errors.HistoryError) -> None:
             ref = records.TurnRef(item.program, item.turn)
-            held_by_ref = self._held_by_ref
-            is_recorded = ref in held_by_ref and not held_by_ref.is_missing(
-                ref
-            )
-            held_by_ref.note_lost(ref)
+            is_whole = isinstance(item, records.WholeTurn)
+            # Another VM may have recorded it, and it is told once.
+            is_lost = not is_whole or self._held_by_ref.is_missing(ref)
+            self._held_by_ref.note_lost(ref)
             self._settling.pop(ref, None)
             where = {"program": item.program, "request": item.turn}
-            if not is_recorded:
+            if is_lost:
                 LOG.error("record lost", extra=where | {"reason": str(error)})
 
         return report
