--- a/postspring/histories/completion.py
+++ b/postspring/histories/completion.py
@@ -102,8 +102,8 @@
         self._timeout = timeout
         self._is_late = is_late
         self._have_recorded = have_recorded
-        # None while nobody was asked to record the turn.
-        self._is_being_recorded: bool | None = None
+        self._has_asked_others = False
+        self._did_others_refuse = False
         self._expiry: timers_module.TimerHandle | None = None
 
     def start(self, on_done: Callable[[str], None]) -> None:
@@ -160,19 +160,20 @@
             return
         left = self._began + LONGEST_WAIT_SECONDS - self._timers.now()
         is_away = self._is_away()
-        if left <= 0 or is_away and self._is_being_recorded is False:
+        if left <= 0 or is_away and self._did_others_refuse:
             self._finish(HELD)
             return
-        if self._is_being_recorded is None and self._is_late():
-            self._is_being_recorded = True
+        if not self._has_asked_others and self._is_late():
+            self._has_asked_others = True
             self._have_recorded(left, self._recorded_by_others)
         self._timer = self._timers.call_later(LOOK_SECONDS, self._wait_for_log)
 
     def _recorded_by_others(self, is_recorded: bool) -> None:
-        self._is_being_recorded = False
         if is_recorded:
             self.logged()
-        elif self._is_kept and self._is_away():
+            return
+        self._did_others_refuse = True
+        if self._is_kept and self._is_away():
             self._finish(HELD)
 
     def _finish(self, how: str) -> None:
--- a/postspring/histories/partition.py
+++ b/postspring/histories/partition.py
@@ -98,11 +98,6 @@
         self._retry_at = math.inf
         self._retry_timer: timers_module.TimerHandle | None = None
 
-    @property
-    def has_failed(self) -> bool:
-        """Whether the last call failed."""
-        return self._reach.has_failed
-
     @property
     def is_away(self) -> bool:
         """Whether its last call failed, as far as known."""
--- a/postspring/peering/failover.py
+++ b/postspring/peering/failover.py
@@ -272,9 +272,8 @@
     ) -> None:
         """Take note that a call by the direct way was not answered.
 
-        If another one was, sent or answered later, the way is not lost: the
-        partition may be away, or the answer was lost.  Three such answers in
-        a row, of ten that the log gave, sent all calls another way.
+        If another one was since, the way is not lost: the partition may be
+        away, or the answer was lost.
         """
         now = self._timers.now()
         self._probed_at_by_place.setdefault(place, now)
--- a/postspring/peering/recorders.py
+++ b/postspring/peering/recorders.py
@@ -157,11 +157,12 @@
         self._on_refused = on_refused
         self._on_done: Callable[[bool], None] | None = on_done
         self._open = 0
+        self._ends_at = timers.now()
 
     def send(self, turns: list[bytes], timeout: float) -> None:
         """Ask the first VM; all together have some seconds."""
         body = messages.encode(messages.RecordRequest(turns))
-        self._ends_at = self._timers.now() + timeout
+        self._ends_at += timeout
         if self._left:
             self._ask_next(body)
         else:
