A kept connection is idle from when its answer has left

Callers saw: the connection closed right behind an answer that they had read slowly, and the next request on it lost with it.

Now the time begins anew while anything is unsent.

--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -186,7 +186,8 @@
         """Close a connection on which no request has begun.
 
         What the kernel holds is read first, and what is unsent leaves
-        first: a request that comes meanwhile is served.
+        first: a request that comes meanwhile is served.  Until then the
+        caller can't have sent the next one, so it is not idle.
         """
         if self._is_over:
             return
@@ -196,7 +197,11 @@
         if self._is_new:
             age = self._server.timers.now() - self.since
             is_idle = is_idle and age > NEW_SECONDS
-        if is_idle and not hub.unsent_bytes(self._sock):
+        if not is_idle:
+            return
+        if hub.unsent_bytes(self._sock):
+            self.since = self._server.timers.now()
+        else:
             hub.shut(self._sock)
 
     def give_up(self) -> None:
--- a/postspring/transport/tests/test_http_server.py
+++ b/postspring/transport/tests/test_http_server.py
@@ -79,6 +79,18 @@
         self.edge.turn_until(lambda: self.edge.calls or self.is_closed)
         self.assertEqual(1, len(self.edge.calls))
 
+    def test_it_is_idle_from_when_its_answer_has_left(self):
+        """Seen beside load: closed as soon as the long answer had left."""
+        self.open_call().respond(200, [], b"x" * LONG_ANSWER_BYTES)
+        self.edge.pass_time(self.edge.limits.idle_seconds + 1)
+        self.edge.turn(50)
+        self.edge.turn_until(lambda: self.caller.answer.settled)
+        self.edge.pass_time(self.edge.limits.idle_seconds / 2)
+        self.edge.turn(50)
+        self.edge.ask(self.caller)
+        self.edge.turn_until(lambda: self.edge.calls or self.is_closed)
+        self.assertEqual(1, len(self.edge.calls))
+
 
 class RefusedBodyTest(ServerCase):
     """The answer to a body that is not read to its end is not lost."""
