Test of a turn that waits for its record: wait until it does

Failed once beside other tests (the reason was shutting_down, not unrecorded). The test now waits until the turn is unrecorded; what it asserts is unchanged, and it passes with the late end, too.

--- a/postspring/front/tests/test_out_of_time.py
+++ b/postspring/front/tests/test_out_of_time.py
@@ -70,6 +70,9 @@
         self.fleet.turn_until(lambda: self.caller.answer.body)
         self.fleet.store.silent = True
         self.fleet.turn_until(lambda: case.EVENTS == self.caller.answer.body)
+        # The stream's end may come behind its last event.
+        journal = self.fleet.nodes[0].journal
+        self.fleet.turn_until(lambda: journal.unrecorded)
         answer = self.run_out()
         self.assertFalse(answer.whole)
         line = self.lines[-1]
