--- a/postspring/histories/reachability.py
+++ b/postspring/histories/reachability.py
@@ -16,8 +16,8 @@
 # in seconds: below the timeout of turns, 0.6 s.  Sooner, a partition that
 # was lost is not tried by all ways (peering/failover.py).
 AWAITED_RETRY_SECONDS = 0.5
-# An append without an answer is sent once more after these many seconds:
-# behind a usual answer (4 ms) and a slow one (0.25 s), see docs/PLATFORM.md.
+# An append without an answer is sent again after these many seconds, the first
+# and the second behind a usual answer (4 ms) and a slow one (0.25 s).
 RESEND_SECONDS = (0.15, 0.3, 0.5)
 # Appends that take less are no sign of a slow log, in seconds: 4 ms is usual,
 # and a copy is asked for after 0.1 s.
