Turns that a killed VM held are charged before others run

What callers saw: a looping program of 320 tokens and 16 for one more turn got 464.

Cause (class: an account that is read from fewer places than it is kept in). While the log is unavailable, one VM runs a program on an offline account, and other VMs hold replicas of its turns. If that VM is killed and the log returns, the holders append the replicas after 2 to 3 s. Until then a VM that opens a turn in the log asks the others what is not charged; they told of their own offline turns and of ended turns without history, and not of the completed turns that they hold. Also the log granted reserves from a charge that lacked these turns (64 of the 144 tokens).

Ruled out: that leases were forgotten (the VM does ask); that replicas were lost (all are in the log 3 s later).

Change: held turns count as uncharged unless a reserve covers them, the VM's own offline use counts too, a turn's opening and its tokens are not both counted, and no VM reserves ahead while others may have uncharged turns.

--- a/postspring/forwarding/budgeted_call.py
+++ b/postspring/forwarding/budgeted_call.py
@@ -133,19 +133,19 @@
     def _check_unsettled(self) -> None:
         """Run the turn unless offline accounts spent what it would need.
 
-        A VM may open a turn in the log before another VM has recorded what
-        it spent from an offline account: a program used 1,368 tokens of a
-        budget of 864.  A turn that is charged to a reserve or to an offline
-        budget needs no check, as its tokens are charged already.
+        A VM may open a turn in the log before the turns that ran on offline
+        accounts are recorded.  A turn that is charged to a reserve or to an
+        offline budget needs no check, as its tokens are charged already.
         """
         peers = self._services.peers
-        is_charged = self._ticket.origin is not histories.Origin.LOG
-        if is_charged or not peers.may_have_uncharged_turns(self._program):
+        if self._ticket.origin is not histories.Origin.LOG:
             self._start_delivery()
-            return
-        peers.find(
-            self._facts, self._unsettled_found, ports.Question.UNSETTLED
-        )
+        elif peers.may_have_uncharged_turns(self._program):
+            peers.find(
+                self._facts, self._unsettled_found, ports.Question.UNSETTLED
+            )
+        else:
+            self._unsettled_found(ports.Finding())
 
     def _unsettled_found(self, finding: ports.Finding) -> None:
         if self._closed:
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -246,6 +246,9 @@
             self.timers,
         )
         self.journal.replica_holders = self.peer_client.holders
+        self.journal.may_have_uncharged_turns = (
+            self.peer_client.may_have_uncharged_turns
+        )
         self.loads = peering.LoadExchange(
             self._peer_http,
             self.timers,
--- a/postspring/histories/claims.py
+++ b/postspring/histories/claims.py
@@ -1,5 +1,6 @@
 """Claims that this VM writes into the records of programs' accounts."""
 
+from collections.abc import Callable
 import dataclasses
 
 from postspring.histories import accounts
@@ -29,10 +30,21 @@
 
     local_accounts : LocalAccounts
         Tokens that the VM may spend by itself.
+    may_have_uncharged_turns : callable
+        Returns whether other VMs may have turns of a program that the log
+        doesn't charge yet.  The log would then accept a reserve of tokens
+        that are spent.
     """
 
-    def __init__(self, local_accounts: accounts.LocalAccounts):
+    def __init__(
+        self,
+        local_accounts: accounts.LocalAccounts,
+        may_have_uncharged_turns: Callable[
+            [records.ProgramId], bool
+        ] = lambda program: False,
+    ):
         self._accounts = local_accounts
+        self._may_have_uncharged_turns = may_have_uncharged_turns
 
     def opening_record(
         self, known: program_module.Program, ticket: accounts.Ticket
@@ -137,9 +149,15 @@
     # -- own ------------------------------------------------------------------
 
     def _request_reserve(self, known, ticket, own: int, used: int) -> int:
+        if self._may_have_uncharged_turns(known.id):
+            return 0
         requested = self._accounts.requested(known.id)
+        offline = sum(self._accounts.unsettled_offline(known.id).values())
         granted = known.reservable_tokens(
-            ticket.ceiling, ticket.budget, own + requested, used + requested
+            ticket.ceiling,
+            ticket.budget,
+            own + requested,
+            used + requested + offline,
         )
         self._accounts.note_requested(known.id, granted)
         return granted
--- a/postspring/histories/journal.py
+++ b/postspring/histories/journal.py
@@ -77,7 +77,11 @@
             recording.append_record, self._partitions
         )
         self.accounts = accounts.LocalAccounts(author)
-        self._claim_writer = claims.ClaimWriter(self.accounts)
+        self.may_have_uncharged_turns = lambda program: False
+        self._claim_writer = claims.ClaimWriter(
+            self.accounts,
+            lambda program: self.may_have_uncharged_turns(program),
+        )
         self._opener = turn_opener.TurnOpener(
             self._claim_writer, self._commit, self._append_withdrawal
         )
@@ -179,13 +183,6 @@
                 timeout = min(timeout, reading.FAILING_TIMEOUT_SECONDS)
             self._opener.open(known, log_ticket, timeout, on_done, on_error)
 
-    def is_budget_exhausted(
-        self, program: records.ProgramId, ceiling: int, budget: int | None
-    ) -> bool:
-        """Return whether no turn of this size can ever run again."""
-        known = self._partitions.program(program)
-        return known.is_budget_exhausted(ceiling, budget)
-
     def end_turn(
         self,
         ticket: accounts.Ticket,
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -238,6 +238,21 @@
             return self.turn_by_id[turn].state
         return None
 
+    def charge_of(self, turn: records.TurnId) -> int:
+        """Return the tokens that the folded records charge for a turn.
+
+        Examples
+        --------
+        >>> program = Program("p")
+        >>> claim = records.Claim("vm", ceiling=8, budget=10)
+        >>> state = program.open(records.OpenedTurn("p", "t", claim))
+        >>> program.charge_of("t"), program.charge_of("u")
+        (8, 0)
+        """
+        if turn not in self._contributions_by_turn:
+            return 0
+        return self._charged_tokens(turn)
+
     def is_budget_exhausted(self, ceiling: int, budget: int | None) -> bool:
         """Return whether no turn of this size can ever fit the budget."""
         return budget is not None and self.settled + ceiling > budget
--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -19,8 +19,17 @@
 
 
 class JournalReader:
-    """The queries of a journal, which sets the attributes that they use."""
+    """The queries of a journal, which sets the attributes that they use.
 
+    Attributes
+    ==========
+
+    may_have_uncharged_turns : callable
+        Returns whether other VMs may have turns of a program that the log
+        doesn't charge yet.
+    """
+
+    may_have_uncharged_turns: Callable[[records.ProgramId], bool]
     accounts: accounts.LocalAccounts
     _partitions: partitions.Partitions
     _held_by_ref: held_turns.HeldTurns
@@ -34,8 +43,13 @@
     def unsettled(
         self, program: records.ProgramId
     ) -> dict[records.TurnId, int]:
-        """Return the tokens of offline turns that the log may not charge."""
+        """Return the tokens of turns that the log may not charge.
+
+        These ran on an offline account here, or at a VM that may be gone and
+        whose replicas this VM holds.
+        """
         return {
+            **self._held_tokens_by_turn(program),
             **self._ended_replicas.tokens_by_turn(program),
             **self.accounts.unsettled_offline(program),
         }
@@ -44,7 +58,9 @@
     def may_have_offline_charges(self) -> bool:
         """Whether any offline turn may not be charged yet."""
         return (
-            self.accounts.has_offline_accounts or len(self._ended_replicas) > 0
+            self.accounts.has_offline_accounts
+            or len(self._ended_replicas) > 0
+            or len(self._held_by_ref) > 0
         )
 
     def offline_tokens_left(self, program: records.ProgramId) -> int:
@@ -64,10 +80,12 @@
     ) -> bool:
         """Return whether a program's charge and offline use fit its budget.
 
+        This VM's own offline use counts as well.
+
         Parameters
         ----------
         unsettled : dict
-            Tokens of turns that the log may lack.
+            Tokens of turns that the log may lack, by the other VMs.
         offline_tokens_left : int
             Tokens that offline accounts may still spend.
         """
@@ -75,12 +93,21 @@
             return True
         known = self._partitions.program(program)
         lacking = sum(
-            tokens
-            for turn, tokens in unsettled.items()
+            max(0, tokens - known.charge_of(turn))
+            for turn, tokens in (unsettled | self.unsettled(program)).items()
             if known.state_after_run(turn) is None
         )
+        if not lacking and not offline_tokens_left:
+            return True
         return self.charged(program) + lacking + offline_tokens_left <= budget
 
+    def is_budget_exhausted(
+        self, program: records.ProgramId, ceiling: int, budget: int | None
+    ) -> bool:
+        """Return whether no turn of this size can ever run again."""
+        known = self._partitions.program(program)
+        return known.is_budget_exhausted(ceiling, budget)
+
     def patience(self, usual: float) -> float:
         """Return how long a caller should wait for the log.
 
@@ -235,6 +262,16 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _held_tokens_by_turn(
+        self, program: records.ProgramId
+    ) -> dict[records.TurnId, int]:
+        """Return the tokens of held turns, but those charged to a reserve."""
+        return {
+            record.turn: record.tokens
+            for record in self._held_by_ref.values()
+            if record.program == program and not record.claim.from_reserve
+        }
+
     def _holds(self, program: records.ProgramId) -> bool:
         """Return whether this VM holds a turn of a program."""
         if self._ended_replicas.has_program(program):
--- a/postspring/testing/fleet/journal_fleet.py
+++ b/postspring/testing/fleet/journal_fleet.py
@@ -172,6 +172,9 @@
             timers,
         )
         self.journal.replica_holders = self.peer_client.holders
+        self.journal.may_have_uncharged_turns = (
+            self.peer_client.may_have_uncharged_turns
+        )
         self.service = self._service(leases)
 
     def _service(self, leases: peering.ProgramLeases) -> peering.PeerService:
