Periodic jobs share wake-ups; isolation is checked while the path is lost

Cause (class: work at rest that grows with the number of VMs and not with the calls).

Change: repeated calls at up to a second are counted from one moment, which differs between processes; isolation is checked only from the loss of the direct path to its return.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -128,7 +128,6 @@
             },
         )
         self.members.start()
-        self.isolation.start()
         self.loads.start()
         self.permits.start()
         self.followers.start()
@@ -380,6 +379,7 @@
         log answers again, also resume what waited for it.
         """
         self.followers.configuration.read_now()
+        self.isolation.note_path_change()
         if not self.log.is_down:
             self.journal.on_log_recovered()
 
--- a/postspring/peering/isolation.py
+++ b/postspring/peering/isolation.py
@@ -80,10 +80,17 @@
         self._heard_at = -math.inf
         self._is_probing = False
         self._failed_rounds = 0
+        # Set while the direct path to the log is lost.
+        self._checks: transport.TimerHandle | None = None
 
-    def start(self) -> None:
-        """Start the periodic checks."""
-        self._timers.call_every(CHECK_INTERVAL_SECONDS, self._check)
+    def note_path_change(self) -> None:
+        """Take note that the direct path to the log was lost or restored."""
+        if self._is_direct():
+            self._check()
+        elif self._checks is None:
+            self._checks = self._timers.call_every(
+                CHECK_INTERVAL_SECONDS, self._check
+            )
 
     @property
     def is_isolated(self) -> bool:
@@ -120,6 +127,9 @@
 
     def _check(self) -> None:
         if self._is_direct():
+            if self._checks is not None:
+                self._checks.cancel()
+                self._checks = None
             self._failed_rounds = 0
             self._heard_at = -math.inf
             self._end("log")
--- a/postspring/transport/timers.py
+++ b/postspring/transport/timers.py
@@ -4,6 +4,8 @@
 import heapq
 import itertools
 import logging
+import math
+import random
 import time
 
 from circuits import BaseComponent
@@ -23,6 +25,11 @@
 # sockets are polled again as long as data arrives, for at most this long, in
 # seconds; a response of a megabyte is read within a few ms.
 CATCH_UP_SECONDS = 0.1
+# Repeated calls at intervals up to this, in seconds, share wake-ups. At longer
+# intervals a wake-up of its own costs little.
+MAX_SHARED_INTERVAL_SECONDS = 1.0
+# Rounding errors of a due time, as a share of its interval.
+ROUNDING_SHARE = 1e-6
 
 
 class TimerHandle:
@@ -72,6 +79,9 @@
         super().__init__()
         self._heap: list[tuple[float, int, TimerHandle]] = []
         self._tie_break = itertools.count()
+        # Differs between processes, which would otherwise all call each other
+        # and the log at the same moment.
+        self._phase = random.random()
         self._input_deadline: float | None = None
         self.has_read = False
         self.pauses = 0
@@ -87,23 +97,43 @@
     ) -> TimerHandle:
         """Call ``function(*arguments)`` once, ``seconds`` from now."""
         handle = TimerHandle(function, arguments)
-        due = self.now() + seconds
-        heapq.heappush(self._heap, (due, next(self._tie_break), handle))
+        self._schedule(self.now() + seconds, handle)
         return handle
 
     def call_every(self, seconds: float, function: Callable) -> TimerHandle:
-        """Call ``function()`` repeatedly, every ``seconds`` seconds."""
+        """Call ``function()`` repeatedly, every ``seconds`` seconds.
+
+        Short intervals are counted from a moment that is the same for all of
+        them, so that the first call may come sooner.  A process that has
+        nothing to do then wakes up once for all calls that are due, and not
+        for each of them: the wake-up costs more than the calls.
+        """
         handle = TimerHandle(function, ())
 
         def repeat() -> None:
             if handle.function is None:
                 return
-            self.call_later(seconds, repeat)
+            schedule()
             handle.function()
 
-        self.call_later(seconds, repeat)
+        def schedule() -> None:
+            due = self._next_due(seconds)
+            self._schedule(due, TimerHandle(repeat, ()))
+
+        schedule()
         return handle
 
+    def _next_due(self, interval: float) -> float:
+        time_now = self.now()
+        if interval > MAX_SHARED_INTERVAL_SECONDS:
+            return time_now + interval
+        passed = (time_now - self._phase) / interval
+        count = math.floor(passed + ROUNDING_SHARE) + 1
+        return self._phase + count * interval
+
+    def _schedule(self, due: float, handle: TimerHandle) -> None:
+        heapq.heappush(self._heap, (due, next(self._tie_break), handle))
+
     @handler("generate_events", channel="*", priority=5)
     def _on_generate_events(self, event):
         heap = self._heap
