A turn on an offline account is charged from its start

What callers saw: a looping program whose sub-agents run in parallel got 368 tokens of 320 and 16 for one more turn.

Cause (class: what is owed is kept only by the one who may die). Turns on an offline account were charged by the record of their end. If their VM was killed with several of them under way, nothing charged what callers had: neither the log, which was away, nor another VM.

Ruled out: that the ends were lost (they were never written), that the reserve of the killed VM covers it (38 of the 96 tokens, by chance).

Change: other VMs hold the opening of such a turn, tell of it as uncharged, drop it when they hold the turn's end, and append it if the log still lacks the turn at the second look, 4 to 6 s after its return: until the end is recorded the ceiling is charged, as for a turn that was opened in the log. A turn that handed out nothing is settled by a record, too. The opening is sent as the turn starts and not waited for: tokens of the first ms are covered only once it arrives.

--- a/postspring/histories/claims.py
+++ b/postspring/histories/claims.py
@@ -64,6 +64,13 @@
         )
         return records.OpenedTurn(ticket.program, ticket.turn, claim)
 
+    def offline_opening(self, ticket: accounts.Ticket) -> records.OpenedTurn:
+        """Return the record that opens a turn on an offline account."""
+        claim = records.Claim(
+            self._accounts.author, ticket.limit, ticket.budget
+        )
+        return records.OpenedTurn(ticket.program, ticket.turn, claim)
+
     def note_opened(
         self,
         fold: fold_module.ProgramFold,
--- a/postspring/histories/program.py
+++ b/postspring/histories/program.py
@@ -218,12 +218,17 @@
             entry.decision = self._decide(record, contribution, entry)
         return entry.decision
 
-    def has_settlement(self, record: records.EndedTurn) -> bool:
-        """Return whether the record of a turn's end was folded."""
+    def has_charge(
+        self, record: records.OpenedTurn | records.EndedTurn
+    ) -> bool:
+        """Return whether the folded records charge what a record does.
+
+        For an opening that holds if its author has any record of the turn.
+        """
         entry = _entry(record)
         return any(
             contribution.author == record.claim.author
-            and contribution.find(entry) is not None
+            and (entry.tokens is None or contribution.find(entry) is not None)
             for contribution in self._contributions_by_turn.get(
                 record.turn, ()
             )
--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -33,7 +33,7 @@
     accounts: accounts.LocalAccounts
     _partitions: partitions.Partitions
     _held_by_ref: held_turns.HeldTurns
-    _ended_replicas: replicas.EndedTurnReplicas
+    _charge_replicas: replicas.ChargeReplicas
 
     def charged(self, program: records.ProgramId) -> int:
         """Return the tokens that the folded records charge a program with."""
@@ -50,7 +50,7 @@
         """
         return {
             **self._held_tokens_by_turn(program),
-            **self._ended_replicas.tokens_by_turn(program),
+            **self._charge_replicas.tokens_by_turn(program),
             **self.accounts.unsettled_offline(program),
         }
 
@@ -59,7 +59,7 @@
         """Whether any offline turn may not be charged yet."""
         return (
             self.accounts.has_offline_accounts
-            or len(self._ended_replicas) > 0
+            or len(self._charge_replicas) > 0
             or len(self._held_by_ref) > 0
         )
 
@@ -186,7 +186,7 @@
         """
         if self.accounts.has_offline_account(program):
             return False
-        if self._ended_replicas.has_program(program):
+        if self._charge_replicas.has_program(program):
             return False
         ref = None
         if previous is not None:
@@ -274,6 +274,6 @@
 
     def _holds(self, program: records.ProgramId) -> bool:
         """Return whether this VM holds a turn of a program."""
-        if self._ended_replicas.has_program(program):
+        if self._charge_replicas.has_program(program):
             return True
         return any(ref.program == program for ref in self._held_by_ref)
--- a/postspring/histories/records.py
+++ b/postspring/histories/records.py
@@ -28,6 +28,7 @@
     "TurnId",
     "TurnLocation",
     "TurnRef",
+    "check_is_completed",
     "decode_record",
     "encode_record",
     "fits_key",
@@ -285,3 +286,15 @@
     if not isinstance(program, str) or not isinstance(turn, str):
         raise ValueError("a turn's parent must be a pair of strings")
     return TurnRef(ProgramId(program), TurnId(turn))
+
+
+def check_is_completed(record: Record) -> None:
+    """Check that a record is that of a completed turn.
+
+    Raises
+    ------
+    MalformedRecord
+        If it is another one.
+    """
+    if not isinstance(record, CompletedTurn):
+        raise errors.MalformedRecord("not the record of a completed turn")
