Test of killed VMs: its premise is that the turns ran

Cause: a refusal is a complete answer, too; the test checked for a complete answer where it needs the turns of the killed VM to have run. Ruled out: that the two tests passed for it: their statuses were 200 where they failed and after the fix. Change: the status is checked.

--- a/postspring/front/tests/test_killed_offline_vm.py
+++ b/postspring/front/tests/test_killed_offline_vm.py
@@ -96,14 +96,18 @@
         self.spend_rest(0)
         self.assertLessEqual(self.tokens_delivered, BUDGET + CEILING)
 
-    def test_held_turns_of_a_killed_vm_are_charged(self):
-        self.fleet.store.refuse = 503
+    def spend_offline_and_die(self):
+        """Spend most of the budget at the first VM, which is then killed."""
         previous = {}
         for number in range(15):
             answer = self.take_turn(f"a{number}", **previous)
-            self.assertTrue(answer.complete)
+            self.assertEqual(200, answer.status)
             previous = {"previous_turn": f"a{number}"}
         self.fleet.stop_vm(self.fleet.nodes[0])
+
+    def test_held_turns_of_a_killed_vm_are_charged(self):
+        self.fleet.store.refuse = 503
+        self.spend_offline_and_die()
         self.fleet.store.refuse = 0
         for node in self.fleet.nodes:
             self.fleet.run_loop_until(lambda node=node: not node.log.is_down)
