Metric of wake-ups: what a VM costs at rest

Cause: the processor time of a VM could not be told apart into work for calls and wake-ups without any; a trial with counts was needed. Ruled out: lines in the log (volume at hundreds of VMs).

--- a/postspring/front/gauges.py
+++ b/postspring/front/gauges.py
@@ -65,6 +65,11 @@
         "How long the process stood still in all",
         lambda: timers.paused_seconds,
     )
+    metrics.add_gauge(
+        "timer_wake_ups",
+        "How often the process woke up as calls were due",
+        lambda: timers.wake_ups,
+    )
     metrics.add_gauge(
         "processor_seconds", "Processor time used", time.process_time
     )
--- a/postspring/transport/timers.py
+++ b/postspring/transport/timers.py
@@ -71,6 +71,8 @@
         How often the event loop paused for longer than callers notice.
     paused_seconds : float
         Total duration of these pauses.
+    wake_ups : int
+        How often calls were due: of a process without work, what it costs.
     """
 
     channel = "timers"
@@ -86,6 +88,7 @@
         self.has_read = False
         self.pauses = 0
         self.paused_seconds = 0.0
+        self.wake_ups = 0
 
     @staticmethod
     def now() -> float:
@@ -153,6 +156,7 @@
         ):
             return
         self._input_deadline = None
+        self.wake_ups += 1
         self._run_due(started_at + LATENESS_TOLERANCE_SECONDS)
 
     def _should_read_first(self, time_now: float, late: float) -> bool:
