--- a/postspring/transport/timers.py
+++ b/postspring/transport/timers.py
@@ -5,7 +5,6 @@
 import itertools
 import logging
 import math
-import random
 import time
 
 from circuits import BaseComponent
@@ -81,9 +80,8 @@
         super().__init__()
         self._heap: list[tuple[float, int, TimerHandle]] = []
         self._tie_break = itertools.count()
-        # Differs between processes, which would otherwise all call each other
-        # and the log at the same moment.
-        self._phase = random.random()
+        # Short intervals are counted from here.
+        self._started_at = self.now()
         self._input_deadline: float | None = None
         self.has_read = False
         self.pauses = 0
@@ -130,9 +128,9 @@
         time_now = self.now()
         if interval > MAX_SHARED_INTERVAL_SECONDS:
             return time_now + interval
-        passed = (time_now - self._phase) / interval
+        passed = (time_now - self._started_at) / interval
         count = math.floor(passed + ROUNDING_SHARE) + 1
-        return self._phase + count * interval
+        return self._started_at + count * interval
 
     def _schedule(self, due: float, handle: TimerHandle) -> None:
         heapq.heappush(self._heap, (due, next(self._tie_break), handle))
