Only turns of other VMs that are held count as uncharged

Ruled out: own turns on offline accounts, which these accounts tell. Change: turns held for other VMs only. One line above each new test says what it guards against.

--- a/postspring/front/tests/test_killed_offline_vm.py
+++ b/postspring/front/tests/test_killed_offline_vm.py
@@ -2,7 +2,8 @@
 
 Seen by callers: a looping program whose sub-agents run in parallel gets more
 tokens than its budget and one more turn.  The tokens of turns that were under
-way at the killed VM were charged nowhere.
+way at the killed VM were charged nowhere, and those of completed turns only
+once other VMs had appended their replicas.
 """
 
 from postspring.testing.fleet import case
@@ -82,6 +83,8 @@
             if answer.status != 200:
                 self.fleet.turn_for(0.5)
 
+    # Guards against tokens of turns under way that nothing charges once their
+    # VM is gone.
     def test_turns_of_a_killed_vm_are_charged(self):
         self.fleet.store.refuse = 503
         first = self.take_turn("a")
@@ -105,6 +108,8 @@
             previous = {"previous_turn": f"a{number}"}
         self.fleet.stop_vm(self.fleet.nodes[0])
 
+    # Guards against turns opened in the log before the replicas of completed
+    # ones are appended.
     def test_held_turns_of_a_killed_vm_are_charged(self):
         self.fleet.store.refuse = 503
         self.spend_offline_and_die()
--- a/postspring/front/tests/test_wake_ups.py
+++ b/postspring/front/tests/test_wake_ups.py
@@ -44,6 +44,7 @@
         found = [vm for vm, moment in moments if vm in vms]
         return len(found) / len(vms) / SECONDS
 
+    # Guards against periodic jobs that each wake the process up on their own.
     def test_vm_without_work_sleeps_between_shared_wake_ups(self):
         self.assertLessEqual(self.count_wake_ups(), MAX_WAKE_UPS_PER_SECOND)
 
--- a/postspring/histories/reading.py
+++ b/postspring/histories/reading.py
@@ -1,6 +1,7 @@
 """Read access to histories: what this VM knows, and what the log has."""
 
 from collections.abc import Callable
+from collections.abc import Iterable
 
 from postspring.histories import accounts
 from postspring.histories import chains
@@ -60,7 +61,7 @@
         return (
             self.accounts.has_offline_accounts
             or len(self._charge_replicas) > 0
-            or len(self._held_by_ref) > 0
+            or any(self._held_replicas)
         )
 
     def offline_tokens_left(self, program: records.ProgramId) -> int:
@@ -262,13 +263,26 @@
 
     # -- own ------------------------------------------------------------------
 
+    @property
+    def _held_replicas(self) -> Iterable[records.CompletedTurn]:
+        """Other VMs' turns that this VM holds.
+
+        Of its own ones, those on offline accounts are in these accounts, and
+        the log charges the others.
+        """
+        return (
+            record
+            for record in self._held_by_ref.values()
+            if record.claim.author != self.accounts.author
+        )
+
     def _held_tokens_by_turn(
         self, program: records.ProgramId
     ) -> dict[records.TurnId, int]:
         """Return the tokens of held turns, but those charged to a reserve."""
         return {
             record.turn: record.tokens
-            for record in self._held_by_ref.values()
+            for record in self._held_replicas
             if record.program == program and not record.claim.from_reserve
         }
 
--- a/postspring/histories/tests/test_charge_replicas.py
+++ b/postspring/histories/tests/test_charge_replicas.py
@@ -115,3 +115,31 @@
         record = records.encode_record(records.TurnLocation("t", "p"))
         with self.assertRaises(histories.MalformedRecord):
             self.two.journal.store_replica(record)
+
+
+class HeldReplicasTest(test_journal.JournalCase):
+    """Only turns of other VMs that a VM holds may not be charged."""
+
+    def hold_own_turn(self):
+        """Complete a turn that the log charges and whose record it lacks."""
+        self.assertIs(test_journal.OPEN, self.one.open("a"))
+        self.one.log.faults.down = True
+        self.one.journal.complete_turn(
+            self.one.tickets["a"], None, 4, b"<a", b">", "e", lambda kept: None
+        )
+        self.assertEqual(1, self.one.journal.held)
+
+    # Guards against restarted VMs that ask a busy one for each program.
+    def test_own_turn_that_the_log_charges_is_not_told(self):
+        self.hold_own_turn()
+        self.assertFalse(self.one.journal.may_have_offline_charges)
+        self.assertEqual({}, self.one.journal.unsettled("p"))
+
+    # Guards against a budget that is spent again before replicas are recorded.
+    def test_replica_of_a_turn_is_told(self):
+        claim = histories.Claim("one", 10, 25)
+        turn = histories.CompletedTurn("p", "a", claim, None, 4, b"<a", b">")
+        self.two.log.faults.down = True
+        self.two.journal.store_replica(records.encode_record(turn))
+        self.assertTrue(self.two.journal.may_have_offline_charges)
+        self.assertEqual({"a": 4}, self.two.journal.unsettled("p"))
