--- a/postspring/histories/replicas.py
+++ b/postspring/histories/replicas.py
@@ -210,26 +210,27 @@
         seconds = random.uniform(*CHECK_DELAY_SECONDS)
         self._timers.call_later(seconds, self._check_log, record)
 
-    def _awaits_end(self, record: ChargeRecord) -> bool:
-        """Return whether an opening was looked for in the log only once.
+    def _should_look_again(self, record: ChargeRecord) -> bool:
+        """Return whether a record that the log lacks is looked for again.
 
-        Right after an outage the record of the turn's end is mostly about to
-        be appended, and the opening would be one append more.
+        Right after an outage the end of an opened turn is mostly about to be
+        appended, and its opening would be one append more.
         """
-        if not isinstance(record, records.OpenedTurn):
+        is_opening = isinstance(record, records.OpenedTurn)
+        if not is_opening or record in self._missing_once:
             return False
-        is_first = record not in self._missing_once
         self._missing_once.add(record)
-        return is_first
+        return True
 
     def _check_log(self, record: ChargeRecord) -> None:
         if record not in self._stored:
+            self._drop(record)
             return
 
         def folded() -> None:
             if record not in self._stored or self._is_charged(record):
                 self._drop(record)
-            elif self._awaits_end(record):
+            elif self._should_look_again(record):
                 self._schedule_check(record)
             else:
                 self._append(record, lambda: self._drop(record))
