--- a/postspring/transport/timers.py
+++ b/postspring/transport/timers.py
@@ -106,8 +106,7 @@
 
         Short intervals are counted from a moment that is the same for all of
         them, so that the first call may come sooner.  A process that has
-        nothing to do then wakes up once for all calls that are due, and not
-        for each of them: the wake-up costs more than the calls.
+        nothing to do then wakes up once for all calls that are due.
         """
         handle = TimerHandle(function, ())
 
