--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -161,7 +161,7 @@
                     message.body = await read_chunked(reader)
                 else:
                     size = int(message.header("Content-Length", "0"))
-                    message.body = await reader.readexactly(size)
+                    message.body = await self.read_body(reader, size)
                 if await self.handle(message, writer, reader) is False:
                     return
         except (asyncio.IncompleteReadError, ConnectionError, OSError):
@@ -173,6 +173,9 @@
     async def early(self, message, writer) -> bool:
         return False
 
+    async def read_body(self, reader, size: int) -> bytes:
+        return await reader.readexactly(size)
+
     async def handle(self, message, writer, reader):
         raise NotImplementedError
 
@@ -505,7 +508,7 @@
             "limits": {
                 "cpu_share": 0.717,
                 "cores": 3,
-                "memory_mb": 160,
+                "memory_mb": world.memory_mb,
                 "max_fds": 8200,
                 "link_mbps": 1000.0,
                 "disk_mb": 0,
@@ -593,7 +596,10 @@
 class World:
     """A small deployment: store, engines, VMs, and its clients."""
 
-    def __init__(self, record: Record, vms=3, zones=ZONES, bounds=None):
+    def __init__(
+        self, record: Record, vms=3, zones=ZONES, bounds=None, memory_mb=160
+    ):
+        self.memory_mb = memory_mb
         self.record = record
         self.zones = zones
         self.bounds = {**BOUNDS, **(bounds or {})}
