Transport: the exchange has a module of its own

Ruled out: a change of behaviour; the class is moved as it stands, its client's type named Any to avoid a circle of imports. Result: test_http_client and test_failures pass unchanged, as before the move.

--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -1,8 +1,8 @@
 """Timers, TCP connections and HTTP/1.1 on the circuits event loop."""
 
 from postspring.transport.address_probe import probe_address
+from postspring.transport.exchange import Exchange
 from postspring.transport.exchange_observer import ExchangeObserver
-from postspring.transport.http_client import Exchange
 from postspring.transport.http_client import HttpClient
 from postspring.transport.http_messages import HttpListener
 from postspring.transport.http_messages import HttpRequest
--- /dev/null
+++ b/postspring/transport/exchange.py
@@ -0,0 +1,256 @@
+"""One HTTP request and its response: h11 on a connection of the hub.
+
+``circuits.web.client`` handles one request per object and buffers whole
+responses; streaming needs h11 instead.
+"""
+
+import math
+import socket
+from typing import Any
+
+import h11
+
+from postspring import errors
+from postspring.transport import http_messages
+from postspring.transport import kept_connections
+from postspring.transport import sockets
+
+__all__ = ["Exchange"]
+
+# A cancelled request without a byte of a response makes its address suspect
+# only after this long, in seconds: the time a connection is given to open.
+SILENT_SECONDS = 0.4
+
+
+class Exchange(sockets.ConnectionHandler):
+    """One request and its response; :meth:`cancel` closes its connection."""
+
+    def __init__(
+        self,
+        client: Any,
+        request: http_messages.HttpRequest,
+        listener,
+    ):
+        self.request = request
+        self.sent = False
+        self.header_fields: list[tuple[bytes, bytes]] = []
+        self._skipping_response = False
+        self._client = client
+        self._listener = listener
+        self._socket: socket.socket | None = None
+        self._http: h11.Connection | None = None
+        self._reused = False
+        self._has_response_bytes = False
+        self.sent_at = client.timers.now()
+        self._timeout_timer = client.timers.call_later(
+            request.timeout, self._time_out
+        )
+
+    @property
+    def done(self) -> bool:
+        """Whether the exchange has completed, failed or been cancelled."""
+        return self._listener is None
+
+    def cancel(self) -> None:
+        """Abort the exchange; the listener is not called any more."""
+        self._listener = None
+        self._client.observer.ended(self)
+        self._timeout_timer.cancel()
+        waited = self._client.timers.now() - self.sent_at
+        if self.is_silent and waited >= SILENT_SECONDS:
+            self._client.close_older_idle(self)
+        self._drop_connection()
+
+    @property
+    def is_silent(self) -> bool:
+        """Whether it is on a connection and no response byte has arrived."""
+        return self._socket is not None and not self._has_response_bytes
+
+    def pause(self) -> None:
+        """Stop reading a paced response."""
+        if self._socket is not None:
+            self._client.hub.stop_paced_reading(self._socket)
+
+    def resume(self) -> None:
+        """Continue reading a paced response."""
+        if self._socket is not None and not self.done:
+            self._client.hub.resume_reading(self._socket)
+            self._client.hub.start_paced_reading(self._socket)
+
+    # -- from the client ------------------------------------------------------
+
+    def attach(
+        self, sock: socket.socket, connection: h11.Connection, reused: bool
+    ) -> "Exchange":
+        """Send the request on this connection."""
+        if self.done:
+            self._client.hub.close_when_sent(sock)
+            return self
+        if not reused:
+            self._client.observer.connected(self)
+        self._socket = sock
+        self._http = connection
+        self._reused = reused
+        try:
+            data = http_messages.serialize_request(connection, self.request)
+        except (h11.LocalProtocolError, UnicodeEncodeError) as error:
+            # The hub would only log an exception that is raised here; the
+            # listener is to get it as a failure.
+            text = f"bad request: {error}"
+            self._client.timers.call_later(0, self._fail, text)
+            return self
+        self.sent = True
+        self.sent_at = self._client.timers.now()
+        if self.request.silent_after < math.inf:
+            self._client.awaiting_response[self] = None
+        # The hub registers a new connection after this method returns.
+        self._client.timers.call_later(0, self._transmit, data)
+        return self
+
+    def _transmit(self, data: bytes) -> None:
+        if self._socket is not None:
+            self._client.hub.send(self._socket, data)
+
+    def connect_failed(self, error: errors.TransportError) -> None:
+        """Fail because no connection could be established."""
+        if self.sent:  # It may have run before a reused connection closed.
+            self._fail("connection closed", is_broken=True)
+        self._finish_with(error)
+
+    # -- from the hub ---------------------------------------------------------
+
+    def received(self, data: bytes) -> None:
+        """Parse the bytes and pass the response to the listener."""
+        self._has_response_bytes = True
+        self._client.observer.received(self)
+        self._client.awaiting_response.pop(self, None)
+        self._http.receive_data(data)
+        self._parse()
+
+    def _time_out(self) -> None:
+        if self.is_silent:
+            self._client.close_older_idle(self)
+        self._fail("timeout")
+
+    def broken(self, is_unreachable: bool) -> None:
+        """Handle a broken connection, which never completes a response.
+
+        The network path or the server's machine may have failed, so idle
+        connections to the same address are closed.
+        """
+        self._socket = None
+        self._client.close_idle_connections(self.request.address)
+        if self.done or self._retry_on_new_connection():
+            return
+        self._fail("connection reset", is_unreachable, is_broken=True)
+
+    def closed(self) -> None:
+        """Handle the end of the connection, which may end the response."""
+        self._socket = None
+        if self.done:
+            return
+        if self._retry_on_new_connection():
+            return
+        try:
+            self._http.receive_data(b"")
+            self._parse_events()
+        except h11.RemoteProtocolError:
+            pass
+        if not self.done:
+            self._fail("connection closed", is_broken=True)
+
+    # -- own ------------------------------------------------------------------
+
+    def _retry_on_new_connection(self) -> bool:
+        """Resend an idempotent request after a close without a response."""
+        is_lost = self._reused and not self._has_response_bytes
+        if not (is_lost and self.request.is_resendable):
+            return False
+        self._reused = False
+        self._client.connect(self)
+        return True
+
+    def _parse(self) -> None:
+        try:
+            self._parse_events()
+        except h11.RemoteProtocolError as error:
+            self._fail(f"bad answer: {error}")
+
+    def _parse_events(self) -> None:
+        while not self.done:
+            event = self._http.next_event()
+            if event in (h11.NEED_DATA, h11.PAUSED):
+                return
+            if isinstance(event, h11.Response):
+                self._handle_head(event)
+            elif isinstance(event, h11.Data):
+                if not self._skipping_response:
+                    self._listener.data(bytes(event.data))
+            elif isinstance(event, h11.EndOfMessage):
+                if self._skipping_response:
+                    self._await_own_response()
+                else:
+                    self._complete()
+            elif isinstance(event, h11.ConnectionClosed):
+                return
+
+    def _handle_head(self, event: h11.Response) -> None:
+        headers = http_messages.decode_headers(event.headers)
+        is_own_response = self.request.is_own_response
+        if is_own_response is not None and not is_own_response(headers):
+            self._skipping_response = True
+            return
+        self.header_fields = event.headers.raw_items()
+        self._listener.head(event.status_code, headers)
+        if self.request.paced and self._socket is not None:
+            self._client.hub.start_paced_reading(self._socket)
+
+    def _await_own_response(self) -> None:
+        """Parse on after a response that belonged to another request."""
+        self._skipping_response = False
+        surplus, at_end = self._http.trailing_data
+        self._http = kept_connections.new_connection()
+        http_messages.serialize_request(self._http, self.request)
+        if surplus:
+            self._http.receive_data(surplus)
+
+    def _complete(self) -> None:
+        listener = self._listener
+        self._listener = None
+        self._client.observer.ended(self)
+        self._timeout_timer.cancel()
+        if self.request.paced and self._socket is not None:
+            self._client.hub.resume_reading(self._socket)
+        headers = http_messages.decode_headers(self.header_fields)
+        sock, self._socket = self._socket, None
+        self._client.keep_idle(self.request.address, sock, self._http, headers)
+        listener.end()
+
+    def _fail(
+        self, text: str, is_unreachable: bool = False, is_broken: bool = False
+    ) -> None:
+        host, port = self.request.address
+        self._finish_with(
+            errors.TransportError(
+                f"{self.request.method} {host}:{port}: {text}",
+                self.sent,
+                is_unreachable,
+                is_broken,
+            )
+        )
+
+    def _finish_with(self, error: errors.TransportError) -> None:
+        listener = self._listener
+        if listener is None:
+            return
+        self.cancel()
+        listener.failed(error)
+
+    def _drop_connection(self) -> None:
+        sock = self._socket
+        self._socket = None
+        self._client.awaiting_response.pop(self, None)
+        if sock is not None:
+            # Unsent parts of the request are discarded: sent once the window
+            # opens, they would start work whose result is not needed.
+            self._client.hub.close_now(sock)
