--- a/postspring/peers/link.py
+++ b/postspring/peers/link.py
@@ -131,7 +131,7 @@
         if self._protocol.close_expected():
             self.close_when_sent()
 
-    def closed(self) -> None:
+    def ended(self, end: transport.ConnectionEnd) -> None:
         """Mark the link closed and report it."""
         self.is_open = False
         self._on_closed(self)
--- a/postspring/peers/tests/test_hub.py
+++ b/postspring/peers/tests/test_hub.py
@@ -198,7 +198,7 @@
                 for chunk in link.protocol.data_to_send():
                     self.first.hub.sockets.send(link.sock, chunk)
 
-            def closed(link):
+            def ended(link, end):
                 closed.append(True)
 
         def on_open(sock):
--- a/postspring/testing/link.py
+++ b/postspring/testing/link.py
@@ -33,7 +33,7 @@
         else:
             self.link.hub.send(self.other.sock, data)
 
-    def closed(self) -> None:
+    def ended(self, end: transport.ConnectionEnd) -> None:
         """Close the other end, too."""
         self.link.forget(self)
         if self.other is not None:
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -1,6 +1,7 @@
 """Timers, TCP connections and HTTP/1.1 on the circuits event loop."""
 
 from postspring.transport.address_probe import probe_address
+from postspring.transport.connection_end import ConnectionEnd
 from postspring.transport.exchange import Exchange
 from postspring.transport.exchange_observer import ExchangeObserver
 from postspring.transport.http_client import HttpClient
@@ -19,6 +20,7 @@
 from postspring.transport.timers import Timers
 
 __all__ = [
+    "ConnectionEnd",
     "ConnectionHandler",
     "EndedBy",
     "Exchange",
--- a/postspring/transport/connecting_hub.py
+++ b/postspring/transport/connecting_hub.py
@@ -1,27 +1,22 @@
-"""Outgoing connections on circuits' ``TCPServer``."""
+"""Outgoing connections."""
 
 from collections.abc import Callable
 import errno
-import logging
 import os
 import socket
 
-from circuits.net import sockets
-
 from postspring import errors
 from postspring.transport import connection_attempts
 from postspring.transport import connection_handler
+from postspring.transport import connection_hub
 from postspring.transport import descriptor_limits
-from postspring.transport import send_windows
 from postspring.transport import timers as timers_module
 
-__all__ = ["ConnectingHub", "call_safely"]
-
-LOG = logging.getLogger(__name__)
+__all__ = ["ConnectingHub"]
 
 
-class ConnectingHub(sockets.TCPServer):
-    """A TCP server that also opens connections.
+class ConnectingHub(connection_hub.ConnectionHub):
+    """A hub that opens connections.
 
     Attributes
     ==========
@@ -32,16 +27,11 @@
     """
 
     def __init__(self, timers: timers_module.Timers, bind, **options):
-        self._timers = timers
-        self._handler_by_socket: dict[
-            socket.socket, connection_handler.ConnectionHandler
-        ] = {}
         self._connecting: dict[
             socket.socket, connection_attempts.PendingConnection
         ] = {}
-        self._send_windows = send_windows.SendWindowMonitor(timers)
         self.shortage = descriptor_limits.ConnectionShortage(timers)
-        super().__init__(bind, **options)
+        super().__init__(timers, bind, **options)
 
     def open(
         self,
@@ -94,14 +84,14 @@
         pending = self._connecting.pop(sock)
         pending.deadline.cancel()
         self._clients.append(sock)
-        new_handler = call_safely(pending.on_open, sock)
+        new_handler = connection_handler.call_safely(pending.on_open, sock)
         if new_handler is None:
             self._close(sock)
             reason = "its user failed"
             failure = connection_attempts.connect_error(
                 pending.address, reason
             )
-            call_safely(pending.on_error, failure)
+            connection_handler.call_safely(pending.on_error, failure)
         elif sock in self._clients:
             self._handler_by_socket[sock] = new_handler
             self._poller.addReader(self, sock)
@@ -137,19 +127,7 @@
         self._buffers.pop(sock, None)
         self._send_windows.remove(sock)
         sock.close()
-        call_safely(
+        connection_handler.call_safely(
             pending.on_error,
             connection_attempts.connect_error(pending.address, reason),
         )
-
-
-def call_safely(function: Callable, *arguments):
-    """Call a callback of a connection's owner; log and drop exceptions.
-
-    An exception of one owner must not affect other connections.
-    """
-    try:
-        return function(*arguments)
-    except Exception:
-        LOG.exception("connection callback raised an exception")
-        return None
--- a/postspring/transport/connection_handler.py
+++ b/postspring/transport/connection_handler.py
@@ -1,6 +1,13 @@
 """Interface between a socket hub and the owner of a connection."""
 
-__all__ = ["ConnectionHandler"]
+from collections.abc import Callable
+import logging
+
+from postspring.transport import connection_end
+
+__all__ = ["ConnectionHandler", "call_safely"]
+
+LOG = logging.getLogger(__name__)
 
 
 class ConnectionHandler:
@@ -21,21 +28,31 @@
     def drained(self) -> None:
         """Handle that the kernel has taken all buffered bytes."""
 
-    def closed(self) -> None:
-        """Handle the end of the connection, whichever side closed it."""
+    @property
+    def reads_after_break(self) -> bool:
+        """Whether bytes that arrived before a reset are still received.
+
+        False if they ask for something that nobody awaits any more.
+        """
+        return True
+
+    def ended(self, end: connection_end.ConnectionEnd) -> None:
+        """Handle the end of the connection; no other call follows."""
 
     def unsent_discarded(self, unsent: int) -> None:
         """Handle the loss of ``unsent`` buffered bytes.
 
-        The hub calls :meth:`closed` or :meth:`broken` right after this.
+        The hub calls :meth:`ended` right after this.
         """
 
-    def broken(self, is_unreachable: bool) -> None:
-        """Handle a socket error while reading; by default like a close.
 
-        Parameters
-        ----------
-        is_unreachable : bool
-            Whether the kernel gave up on unacknowledged bytes (ETIMEDOUT).
-        """
-        self.closed()
+def call_safely(function: Callable, *arguments):
+    """Call a callback of a connection's owner; log and drop exceptions.
+
+    An exception of one owner must not affect other connections.
+    """
+    try:
+        return function(*arguments)
+    except Exception:
+        LOG.exception("connection callback raised an exception")
+        return None
--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -11,6 +11,7 @@
 import h11
 
 from postspring import errors
+from postspring.transport import connection_end
 from postspring.transport import http_messages
 from postspring.transport import kept_connections
 from postspring.transport import sockets
@@ -21,6 +22,14 @@
 # only after this long, in seconds: the time a connection is given to open.
 SILENT_SECONDS = 0.4
 
+_TEXT_BY_END = {
+    connection_end.ConnectionEnd.EOF: "connection closed",
+    connection_end.ConnectionEnd.RESET: "connection reset",
+    connection_end.ConnectionEnd.TIMED_OUT: "connection timed out",
+    connection_end.ConnectionEnd.LOCAL: "connection closed by this VM",
+    connection_end.ConnectionEnd.HANDLER_FAILED: "response handler failed",
+}
+
 
 class Exchange(sockets.ConnectionHandler):
     """One request and its response; :meth:`cancel` closes its connection."""
@@ -132,32 +141,27 @@
             self._client.close_older_idle(self)
         self._fail("timeout")
 
-    def broken(self, is_unreachable: bool) -> None:
-        """Handle a broken connection, which never completes a response.
+    def ended(self, end: connection_end.ConnectionEnd) -> None:
+        """Handle the end of the connection, which may end the response.
 
-        The network path or the server's machine may have failed, so idle
-        connections to the same address are closed.
+        After a break, the network path or the server's machine may have
+        failed, so idle connections to the same address are closed.
         """
         self._socket = None
-        self._client.close_idle_connections(self.request.address)
-        if self.done or self._retry_on_new_connection():
-            return
-        self._fail("connection reset", is_unreachable, is_broken=True)
-
-    def closed(self) -> None:
-        """Handle the end of the connection, which may end the response."""
-        self._socket = None
+        if end.is_break:
+            self._client.close_idle_connections(self.request.address)
         if self.done:
             return
-        if self._retry_on_new_connection():
+        if end.is_remote and self._retry_on_new_connection():
             return
-        try:
-            self._http.receive_data(b"")
-            self._parse_events()
-        except h11.RemoteProtocolError:
-            pass
+        if end is connection_end.ConnectionEnd.EOF:
+            self._complete_at_eof()
         if not self.done:
-            self._fail("connection closed", is_broken=True)
+            self._fail(
+                _TEXT_BY_END[end],
+                is_unreachable=end is connection_end.ConnectionEnd.TIMED_OUT,
+                is_broken=end.is_remote,
+            )
 
     # -- own ------------------------------------------------------------------
 
@@ -170,6 +174,14 @@
         self._client.connect(self)
         return True
 
+    def _complete_at_eof(self) -> None:
+        """Complete a response that has no length; others stay incomplete."""
+        try:
+            self._http.receive_data(b"")
+            self._parse_events()
+        except h11.RemoteProtocolError:
+            pass
+
     def _parse(self) -> None:
         try:
             self._parse_events()
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -7,6 +7,7 @@
 import logging
 from typing import Protocol
 
+from postspring.transport import connection_end
 from postspring.transport import descriptor_limits
 
 __all__ = [
@@ -81,6 +82,23 @@
     VM = "vm"
     ERROR = "error"
 
+    @classmethod
+    def of(
+        cls, end: connection_end.ConnectionEnd, is_given_up: bool
+    ) -> "EndedBy":
+        """Return the side that ended a connection.
+
+        Parameters
+        ----------
+        is_given_up : bool
+            Whether this VM had given up the response before.
+        """
+        if end.is_break:
+            return cls.ERROR
+        if is_given_up or not end.is_remote:
+            return cls.VM
+        return cls.CALLER
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class InterruptedResponse:
--- a/postspring/transport/kept_connections.py
+++ b/postspring/transport/kept_connections.py
@@ -2,6 +2,7 @@
 
 import h11
 
+from postspring.transport import connection_end
 from postspring.transport import http_messages
 from postspring.transport import sockets
 
@@ -40,7 +41,7 @@
         self._client.remove_idle(self._address, self.sock)
         self._client.hub.close_when_sent(self.sock)
 
-    def closed(self) -> None:
+    def ended(self, end: connection_end.ConnectionEnd) -> None:
         """Remove the connection from the client's idle ones."""
         self.expiry.cancel()
         self._client.remove_idle(self._address, self.sock)
--- a/postspring/transport/lingering_close.py
+++ b/postspring/transport/lingering_close.py
@@ -2,6 +2,7 @@
 
 import socket
 
+from postspring.transport import connection_end
 from postspring.transport import connection_handler
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
@@ -56,10 +57,10 @@
         """Pass the event to the previous handler."""
         self._previous_handler.unsent_discarded(unsent)
 
-    def closed(self) -> None:
+    def ended(self, end: connection_end.ConnectionEnd) -> None:
         """Pass the event to the previous handler."""
         self._timer.cancel()
-        self._previous_handler.closed()
+        self._previous_handler.ended(end)
 
     def _close(self) -> None:
         """Close once the response has been sent."""
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from postspring.transport import connection_end
 from postspring.transport import connection_handler
 from postspring.transport import http_messages
 from postspring.transport import incoming
@@ -95,7 +96,8 @@
         self._incomplete_call: incoming.IncomingCall | None = None
         self._unsent_bytes = 0
         self._is_interrupted = False
-        self._ended_by = incoming.EndedBy.CALLER
+        # Whether an incomplete response was given up by this VM.
+        self._is_given_up = False
 
     # -- from the hub ---------------------------------------------------------
 
@@ -123,24 +125,25 @@
         self._server.hub.resume_reading(self._sock)
         self._parse_received()
 
-    def closed(self) -> None:
+    def ended(self, end: connection_end.ConnectionEnd) -> None:
         """Handle the end of the connection; report an incomplete response."""
         self._server.remove_connection(self)
         self._disconnect_call()
         if self._is_interrupted or self._unsent_bytes:
+            ended_by = incoming.EndedBy.of(end, self._is_given_up)
             self._server.report_interrupted(
-                self._ended_by, self._incomplete_call, self._unsent_bytes
+                ended_by, self._incomplete_call, self._unsent_bytes
             )
 
-    def broken(self, is_unreachable: bool) -> None:
-        """Handle a broken connection."""
-        self._ended_by = incoming.EndedBy.ERROR
-        self.closed()
-
     def unsent_discarded(self, unsent: int) -> None:
         """Record how many bytes of a response were discarded."""
         self._unsent_bytes = unsent
 
+    @property
+    def reads_after_break(self) -> bool:
+        """False: a caller that has reset its connection awaits no answer."""
+        return False
+
     @property
     def flushes_on_eof(self) -> bool:
         """Whether buffered bytes are still sent after the caller's EOF.
@@ -191,7 +194,7 @@
 
     def abort(self) -> None:
         """Close without completing the response; send its buffered part."""
-        self._ended_by = incoming.EndedBy.VM
+        self._is_given_up = True
         self._incomplete_call, self.call = self.call, None
         self._is_closing = self._is_interrupted = True
         self._server.hub.close_when_sent(self._sock)
@@ -242,7 +245,6 @@
 
     def close(self) -> None:
         """Close at once and discard unsent bytes."""
-        self._ended_by = incoming.EndedBy.VM
         self._server.hub.close_now(self._sock)
 
     # -- own ------------------------------------------------------------------
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -7,7 +7,6 @@
 """
 
 from collections.abc import Callable
-import errno
 import logging
 import socket
 
@@ -17,6 +16,7 @@
 from circuits.net import events
 
 from postspring.transport import connecting_hub
+from postspring.transport import connection_end
 from postspring.transport import connection_handler
 from postspring.transport import send_windows
 from postspring.transport import timers
@@ -83,21 +83,12 @@
         if len(data) > send_windows.MIN_WATCHED_BYTES:
             self._send_windows.watch(sock)
         if not self._buffers[sock]:
-            try:
-                sent = sock.send(data)
-            except BlockingIOError:
-                sent = 0
-            except OSError:
-                self._close(sock)
-                return
-            if sent == len(data):
-                return
-            data = data[sent:]
-        self.write(sock, data)
-
-    def unsent_bytes(self, sock: socket.socket) -> int:
-        """Return how many bytes are buffered in this process for sending."""
-        return sum(len(data) for data in self._buffers.get(sock, ()))
+            data = self._send_now(sock, data)
+        if data:
+            self._buffers[sock].append(data)
+            is_broken = sock in self._error_by_socket
+            if not is_broken and not self._poller.isWriting(sock):
+                self._poller.addWriter(self, sock)
 
     @property
     def all_unsent_bytes(self) -> int:
@@ -187,13 +178,6 @@
             if not self._read(sock):
                 return
 
-    def has_unread(self, sock: socket.socket) -> bool:
-        """Return whether the kernel holds unread bytes of a connection."""
-        try:
-            return bool(sock.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT))
-        except OSError:
-            return False
-
     def accept_pending(self) -> None:
         """Accept waiting connections: closing the listener resets them."""
         for _ in range(self._backlog):
@@ -233,6 +217,8 @@
         if sock in self._connecting:
             self._finish_connect(sock)
             return
+        if sock in self._error_by_socket:
+            return
         super()._on_write(sock)
         if self._buffers.get(sock):
             return
@@ -240,14 +226,14 @@
             self._shutdown_sending_now(sock)
         conn_handler = self._handler_by_socket.get(sock)
         if conn_handler is not None and sock not in self._closeq:
-            connecting_hub.call_safely(conn_handler.drained)
+            connection_handler.call_safely(conn_handler.drained)
 
     @handler("_disconnect", priority=1)
     def _on_disconnect(self, sock):
         if sock in self._connecting:
             self._connect_failed(sock, "refused")
         else:
-            self._close(sock)
+            self._end(sock, connection_end.ConnectionEnd.RESET)
 
     def _accept(self) -> bool:
         """Accept one waiting connection; return whether one was accepted."""
@@ -272,7 +258,7 @@
     def _on_accept_done(self, sock, fire_connect_event=True):
         sock.setblocking(False)
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        conn_handler = connecting_hub.call_safely(self._on_accept, sock)
+        conn_handler = connection_handler.call_safely(self._on_accept, sock)
         if conn_handler is None:
             sock.close()
             return
@@ -280,64 +266,18 @@
         self._handler_by_socket[sock] = conn_handler
         self._poller.addReader(self, sock)
 
-    def _read(self, sock) -> bool:
-        """Read once; return whether bytes were received."""
-        conn_handler = self._handler_by_socket.get(sock)
-        if conn_handler is None:
-            return False
-        try:
-            data = sock.recv(READ_BYTES)
-        except BlockingIOError:
-            return False
-        except OSError as error:
-            self._close(sock, broken_by=error)
-            return False
-        if not data:
-            self._handle_remote_end(sock, conn_handler)
-            return False
-        self._timers.has_read = True
-        try:
-            conn_handler.received(data)
-        except Exception:
-            LOG.exception("connection handler raised an exception")
-            self._close(sock)
-        return True
-
-    def _handle_remote_end(self, sock, conn_handler) -> None:
-        """Handle EOF: close, after sending buffered bytes if so requested."""
-        if conn_handler.flushes_on_eof and self._buffers.get(sock):
-            self._poller.removeReader(sock)
-            self.close(sock)
-        else:
-            self._close(sock)
+    # -- own ------------------------------------------------------------------
 
-    def _close(self, sock, broken_by=None):
-        conn_handler = self._handler_by_socket.pop(sock, None)
+    def _forget(self, sock: socket.socket) -> None:
         self._paced.pop(sock, None)
         self._half_closing.pop(sock, None)
-        if sock in self._closeq:
-            self._closeq.remove(sock)
-        unsent = self.unsent_bytes(sock)
-        self._send_windows.remove(sock)
-        super()._close(sock)
-        if conn_handler is None:
-            return
-        if unsent:
-            conn_handler.unsent_discarded(unsent)
-        if broken_by is not None:
-            timed_out = broken_by.errno == errno.ETIMEDOUT
-            connecting_hub.call_safely(conn_handler.broken, timed_out)
-        else:
-            connecting_hub.call_safely(conn_handler.closed)
-
-    # -- own ------------------------------------------------------------------
 
     def _shutdown_sending_now(self, sock: socket.socket) -> None:
         self._half_closing.pop(sock, None)
         try:
             sock.shutdown(socket.SHUT_WR)
-        except OSError:
-            self._close(sock)
+        except OSError as error:
+            self._note_error(sock, error)
 
     def _pause_listening(self) -> None:
         """Leave new connections in the kernel's backlog for a moment."""
--- a/postspring/transport/tests/test_failures.py
+++ b/postspring/transport/tests/test_failures.py
@@ -80,9 +80,9 @@
         """Raise an error."""
         raise ValueError("received")
 
-    def closed(self):
+    def ended(self, end):
         """Raise an error."""
-        raise ValueError("closed")
+        raise ValueError("ended")
 
 
 def raise_error(*arguments):
@@ -119,7 +119,7 @@
         self.run_loop()
         self.assertEqual({}, self.hub._handler_by_socket)
 
-    def test_closed_that_raises_is_logged(self):
+    def test_ended_that_raises_is_logged(self):
         opened = []
         self.open(lambda sock: opened.append(sock) or FailingHandler())
         self.run_loop_until(lambda: opened)
