Responses that arrived before a reset are passed on while reading is paced

Callers saw: 502, or a broken stream, for an answer that had arrived whole, if the upstream answered and closed before it had read the whole request and the answer was read at intervals; of a longer stream, its last events were missing.

Cause: the poller reports a hang-up or an error without input as _disconnect instead of _read. That is so while only the writer is registered, and the hub closed the connection although the kernel still held bytes. Ruled out: the end of the response itself; the same response read at once was complete.

Change: what has arrived is read before the connection ends, as after an error of send(). A server does not read on: a caller that has reset awaits nothing.

Evidence: six tests failed on (five of the paced class, and test_reset_while_reading_is_paused).

--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -16,7 +16,6 @@
 from circuits.net import events
 
 from postspring.transport import connecting_hub
-from postspring.transport import connection_end
 from postspring.transport import connection_handler
 from postspring.transport import send_windows
 from postspring.transport import timers
@@ -233,7 +232,7 @@
         if sock in self._connecting:
             self._connect_failed(sock, "refused")
         else:
-            self._end(sock, connection_end.ConnectionEnd.RESET)
+            self._end_broken(sock)
 
     def _accept(self) -> bool:
         """Accept one waiting connection; return whether one was accepted."""
--- a/postspring/transport/tests/test_connection_ends.py
+++ b/postspring/transport/tests/test_connection_ends.py
@@ -130,6 +130,20 @@
         self.assert_broken(self.answer(IN_CHUNKS[:-1], end_sending))
 
 
+class PacedResetWhileSendingTest(ResetWhileSendingTest):
+    """The same while the response is read at intervals.
+
+    The poller then reports a reset without input, although bytes are left.
+    """
+
+    paced = True
+
+    # Guards against the loss of bytes that arrived before the reset.
+    def test_bytes_that_arrived_are_passed_on(self):
+        listener = self.answer(WITHOUT_LENGTH, reset)
+        self.assertEqual(BODY, listener.body)
+
+
 class SentRequestTest(ResponseEndCase):
     """The request has been sent when the connection ends."""
 
@@ -296,6 +310,18 @@
         self.assert_end(handler, "RESET")
         self.assertEqual(BODY, handler.data)
 
+    # Guards against lost bytes while reading is paused and the peer resets.
+    def test_reset_while_reading_is_paused(self):
+        handler, sock, peer = self.connect()
+        self.hub.pause_reading(sock)
+        self.hub.send(sock, LONG_REQUEST)
+        self.run_loop()
+        peer.sendall(BODY)
+        time.sleep(DELIVERY_SECONDS)
+        reset(peer)
+        self.assert_end(handler, "RESET")
+        self.assertEqual(BODY, handler.data)
+
     def test_own_close(self):
         handler, sock, _peer = self.connect()
         self.hub.close_now(sock)
