Logs and metrics tell how an upstream's answer ended with its connection

Change: an exchange keeps how its connection ended (ResponseEnd); a delivery logs one line for each answer that did not end by its own framing (request, upstream, end, whether the head states a length, bytes received, bytes of the request unsent, whether it counted as complete), within the bound of all log lines, and counts them by end.

The stand-in of upstreams can send answers without a length, and reset them.

--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -9,6 +9,7 @@
 import enum
 
 from postspring import errors
+from postspring.forwarding import answer_checks
 from postspring.forwarding import attempts as attempts_module
 from postspring.forwarding import crash_guard
 from postspring.forwarding import delivery_context
@@ -16,6 +17,7 @@
 from postspring.forwarding import outbound_call
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
+from postspring.forwarding import response_ends
 from postspring.forwarding import silence_timer
 from postspring.forwarding import stream_position
 from postspring.forwarding import upstream_use
@@ -25,8 +27,6 @@
 
 __all__ = ["Delivery"]
 
-NOT_RUN_STATUSES = (408, 421, 429, 503)
-
 
 class _Phase(enum.Enum):
     WAITING = "waiting"
@@ -204,6 +204,7 @@
     def end(self) -> None:
         """Handle the end of a complete answer."""
         self._release_upstream()
+        self._report_response_end()
         if self._is_stream:
             self._end_stream()
         elif self._answer.not_run:
@@ -214,6 +215,7 @@
     def failed(self, error: errors.TransportError) -> None:
         """Handle a failed exchange."""
         self._release_upstream()
+        self._report_response_end()
         self._use.note_failure(
             self._context.directory, error, self._context.timers.now()
         )
@@ -225,6 +227,14 @@
 
     # -- own ------------------------------------------------------------------
 
+    def _report_response_end(self) -> None:
+        response_ends.report_response_end(
+            self._exchange,
+            self._outbound_call.facts.request,
+            self.upstream.id,
+            self._context.metrics,
+        )
+
     @property
     def _is_stream(self) -> bool:
         return (
@@ -309,7 +319,9 @@
         self._use.note_status(self._status, self._context.timers.now())
         if self._has_started:
             self._retry("answer", refusals.Refusal.UNKNOWN_OUTCOME)
-        elif self._is_unproven_refusal:
+        elif answer_checks.is_unproven_refusal(
+            self._status, self._route, self._outbound_call.only is not None
+        ):
             self._give_up(refusals.Refusal.UNKNOWN_OUTCOME)
         else:
             self._crash_guard.note_completed()
@@ -317,18 +329,6 @@
             self._finish()
             self._receiver.answered(self._status, fields, bytes(self._buffer))
 
-    @property
-    def _is_unproven_refusal(self) -> bool:
-        """Whether only the status claims that the call did not run.
-
-        An answer that another VM generated is relayed as it is.
-        """
-        return (
-            self._status in NOT_RUN_STATUSES
-            and not self._route.may_repeat
-            and self._outbound_call.only is None
-        )
-
     def _handle_rejection(self) -> None:
         """Retry a call that the upstream did not run, as its answer states."""
         self.attempts.note_rejection(
--- a/postspring/metrics.py
+++ b/postspring/metrics.py
@@ -31,6 +31,11 @@
         )
         self.refusal_counts: collections.Counter = collections.Counter()
         self.retries = self._counter("retries", "Attempts retried, by reason")
+        self.response_ends = self._counter(
+            "response_ends",
+            "Responses of upstreams that did not end by their own framing, by "
+            "the end of their connection and whether they count as complete",
+        )
         self.subset_departures = self._counter(
             "subset_departures",
             "Calls sent outside of this VM's subset of upstreams, by reason",
--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -5,7 +5,12 @@
 from postspring.platform import names
 from postspring import transport
 
-__all__ = ["EngineFaults", "EngineService"]
+__all__ = [
+    "EngineFaults",
+    "EngineService",
+    "reset_connection",
+    "send_unframed",
+]
 
 # How long a request runs that crashes its upstream.
 CRASH_SECONDS = 0.02
@@ -31,6 +36,10 @@
         Streams that fall silent between two events.
     stale_answer : int
         Answers that come behind one to another request.
+    unframed : int
+        Answers without a length, which end with their connection.
+    reset_unframed : int
+        Such answers of which half is sent before a reset.
     busy_status : int
         Status of an answer that does not say "not run".
     wrong_instance : bool
@@ -54,6 +63,8 @@
     cut_between: int = 0
     stop_between: int = 0
     stale_answer: int = 0
+    unframed: int = 0
+    reset_unframed: int = 0
     busy_status: int = 0
     wrong_instance: bool = False
     hang: bool = False
@@ -87,6 +98,22 @@
         return ""
 
 
+def send_unframed(
+    call: transport.IncomingCall, fields: list, body: bytes
+) -> None:
+    """Send a response whose end its head doesn't state."""
+    lines = [f"{name}: {value}\r\n" for name, value in fields]
+    head = "HTTP/1.1 200 OK\r\n" + "".join(lines) + "\r\n"
+    connection = call._connection
+    connection._server.hub.send(connection._sock, head.encode() + body)
+
+
+def reset_connection(call: transport.IncomingCall) -> None:
+    """Reset the connection of a call, once its bytes have been sent."""
+    connection = call._connection
+    connection._server.hub.reset(connection._sock)
+
+
 class EngineService:
     """Answers streams with ``events`` events, other requests with a body.
 
@@ -242,7 +269,15 @@
                 + names.REQUEST_ID.encode()
                 + b": another\r\n\r\nstale",
             )
-        call.respond(200, fields, b"answer of " + self.id.encode())
+        body = b"answer of " + self.id.encode()
+        if self.faults.take("unframed"):
+            send_unframed(call, fields, body)
+            call.abort()
+        elif self.faults.take("reset_unframed"):
+            send_unframed(call, fields, body[: len(body) // 2])
+            reset_connection(call)
+        else:
+            call.respond(200, fields, body)
 
     def _send_event(self, call, number: int, first: int) -> None:
         if call.gone:
--- a/postspring/transport/connection_hub.py
+++ b/postspring/transport/connection_hub.py
@@ -3,6 +3,7 @@
 import errno
 import logging
 import socket
+import struct
 
 from circuits.net import sockets
 
@@ -14,6 +15,8 @@
 __all__ = ["ConnectionHub"]
 
 LOG = logging.getLogger(__name__)
+# struct linger of Linux: on, 0 seconds.
+_NO_LINGER = struct.pack("ii", 1, 0)
 
 
 class ConnectionHub(sockets.TCPServer):
@@ -44,6 +47,16 @@
             self._note_error(sock, error)
             return False
 
+    def reset(self, sock: socket.socket) -> None:
+        """Close a connection with a reset, which no peer takes for an EOF."""
+        if sock not in self._handler_by_socket:
+            return
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+        self._poller.discard(sock)
+        # circuits would shut it down first, which sends an EOF.
+        sock.close()
+        self._end(sock, connection_end.ConnectionEnd.LOCAL)
+
     # -- from circuits --------------------------------------------------------
 
     def _write(self, sock, data):
--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -14,6 +14,7 @@
 from postspring.transport import connection_end
 from postspring.transport import http_messages
 from postspring.transport import kept_connections
+from postspring.transport import response_end
 from postspring.transport import sockets
 
 __all__ = ["Exchange"]
@@ -32,7 +33,15 @@
 
 
 class Exchange(sockets.ConnectionHandler):
-    """One request and its response; :meth:`cancel` closes its connection."""
+    """One request and its response; :meth:`cancel` closes its connection.
+
+    Attributes
+    ==========
+
+    response_end : ResponseEnd or None
+        How the connection ended, if it did so before the response ended by
+        its own framing.
+    """
 
     def __init__(
         self,
@@ -49,7 +58,10 @@
         self._socket: socket.socket | None = None
         self._http: h11.Connection | None = None
         self._reused = False
-        self._has_response_bytes = False
+        self._has_head = False
+        self._received_bytes = 0
+        self._unsent_bytes = 0
+        self.response_end: response_end.ResponseEnd | None = None
         self.sent_at = client.timers.now()
         self._timeout_timer = client.timers.call_later(
             request.timeout, self._time_out
@@ -73,7 +85,7 @@
     @property
     def is_silent(self) -> bool:
         """Whether it is on a connection and no response byte has arrived."""
-        return self._socket is not None and not self._has_response_bytes
+        return self._socket is not None and not self._received_bytes
 
     def pause(self) -> None:
         """Stop reading a paced response."""
@@ -130,7 +142,7 @@
 
     def received(self, data: bytes) -> None:
         """Parse the bytes and pass the response to the listener."""
-        self._has_response_bytes = True
+        self._received_bytes += len(data)
         self._client.observer.received(self)
         self._client.awaiting_response.pop(self, None)
         self._http.receive_data(data)
@@ -154,7 +166,16 @@
             return
         if end.is_remote and self._retry_on_new_connection():
             return
-        if end is connection_end.ConnectionEnd.EOF:
+        has_length = http_messages.has_length(self.header_fields)
+        is_at_eof = end is connection_end.ConnectionEnd.EOF
+        self.response_end = response_end.ResponseEnd(
+            end,
+            is_at_eof and self._has_head and not has_length,
+            has_length,
+            self._received_bytes,
+            self._unsent_bytes,
+        )
+        if is_at_eof:
             self._complete_at_eof()
         if not self.done:
             self._fail(
@@ -163,11 +184,15 @@
                 is_broken=end.is_remote,
             )
 
+    def unsent_discarded(self, unsent: int) -> None:
+        """Record how much of the request was not sent."""
+        self._unsent_bytes = unsent
+
     # -- own ------------------------------------------------------------------
 
     def _retry_on_new_connection(self) -> bool:
         """Resend an idempotent request after a close without a response."""
-        is_lost = self._reused and not self._has_response_bytes
+        is_lost = self._reused and not self._received_bytes
         if not (is_lost and self.request.is_resendable):
             return False
         self._reused = False
@@ -212,6 +237,7 @@
         if is_own_response is not None and not is_own_response(headers):
             self._skipping_response = True
             return
+        self._has_head = True
         self.header_fields = event.headers.raw_items()
         self._listener.head(event.status_code, headers)
         if self.request.paced and self._socket is not None:
--- a/postspring/transport/http_messages.py
+++ b/postspring/transport/http_messages.py
@@ -15,6 +15,7 @@
     "ResponseCollector",
     "decode_headers",
     "encode_fields",
+    "has_length",
     "parse_integer",
     "serialize_request",
 ]
@@ -143,6 +144,20 @@
     }
 
 
+def has_length(fields: Iterable[tuple[bytes, bytes]]) -> bool:
+    """Return whether header fields state where the body ends.
+
+    Examples
+    --------
+    >>> has_length([(b"Transfer-Encoding", b"chunked")])
+    True
+    >>> has_length([(b"Content-Type", b"text/plain")])
+    False
+    """
+    names = {name.lower() for name, value in fields}
+    return not names.isdisjoint((b"content-length", b"transfer-encoding"))
+
+
 def _encode(text: str | bytes) -> bytes:
     return text.encode("latin-1") if isinstance(text, str) else text
 
--- a/postspring/transport/tests/test_connection_ends.py
+++ b/postspring/transport/tests/test_connection_ends.py
@@ -161,6 +161,45 @@
         self.assert_complete(self.answer(WITHOUT_LENGTH, end_sending, b"x"))
 
 
+class ResponseEndTest(ResponseEndCase):
+    """What an exchange tells of the end of its connection."""
+
+    def play(self, response, end, body=LONG_REQUEST):
+        """Play an exchange; return its response_end."""
+        exchanges = []
+        send = self.http.send
+        self.http.send = lambda *arguments: exchanges.append(send(*arguments))
+        self.answer(response, end, body)
+        return exchanges[0].response_end
+
+    def test_reset_of_a_response_without_length(self):
+        told = self.play(WITHOUT_LENGTH, reset)
+        self.assertIs(transport.ConnectionEnd.RESET, told.end)
+        self.assertEqual(len(WITHOUT_LENGTH), told.received)
+        self.assertGreater(told.unsent, 0)
+        self.assertLess(told.unsent, len(LONG_REQUEST))
+        self.assertFalse(told.is_complete or told.has_length)
+
+    def test_eof_of_a_response_without_length(self):
+        told = self.play(WITHOUT_LENGTH, end_sending, b"x")
+        self.assertIs(transport.ConnectionEnd.EOF, told.end)
+        self.assertEqual(0, told.unsent)
+        self.assertTrue(told.is_complete)
+
+    def test_eof_of_a_truncated_response(self):
+        told = self.play(WITH_LENGTH[:-1], end_sending, b"x")
+        self.assertIs(transport.ConnectionEnd.EOF, told.end)
+        self.assertTrue(told.has_length)
+        self.assertFalse(told.is_complete)
+
+    def test_eof_without_a_response(self):
+        told = self.play(b"", end_sending, b"x")
+        self.assertEqual((0, False), (told.received, told.is_complete))
+
+    def test_response_that_ended_by_its_framing(self):
+        self.assertIsNone(self.play(WITH_LENGTH, reset))
+
+
 class OwnEndTest(ResponseEndCase):
     """This process ends the connection, or uses up the socket's error."""
 
