A broken stream to a caller with HTTP/1.0 ends with a reset

Callers saw: with HTTP/1.0, a stream that the VM broke off as a complete one. Such a response has neither a length nor chunks, so the EOF by which the VM closed the connection was its end. With HTTP/1.1, streams go in chunks, and an EOF breaks them visibly; nothing changes there.

Cause: the same as for upstreams' answers, seen from the server: an EOF was sent where only a reset says that something is missing. Ruled out: a close() alone with SO_LINGER; circuits shuts a connection down first, which sends the EOF before the reset.

Change: the hub can close with a reset; abort and the close at the end of the grace period use it for callers with HTTP/1.0.

What a killed process owes to such callers still ends with an EOF of the kernel.

--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -5,9 +5,9 @@
 they arrived.  So h11 is used, as in the client.
 """
 
+from collections.abc import Callable
 import logging
 import socket
-from typing import Protocol
 
 import h11
 
@@ -16,10 +16,9 @@
 from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import lingering_close
-from postspring.transport import sockets
-from postspring.transport import timers as timers_module
+from postspring.transport import server_protocol
 
-__all__ = ["Server", "ServerConnection"]
+__all__ = ["ServerConnection"]
 
 LOG = logging.getLogger(__name__)
 
@@ -34,32 +33,6 @@
 MAX_UNSENT_BYTES = 64 * 1024
 
 
-class Server(Protocol):
-    """Interface of a connection to its server."""
-
-    hub: sockets.SocketHub
-    timers: timers_module.Timers
-    limits: incoming.ServerLimits
-    closing: bool
-
-    def report_rejected(self, status: int) -> None:
-        """Report a request that could not be read, with its status."""
-
-    def dispatch(self, call: incoming.IncomingCall) -> None:
-        """Pass a request to the application."""
-
-    def remove_connection(self, connection: "ServerConnection") -> None:
-        """Remove a closed connection."""
-
-    def report_interrupted(
-        self,
-        ended_by: incoming.EndedBy,
-        call: incoming.IncomingCall | None,
-        unsent: int = 0,
-    ) -> None:
-        """Report a connection that ended with an incomplete response."""
-
-
 class ServerConnection(connection_handler.ConnectionHandler):
     """A caller's connection, on which requests follow one another.
 
@@ -75,7 +48,7 @@
         at which the connection became idle, in seconds.
     """
 
-    def __init__(self, server: Server, sock: socket.socket):
+    def __init__(self, server: server_protocol.Server, sock: socket.socket):
         self._server = server
         self._sock = sock
         self._http = h11.Connection(
@@ -197,7 +170,7 @@
         self._is_given_up = True
         self._incomplete_call, self.call = self.call, None
         self._is_closing = self._is_interrupted = True
-        self._server.hub.close_when_sent(self._sock)
+        self._break_off(self._server.hub.close_when_sent)
 
     # -- from the server ------------------------------------------------------
 
@@ -245,10 +218,16 @@
 
     def close(self) -> None:
         """Close at once and discard unsent bytes."""
-        self._server.hub.close_now(self._sock)
+        self._break_off(self._server.hub.close_now)
 
     # -- own ------------------------------------------------------------------
 
+    def _break_off(self, close: Callable[[socket.socket], None]) -> None:
+        """Close; a caller with HTTP/1.0 would take an EOF for the end."""
+        if self._http.their_http_version == b"1.0":
+            close = self._server.hub.reset
+        close(self._sock)
+
     def _disconnect_call(self) -> None:
         """Notify an open call that its caller has disconnected."""
         call, self.call = self.call, None
--- /dev/null
+++ b/postspring/transport/server_protocol.py
@@ -0,0 +1,36 @@
+"""What a caller's connection needs of its server."""
+
+from typing import Any
+from typing import Protocol
+
+from postspring.transport import incoming
+from postspring.transport import sockets
+from postspring.transport import timers as timers_module
+
+__all__ = ["Server"]
+
+
+class Server(Protocol):
+    """Interface of a connection to its server."""
+
+    hub: sockets.SocketHub
+    timers: timers_module.Timers
+    limits: incoming.ServerLimits
+    closing: bool
+
+    def report_rejected(self, status: int) -> None:
+        """Report a request that could not be read, with its status."""
+
+    def dispatch(self, call: incoming.IncomingCall) -> None:
+        """Pass a request to the application."""
+
+    def remove_connection(self, connection: Any) -> None:
+        """Remove a closed connection."""
+
+    def report_interrupted(
+        self,
+        ended_by: incoming.EndedBy,
+        call: incoming.IncomingCall | None,
+        unsent: int = 0,
+    ) -> None:
+        """Report a connection that ended with an incomplete response."""
--- a/postspring/transport/tests/test_connection_ends.py
+++ b/postspring/transport/tests/test_connection_ends.py
@@ -10,7 +10,6 @@
 import time
 
 from postspring import transport
-from postspring.transport.tests import test_failures
 from postspring.transport.tests import test_http_client
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
@@ -386,88 +385,3 @@
             peer.sendall(b"x")
             self.run_loop_until(lambda: handler.ends)
         self.assert_end(handler, "HANDLER_FAILED")
-
-
-class CallerEndTest(test_failures.ServerLoopCase):
-    """A caller's connection ends while its request is being served."""
-
-    REQUEST = b"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\n\r\nabc"
-
-    def setUp(self):
-        super().setUp()
-        self.interrupted = []
-        self.server._on_interrupted = self.interrupted.append
-        self.server._application = self.calls.append
-        self.caller = socket.create_connection(self.address)
-        self.addCleanup(self.caller.close)
-
-    def send_request(self, request=REQUEST):
-        """Send a request; return its call once it has been received."""
-        self.caller.sendall(request)
-        self.run_loop_until(lambda: self.calls)
-        return self.calls[0]
-
-    def assert_interrupted(self, ended_by):
-        """Check that the end was reported once, with the side."""
-        self.run_loop_until(lambda: self.interrupted)
-        self.run_loop()
-        (interrupted,) = self.interrupted
-        self.assertIs(ended_by, interrupted.ended_by)
-        self.assertTrue(self.calls[0].gone)
-
-    # Guards against a truncated request that counts as complete.
-    def test_truncated_request_is_not_served(self):
-        for end in (end_sending, reset):
-            with self.subTest(end=end):
-                caller = socket.create_connection(self.address)
-                self.addCleanup(caller.close)
-                caller.sendall(self.REQUEST[:-1])
-                end(caller)
-                self.run_loop(20)
-                self.assertEqual([], self.calls)
-
-    # Guards against work that goes on for a caller that has reset.
-    def test_reset_ends_the_call(self):
-        self.send_request()
-        reset(self.caller)
-        self.assert_interrupted(transport.EndedBy.ERROR)
-
-    # Guards against a reset that counts as a caller's close, as send() saw it.
-    def test_reset_seen_while_responding(self):
-        call = self.send_request()
-        reset(self.caller)
-        time.sleep(DELIVERY_SECONDS)
-        call.respond(200, [], b"hi")
-        self.run_loop_until(lambda: self.interrupted)
-        (interrupted,) = self.interrupted
-        self.assertIs(transport.EndedBy.ERROR, interrupted.ended_by)
-        self.assertIs(call, interrupted.call)
-        self.assertGreater(interrupted.unsent, 0)
-
-    # Guards against requests that run for a caller that has reset.
-    def test_request_that_arrives_with_a_reset_is_not_served(self):
-        call = self.send_request()
-        self.caller.sendall(self.REQUEST)
-        time.sleep(DELIVERY_SECONDS)
-        reset(self.caller)
-        time.sleep(DELIVERY_SECONDS)
-        call.respond(200, [], b"hi")
-        self.run_loop_until(lambda: self.interrupted)
-        self.run_loop()
-        self.assertEqual([call], self.calls)
-
-    def test_close_of_the_caller_ends_the_call(self):
-        self.send_request()
-        self.caller.close()
-        self.assert_interrupted(transport.EndedBy.CALLER)
-
-    def test_close_of_the_server_ends_the_call(self):
-        self.send_request()
-        self.server.close_all()
-        self.assert_interrupted(transport.EndedBy.VM)
-
-    # Guards against a stop of the process that counts as a caller's close.
-    def test_stop_of_the_hub_ends_the_call(self):
-        self.send_request()
-        self.server.hub.close()
-        self.assert_interrupted(transport.EndedBy.VM)
