--- a/postspring/forwarding/answer_checks.py
+++ b/postspring/forwarding/answer_checks.py
@@ -1,8 +1,9 @@
-"""Checks of a complete answer before it is passed on."""
+"""Checks of an upstream's answer before it is passed on."""
 
+from postspring.forwarding import ports
 from postspring import routing
 
-__all__ = ["is_unproven_refusal"]
+__all__ = ["is_unproven_refusal", "is_unsealed_success"]
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -28,3 +29,21 @@
     return (
         status in NOT_RUN_STATUSES and not route.may_repeat and not is_relayed
     )
+
+
+def is_unsealed_success(status: int, answer: ports.ResponseFacts) -> bool:
+    """Return whether an answer is a success that its caller can't count.
+
+    An upstream signs each success.  An unsigned one comes from another
+    program at its address, or from an upstream that fails.
+
+    Examples
+    --------
+    >>> is_unsealed_success(200, ports.ResponseFacts())
+    True
+    >>> is_unsealed_success(200, ports.ResponseFacts(sealed=True))
+    False
+    >>> is_unsealed_success(404, ports.ResponseFacts())
+    False
+    """
+    return 200 <= status < 300 and not answer.sealed
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -17,7 +17,6 @@
 from postspring.forwarding import outbound_call
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
-from postspring.forwarding import response_ends
 from postspring.forwarding import silence_timer
 from postspring.forwarding import stream_position
 from postspring.forwarding import upstream_use
@@ -119,9 +118,7 @@
         if self._phase is _Phase.DONE:
             return
         may_have_run = self.attempts.may_have_run or self._was_sent
-        if self._exchange is not None:
-            self._exchange.cancel()
-        self._release_upstream()
+        self._abandon_attempt()
         refusal = refusals.Refusal.SHUTTING_DOWN
         if may_have_run:
             refusal = refusals.Refusal.UNKNOWN_OUTCOME
@@ -139,7 +136,10 @@
         self.attempts.begin(upstream.incarnation, upstream.has_entry)
         self.upstream = upstream
         self._use = upstream_use.UpstreamUse(
-            upstream, self._context.timers.now()
+            upstream,
+            self._context.timers.now(),
+            self._outbound_call.facts.request,
+            self._context.metrics,
         )
         self._phase = _Phase.SENT
         self._status = 0
@@ -164,8 +164,7 @@
             return
         if not self._context.slow_retry_budget.take():
             return
-        self._exchange.cancel()
-        self._release_upstream()
+        self._abandon_attempt()
         self.upstream.note_failure(self._context.timers.now())
         self.attempts.note_run()
         self._retry("slow", refusals.Refusal.UNKNOWN_OUTCOME)
@@ -192,6 +191,10 @@
         self.upstream.note_answer(self._context.timers.now())
         self._status = status
         self._answer = self._context.wire.decode_response(status, headers)
+        if answer_checks.is_unsealed_success(status, self._answer):
+            self._abandon_attempt()
+            self.upstream.note_failure(self._context.timers.now())
+            self._handle_break("unsealed", "unsealed", may_have_crashed=False)
 
     def data(self, chunk: bytes) -> None:
         """Handle a part of the answer's body."""
@@ -204,7 +207,7 @@
     def end(self) -> None:
         """Handle the end of a complete answer."""
         self._release_upstream()
-        self._report_response_end()
+        self._use.report_end(self._exchange)
         if self._is_stream:
             self._end_stream()
         elif self._answer.not_run:
@@ -215,7 +218,7 @@
     def failed(self, error: errors.TransportError) -> None:
         """Handle a failed exchange."""
         self._release_upstream()
-        self._report_response_end()
+        self._use.report_end(self._exchange)
         self._use.note_failure(
             self._context.directory, error, self._context.timers.now()
         )
@@ -227,14 +230,6 @@
 
     # -- own ------------------------------------------------------------------
 
-    def _report_response_end(self) -> None:
-        response_ends.report_response_end(
-            self._exchange,
-            self._outbound_call.facts.request,
-            self.upstream.id,
-            self._context.metrics,
-        )
-
     @property
     def _is_stream(self) -> bool:
         return (
@@ -255,8 +250,7 @@
                 self._status, self._context.caller_fields(self._exchange)
             )
         if self._route.may_resume and not self._position.advance(events):
-            self._exchange.cancel()
-            self._release_upstream()
+            self._abandon_attempt()
             self._report_broken("out_of_order")
             return
         self._use.pace.note_events(len(events), self._context.timers.now())
@@ -362,9 +356,7 @@
         timed_out = refusals.Refusal.TIMED_OUT_UNSENT
         if self._was_sent or self.attempts.may_have_run:
             timed_out = refusals.Refusal.TIMED_OUT
-        if self._exchange is not None:
-            self._exchange.cancel()
-        self._release_upstream()
+        self._abandon_attempt()
         self._give_up(timed_out)
 
     @property
@@ -374,8 +366,7 @@
     def _on_stream_deadline(self) -> None:
         if self._phase is _Phase.DONE:
             return
-        self._exchange.cancel()
-        self._release_upstream()
+        self._abandon_attempt()
         self._report_broken("timed_out")
 
     def _give_up(self, refusal: refusals.Refusal, detail: str = "") -> None:
@@ -386,6 +377,12 @@
         self._finish()
         self._receiver.refused(refusal)
 
+    def _abandon_attempt(self) -> None:
+        """Cancel the exchange and release the upstream."""
+        if self._exchange is not None:
+            self._exchange.cancel()
+        self._release_upstream()
+
     def _release_upstream(self) -> None:
         """Stop counting the call as in flight at the upstream."""
         if self._use is not None:
--- a/postspring/forwarding/upstream_use.py
+++ b/postspring/forwarding/upstream_use.py
@@ -1,7 +1,9 @@
 """One attempt's use of an upstream: its place there, its pace, its failure."""
 
 from postspring import errors
+from postspring.forwarding import response_ends
 from postspring.forwarding import stream_pace
+from postspring import transport
 from postspring import upstreams
 
 __all__ = ["UpstreamUse"]
@@ -19,6 +21,10 @@
 
     now : float
         When the call is sent; monotonic seconds.
+    request : str
+        Id of the request.
+    metrics : Metrics, optional
+        Counts how answers ended.
 
     Examples
     ========
@@ -34,8 +40,16 @@
     0
     """
 
-    def __init__(self, upstream: upstreams.Upstream, now: float):
+    def __init__(
+        self,
+        upstream: upstreams.Upstream,
+        now: float,
+        request: str = "",
+        metrics=None,
+    ):
         self._upstream = upstream
+        self._request = request
+        self._metrics = metrics
         self._sent_at = now
         self._is_released = False
         self.pace = stream_pace.StreamPace(upstream)
@@ -48,6 +62,12 @@
             self._upstream.in_flight -= 1
             self.pace.end()
 
+    def report_end(self, exchange: transport.Exchange) -> None:
+        """Report an answer that did not end by its own framing."""
+        response_ends.report_response_end(
+            exchange, self._request, self._upstream.id, self._metrics
+        )
+
     def note_status(self, status: int, now: float) -> None:
         """Count a complete answer as a success or as a failure."""
         if status >= SERVER_ERROR and status != GATEWAY_TIMEOUT:
--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -40,6 +40,8 @@
         Answers without a length, which end with their connection.
     reset_unframed : int
         Such answers of which half is sent before a reset.
+    unsealed : int
+        Successes without the upstream's signature.
     busy_status : int
         Status of an answer that does not say "not run".
     wrong_instance : bool
@@ -65,6 +67,7 @@
     stale_answer: int = 0
     unframed: int = 0
     reset_unframed: int = 0
+    unsealed: int = 0
     busy_status: int = 0
     wrong_instance: bool = False
     hang: bool = False
@@ -246,6 +249,8 @@
             (names.REQUEST_ID, request),
             (names.SERVER_SEAL, f"seal-{self.id}"),
         ]
+        if self.faults.take("unsealed"):
+            fields.pop()
         if "stream" in call.target:
             fields.append(("Content-Type", "text/event-stream"))
             fields.append((names.WEIGHT_VERSIONS, str(self.weights)))
