--- a/postspring/forwarding/answer_checks.py
+++ b/postspring/forwarding/answer_checks.py
@@ -3,7 +3,7 @@
 from postspring.forwarding import ports
 from postspring import routing
 
-__all__ = ["is_unproven_refusal", "is_unsealed_success"]
+__all__ = ["is_unproven_refusal", "is_uncountable_success"]
 
 NOT_RUN_STATUSES = (408, 421, 429, 503)
 
@@ -31,19 +31,24 @@
     )
 
 
-def is_unsealed_success(status: int, answer: ports.ResponseFacts) -> bool:
+def is_uncountable_success(status: int, answer: ports.ResponseFacts) -> bool:
     """Return whether an answer is a success that its caller can't count.
 
-    An upstream signs each success.  An unsigned one comes from another
-    program at its address, or from an upstream that fails.
+    An upstream signs each success, and encodes no body.  Another answer comes
+    from another program at its address, or from an upstream that fails.
 
     Examples
     --------
-    >>> is_unsealed_success(200, ports.ResponseFacts())
+    >>> is_uncountable_success(200, ports.ResponseFacts())
     True
-    >>> is_unsealed_success(200, ports.ResponseFacts(sealed=True))
+    >>> is_uncountable_success(200, ports.ResponseFacts(sealed=True))
     False
-    >>> is_unsealed_success(404, ports.ResponseFacts())
+    >>> is_uncountable_success(
+    ...     200, ports.ResponseFacts(sealed=True, is_encoded=True)
+    ... )
+    True
+    >>> is_uncountable_success(404, ports.ResponseFacts())
     False
     """
-    return 200 <= status < 300 and not answer.sealed
+    is_countable = answer.sealed and not answer.is_encoded
+    return 200 <= status < 300 and not is_countable
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -191,10 +191,12 @@
         self.upstream.note_answer(self._context.timers.now())
         self._status = status
         self._answer = self._context.wire.decode_response(status, headers)
-        if answer_checks.is_unsealed_success(status, self._answer):
+        if answer_checks.is_uncountable_success(status, self._answer):
             self._abandon_attempt()
             self.upstream.note_failure(self._context.timers.now())
-            self._handle_break("unsealed", "unsealed", may_have_crashed=False)
+            self._handle_break(
+                "uncountable", "uncountable", may_have_crashed=False
+            )
 
     def data(self, chunk: bytes) -> None:
         """Handle a part of the answer's body."""
--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -128,6 +128,8 @@
         The address belongs to another upstream now.
     sealed : bool
         The answer bears the upstream's signature.
+    is_encoded : bool
+        The body has an encoding, which no caller asks for.
     upstream : str
         Id of the upstream that answered, or empty.
     weights : str
@@ -138,6 +140,7 @@
     not_run: bool = False
     wrong_upstream: bool = False
     sealed: bool = False
+    is_encoded: bool = False
     upstream: str = ""
     weights: str = ""
 
--- a/postspring/front/tests/test_unsealed_answers.py
+++ b/postspring/front/tests/test_unsealed_answers.py
@@ -1,7 +1,7 @@
-"""Successes without the upstream's signature.
+"""Successes that a caller must not count.
 
-Such an answer was passed on as a success, although its caller must not count
-it and doesn't send the request again.
+An answer without the upstream's signature, or with an encoding, was passed on
+as a success, and a caller sends no request again after one.
 """
 
 from postspring.platform import names
@@ -47,3 +47,23 @@
             tool.faults.busy_status = 500
         answer = self.fleet.call("POST", "/once/x", "r1", b"x")
         self.assertEqual(500, answer.status)
+
+
+class EncodedAnswerTest(case.FleetCase):
+    """The first answer to a request has an encoding."""
+
+    def setUp(self):
+        super().setUp()
+        self.fleet.tools[0].faults.encoded = 1
+
+    # Guards against an encoded body that passes as the upstream's own.
+    def test_unsafe_call_fails_as_possibly_run(self):
+        answer = self.fleet.call("POST", "/once/x", "r1", b"x")
+        self.assertEqual(502, answer.status)
+        self.assertEqual(1, len(self.fleet.tools[0].runs))
+
+    # Guards against an encoded body of a call that may be repeated.
+    def test_safe_call_is_retried(self):
+        answer = self.fleet.call("POST", "/safe/x", "r1", b"x")
+        self.assertEqual(200, answer.status)
+        self.assertNotIn("content-encoding", answer.headers)
--- a/postspring/platform/headers.py
+++ b/postspring/platform/headers.py
@@ -44,6 +44,7 @@
     )
 )
 
+_CONTENT_ENCODING = "content-encoding"
 _LAST_EVENT = names.LAST_EVENT_ID.lower()
 _EVENT_ID = b"id"
 _EVENT_WEIGHTS = names.WEIGHT_VERSIONS.lower().encode()
@@ -120,6 +121,7 @@
             not_run=(names.NOT_EXECUTED.lower() in headers or status == 421),
             wrong_upstream=status == 421,
             sealed=names.SERVER_SEAL.lower() in headers,
+            is_encoded=_CONTENT_ENCODING in headers,
             upstream=headers.get(names.INSTANCE_ID.lower(), ""),
             weights=headers.get(names.WEIGHT_VERSIONS.lower(), ""),
         )
--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -42,6 +42,8 @@
         Such answers of which half is sent before a reset.
     unsealed : int
         Successes without the upstream's signature.
+    encoded : int
+        Successes whose head names an encoding of the body.
     busy_status : int
         Status of an answer that does not say "not run".
     wrong_instance : bool
@@ -68,6 +70,7 @@
     unframed: int = 0
     reset_unframed: int = 0
     unsealed: int = 0
+    encoded: int = 0
     busy_status: int = 0
     wrong_instance: bool = False
     hang: bool = False
@@ -251,6 +254,8 @@
         ]
         if self.faults.take("unsealed"):
             fields.pop()
+        if self.faults.take("encoded"):
+            fields.append(("Content-Encoding", "gzip"))
         if "stream" in call.target:
             fields.append(("Content-Type", "text/event-stream"))
             fields.append((names.WEIGHT_VERSIONS, str(self.weights)))
