Soak: upstreams answer long requests early and break connections off

Change: the profile breaks sends bursts of requests of 2.5 to 4 MB; upstreams answer at the head, without a length, with one or in chunks, half or whole, and end the connection by a reset or an EOF; with stops, SIGKILL and pauses. Receive buffers are small, so that a part of the request is unsent. Judged: a broken answer is no success (MIXED), an answer that came whole is not replaced (REPLACED). The body of a request that is answered early is not compared, as the upstream has not read it.

--- a/postspring/testing/soak/plan.py
+++ b/postspring/testing/soak/plan.py
@@ -56,6 +56,8 @@
         From an upstream's start until it leaves.
     crashes : float
         From one request that crashes upstreams to the next.
+    breaks : float
+        From one burst of requests whose answers are broken off to the next.
     """
 
     stops: float = 0.0
@@ -67,6 +69,7 @@
     final: float = 0.0
     leaves: float = 0.0
     crashes: float = 0.0
+    breaks: float = 0.0
 
 
 PROFILES = {
@@ -84,6 +87,7 @@
     "herds": Profile(kills=6.0, store=8.0),
     "leaves": Profile(stops=12.0, store=5.0, leaves=10.0),
     "crashes": Profile(reloads=10.0, configures=15.0, crashes=4.0),
+    "breaks": Profile(stops=6.0, kills=15.0, pauses=10.0, breaks=0.7),
     "final": Profile(stops=6.0, store=8.0, final=25.0),
 }
 # Nothing is done before this, nor in the last seconds.
--- a/postspring/testing/soak/programs.py
+++ b/postspring/testing/soak/programs.py
@@ -10,6 +10,7 @@
 
 from postspring.platform import names
 from postspring.testing.soak import balancer as balancer_module
+from postspring.testing.soak import breaking
 from postspring.testing.soak import callers
 from postspring.testing.soak import connection
 from postspring.testing.soak import crashing
@@ -110,18 +111,24 @@
             for number in range(self._world.users):
                 group.create_task(self._live(number))
             if self._world.crashes:
-                group.create_task(self._crash_upstreams())
+                group.create_task(
+                    self._send(crashing.send_crashing, self._world.crashes)
+                )
+            if self._world.breaks:
+                group.create_task(
+                    self._send(breaking.send_breaking, self._world.breaks)
+                )
         self._balancer.close()
 
-    async def _crash_upstreams(self) -> None:
-        draw = random.Random(f"{self._world.seed} crashes")
+    async def _send(self, send, mean: float) -> None:
+        """Send requests under which upstreams fail, from one caller."""
+        name = send.__name__
+        draw = random.Random(f"{self._world.seed} {name}")
         caller = callers.Caller(
-            "crash", self._world, self._balancer, self._lines, draw
+            name, self._world, self._balancer, self._lines, draw
         )
         places = sorted({vm.data_center for vm in self._world.vms})
-        await crashing.send_crashing(
-            caller, places, self._world.crashes, self._until
-        )
+        await send(caller, places, mean, self._until)
         caller.close()
 
     async def _live(self, number: int) -> None:
--- a/postspring/testing/soak/records.py
+++ b/postspring/testing/soak/records.py
@@ -130,6 +130,8 @@
         Whose it is, as the upstream was told.
     has_key : bool
         The upstream was given a caller's key.
+    is_early : bool
+        It was answered before its body had come; ``body`` is empty.
     """
 
     id: str
@@ -145,6 +147,7 @@
     answer: str = ""
     workspace: str = ""
     has_key: bool = False
+    is_early: bool = False
 
 
 def write_record(file: TextIO, record: Any) -> None:
--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -43,6 +43,9 @@
         crashes = sum(run.end == crashing.CRASHED for run in lines.runs)
         if crashes:
             self.counts["crash"] = crashes
+        breaks = sum(run.is_early for run in lines.runs)
+        if breaks:
+            self.counts["break"] = breaks
         if lines.leaves:
             self.counts["leave"] = len(lines.leaves)
         self.rules = collections.Counter(
@@ -93,7 +96,10 @@
     folder.mkdir(parents=True)
     chosen = plan_module.PROFILES[profile]
     shape = dataclasses.replace(
-        shape, leaves=chosen.leaves, crashes=chosen.crashes
+        shape,
+        leaves=chosen.leaves,
+        crashes=chosen.crashes,
+        breaks=chosen.breaks,
     )
     network, claim = world_module.claim_network()
     world = world_module.build_world(
--- a/postspring/testing/soak/tests/test_short_run.py
+++ b/postspring/testing/soak/tests/test_short_run.py
@@ -1,4 +1,4 @@
-"""Short runs of real daemons: planned work, and requests that crash."""
+"""Short runs of real daemons: planned work, crashes, broken answers."""
 
 import pathlib
 import tempfile
@@ -32,3 +32,14 @@
             )
         self.assertGreater(outcome.counts["crash"], 0)
         self.assertEqual(outcome.details(), [])
+
+    # Guards against truncated answers that count as complete, and against
+    # answers that arrived whole and are thrown away.
+    def test_broken_answers_are_no_successes(self):
+        shape = world.Shape(vms=4, engines=2, services=6, users=15)
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = report.play(
+                SEED, SECONDS, "breaks", shape, pathlib.Path(folder, "run")
+            )
+        self.assertGreater(outcome.counts["break"], 0)
+        self.assertEqual(outcome.details(), [])
--- a/postspring/testing/soak/upstream_process.py
+++ b/postspring/testing/soak/upstream_process.py
@@ -11,6 +11,7 @@
 from postspring.platform import names
 from postspring.testing.fleet import engine_service
 from postspring.testing.fleet import fleet
+from postspring.testing.soak import breaking
 from postspring.testing.soak import crashing
 from postspring.testing.soak import digests
 from postspring.testing.soak import leaving
@@ -36,6 +37,8 @@
 # For so long a request runs that crashes its upstream, and for so long the
 # upstream is down then; seconds.
 CRASH_SECONDS = (0.01, 0.1)
+# From the head of a request to its early answer, seconds.
+BREAK_SECONDS = (0.0, 0.1)
 DOWN_SECONDS = (0.5, 4.0)
 
 
@@ -66,8 +69,37 @@
         }
         return json.dumps(entry).encode()
 
+    def _listen(self, bind: tuple[str, int]) -> breaking.BreakingServer:
+        server = breaking.BreakingServer(
+            self._timers, self._handle, engine_service.LIMITS
+        )
+        server.on_break = self._answer_early
+        server.listen(self._parent, bind, f"engine-{self.id}")
+        return server
+
     # -- requests -------------------------------------------------------------
 
+    def _answer_early(self, connection, head, way: breaking.Break) -> None:
+        """Answer a request whose body has not come, and break off."""
+        self.arrivals += 1
+        run = breaking.new_run(
+            head, self.id, self.arrivals, self._timers.now()
+        )
+        text = f"{run.key} {run.id};".encode()
+        body = text * (ANSWER_BYTES // len(text))
+        run.ended, run.status = self._timers.now(), 200
+        run.end = "whole" if way.is_complete else "broke_off"
+        run.answer = digests.digest(body)
+        records.write_record(self._lines, run)
+        fields = [
+            (names.REQUEST_ID, run.id),
+            (names.SERVER_SEAL, f"{run.key}.{run.id}"),
+        ]
+        seconds = self._draw.uniform(*BREAK_SECONDS)
+        self._timers.call_later(
+            seconds, connection.finish_early, way, way.answer(fields, body)
+        )
+
     def _handle(self, call: transport.IncomingCall) -> None:
         self.arrivals += 1
         run = records.Run(
--- a/postspring/testing/soak/verdict.py
+++ b/postspring/testing/soak/verdict.py
@@ -204,6 +204,7 @@
             self._judge_success(attempt, runs)
         else:
             self.verdict.note(f"status_{status}", attempt.id, attempt.vm)
+            self._judge_failure(attempt, runs)
 
     def _judge_success(self, attempt, runs) -> None:
         run = next(
@@ -217,6 +218,16 @@
             text = f"another body than {run.upstream} gave ({run.end})"
             self.verdict.add("MIXED", attempt.id, text)
 
+    def _judge_failure(self, attempt, runs) -> None:
+        """Judge an answer of the VM's own to a request that ran."""
+        if attempt.seal or not any(run.is_early for run in runs):
+            return
+        is_disturbed = self._history.is_disturbed(attempt.sent, attempt.ended)
+        is_late = attempt.ended >= attempt.deadline - DEADLINE_SLACK
+        if runs[-1].end == "whole" and not is_disturbed and not is_late:
+            text = f"{attempt.status}, and {runs[-1].upstream} answered whole"
+            self.verdict.add("REPLACED", attempt.id, text)
+
     def _judge_broken(self, attempt, runs) -> None:
         """Judge a connection that ended with the request unanswered."""
         begun = [run for run in runs if run.began <= attempt.ended]
@@ -260,7 +271,7 @@
             attempt = self._by_id.get(run.id)
             if attempt is None:
                 self.verdict.add("UNASKED", run.id, f"ran at {run.upstream}")
-            elif run.body != attempt.expected:
+            elif not run.is_early and run.body != attempt.expected:
                 text = f"{run.upstream} got another body"
                 self.verdict.add("UNASKED", run.id, text)
             if run.has_key:
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -69,6 +69,9 @@
     crashes : float
         Mean seconds from one request that crashes upstreams to the next; 0
         for none.
+    breaks : float
+        Mean seconds from one burst of requests whose answers are broken off
+        to the next; 0 for none.
     """
 
     vms: int = 11
@@ -78,6 +81,7 @@
     half_close: float = 0.0
     leaves: float = 0.0
     crashes: float = 0.0
+    breaks: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -135,6 +139,7 @@
     half_close: float
     leaves: float
     crashes: float
+    breaks: float
     vms: tuple[Vm, ...]
     upstreams: tuple[Upstream, ...]
 
@@ -239,6 +244,7 @@
         half_close=shape.half_close,
         leaves=shape.leaves,
         crashes=shape.crashes,
+        breaks=shape.breaks,
         vms=vms,
         upstreams=tuple(upstreams),
     )
