Test of repeated calls: a paused process may make two in one iteration

Cause: it waited for exactly three calls; if the process isn't run for an interval while calls are made, one iteration makes several, so that three are never seen.

Change: it waits for three or more, and checks as before that none follows once the handle is cancelled.

--- a/postspring/transport/tests/test_http_client.py
+++ b/postspring/transport/tests/test_http_client.py
@@ -262,7 +262,9 @@
     def test_repeated_call_runs_until_cancelled(self):
         calls = []
         handle = self.timers.call_every(0.001, lambda: calls.append(1))
-        self.run_loop_until(lambda: len(calls) == 3)
+        # One iteration makes several calls if the process was paused.
+        self.run_loop_until(lambda: len(calls) >= 3)
         handle.cancel()
+        made = len(calls)
         self.run_loop(20)
-        self.assertEqual(3, len(calls))
+        self.assertEqual(made, len(calls))
