--- a/postspring/daemon/tests/test_imports.py
+++ b/postspring/daemon/tests/test_imports.py
@@ -100,7 +100,7 @@
         text = page.scrape().decode()
         lines = [i for i in text.splitlines() if i.startswith("postspring_")]
         totals = {i.partition("_total")[0] for i in lines if "_total" in i}
-        self.assertEqual(len(counters), 18)
+        self.assertEqual(len(counters), 19)
         self.assertEqual(len(totals), len(counters), text)
         self.assertIn("postspring_call_seconds_sum", text)
         self.assertTrue(any("postspring_gauge" in i for i in lines), text)
