--- a/postspring/forwarding/ports.py
+++ b/postspring/forwarding/ports.py
@@ -126,14 +126,10 @@
         The upstream states that it did not run the request.
     wrong_upstream : bool
         The address belongs to another upstream now.
-    sealed : bool
-        The answer bears the upstream's signature.
-    is_encoded : bool
-        The body has an encoding, which no caller asks for.
-    upstream : str
-        Id of the upstream that answered, or empty.
-    weights : str
-        Version of the model weights that generate the answer, or empty.
+    sealed, is_encoded : bool
+        It bears the upstream's signature; its body has an encoding.
+    upstream, weights : str
+        Id of the upstream and version of its model weights, or empty.
     """
 
     request: str = ""
