HTTP client: a connection whose request is unsent in part is not kept

What callers saw: a request timed out although its upstream was idle, and as the time-out counts as sent, a request that may run once was not sent again.

Cause: keep_idle asked h11 alone whether a connection may be reused. h11's side is done once the request is serialized, so a connection was kept whose server had responded early and read no further, with megabytes of the request in the buffer of the hub or of the kernel. The next request was put behind them. If the server closed the connection in its turn, it stayed open on this side until the rest was sent.

Ruled out: the end of the connection (nothing has ended); the server's part, as HTTP allows a response before the request is read.

Change: a connection with unsent bytes is closed at once after the response, and the rest is discarded. The kernel's part is read from TCP_INFO, where that describes the connection.

Without the change three of the four tests of test_kept_connections fail: the next request times out, with the rest in the process and with all of it in the kernel, and 4 MB stay buffered after "Connection: close". With it all pass, and so do the 130 tests of the package.

--- a/postspring/transport/connection_hub.py
+++ b/postspring/transport/connection_hub.py
@@ -37,6 +37,16 @@
         """Return how many bytes are buffered in this process for sending."""
         return sum(len(data) for data in self._buffers.get(sock, ()))
 
+    def has_unsent(self, sock: socket.socket) -> bool:
+        """Return whether bytes wait in this process or for the peer's window.
+
+        Bytes in the kernel count only where it tells how many there are.
+        """
+        if self.unsent_bytes(sock):
+            return True
+        state = send_windows.read_send_state(sock)
+        return state is not None and state.unsent > 0
+
     def has_unread(self, sock: socket.socket) -> bool:
         """Return whether the kernel holds unread bytes of a connection."""
         try:
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -135,6 +135,10 @@
         """Keep the connection of a completed exchange if it is reusable."""
         if sock is None:
             return
+        if self.hub.has_unsent(sock):
+            # The server has responded before it read the whole request.
+            self.hub.close_now(sock)
+            return
         idle = self._idle_by_address.setdefault(address, [])
         seconds = kept_connections.max_idle_seconds(headers)
         if len(idle) >= MAX_IDLE_PER_ADDRESS or not kept_connections.may_reuse(
