--- a/postspring/forwarding/response_ends.py
+++ b/postspring/forwarding/response_ends.py
@@ -1,4 +1,4 @@
-"""Reports responses of upstreams that their connections ended."""
+"""Reports responses that end with the connections of upstreams."""
 
 import logging
 
--- a/postspring/front/tests/test_response_ends.py
+++ b/postspring/front/tests/test_response_ends.py
@@ -69,6 +69,7 @@
         self.assertEqual("reset", line.end)
         self.assertEqual(2, len(self.fleet.tools[0].runs))
 
+    # Guards against a line for each answer.
     def test_framed_answer_has_no_line(self):
         with self.assertNoLogs("postspring.forwarding.response_ends"):
             self.fleet.call("POST", "/once/x", "r1", b"x")
--- a/postspring/front/tests/test_unsealed_answers.py
+++ b/postspring/front/tests/test_unsealed_answers.py
@@ -42,6 +42,7 @@
         next_turn = self.fleet.take_turn("b", previous_turn="a")
         self.assertEqual(404, next_turn.status)
 
+    # Guards against a rejection of every answer without a signature.
     def test_failure_without_signature_is_passed_on(self):
         for tool in self.fleet.tools:
             tool.faults.busy_status = 500
--- a/postspring/transport/response_end.py
+++ b/postspring/transport/response_end.py
@@ -1,4 +1,4 @@
-"""How a response ended that its connection ended."""
+"""How the end of a connection ended a response."""
 
 import dataclasses
 
--- a/postspring/transport/tests/test_caller_ends.py
+++ b/postspring/transport/tests/test_caller_ends.py
@@ -83,11 +83,13 @@
         self.run_loop()
         self.assertEqual([call], self.calls)
 
+    # Guards against work that goes on for a caller that has left.
     def test_close_of_the_caller_ends_the_call(self):
         self.send_request()
         self.caller.close()
         self.assert_interrupted(transport.EndedBy.CALLER)
 
+    # Guards against a VM's close that counts as the caller's.
     def test_close_of_the_server_ends_the_call(self):
         self.send_request()
         self.server.close_all()
--- a/postspring/transport/tests/test_connection_ends.py
+++ b/postspring/transport/tests/test_connection_ends.py
@@ -171,6 +171,7 @@
         self.answer(response, end, body)
         return exchanges[0].response_end
 
+    # Guards against a reset that is reported as an EOF.
     def test_reset_of_a_response_without_length(self):
         told = self.play(WITHOUT_LENGTH, reset)
         self.assertIs(transport.ConnectionEnd.RESET, told.end)
@@ -179,22 +180,26 @@
         self.assertLess(told.unsent, len(LONG_REQUEST))
         self.assertFalse(told.is_complete or told.has_length)
 
+    # Guards against a complete response that is reported as cut.
     def test_eof_of_a_response_without_length(self):
         told = self.play(WITHOUT_LENGTH, end_sending, b"x")
         self.assertIs(transport.ConnectionEnd.EOF, told.end)
         self.assertEqual(0, told.unsent)
         self.assertTrue(told.is_complete)
 
+    # Guards against a cut response that is reported as complete.
     def test_eof_of_a_truncated_response(self):
         told = self.play(WITH_LENGTH[:-1], end_sending, b"x")
         self.assertIs(transport.ConnectionEnd.EOF, told.end)
         self.assertTrue(told.has_length)
         self.assertFalse(told.is_complete)
 
+    # Guards against a response that is reported although none came.
     def test_eof_without_a_response(self):
         told = self.play(b"", end_sending, b"x")
         self.assertEqual((0, False), (told.received, told.is_complete))
 
+    # Guards against a report of each later end.
     def test_response_that_ended_by_its_framing(self):
         self.assertIsNone(self.play(WITH_LENGTH, reset))
 
@@ -326,11 +331,13 @@
         self.assertEqual([name], [end.name for end in handler.ends])
         self.assertEqual({}, self.hub._handler_by_socket)
 
+    # Guards against an EOF that counts as a failure.
     def test_eof(self):
         handler, _sock, peer = self.connect()
         peer.close()
         self.assert_end(handler, "EOF")
 
+    # Guards against a reset that counts as an EOF.
     def test_reset(self):
         handler, _sock, peer = self.connect()
         reset(peer)
@@ -360,11 +367,13 @@
         self.assert_end(handler, "RESET")
         self.assertEqual(BODY, handler.data)
 
+    # Guards against an own close that counts as the peer's EOF.
     def test_own_close(self):
         handler, sock, _peer = self.connect()
         self.hub.close_now(sock)
         self.assert_end(handler, "LOCAL")
 
+    # Guards against a reset that is lost when send() saw it.
     def test_own_close_of_a_connection_that_was_reset(self):
         handler, sock, peer = self.connect()
         reset(peer)
@@ -373,11 +382,13 @@
         self.hub.close_now(sock)
         self.assert_end(handler, "RESET")
 
+    # Guards against a stop that counts as the peers' EOF.
     def test_stop_of_the_hub(self):
         handler, _sock, _peer = self.connect()
         self.hub.close()
         self.assert_end(handler, "LOCAL")
 
+    # Guards against a failing handler that counts as the peer's EOF.
     def test_handler_that_raises(self):
         handler, _sock, peer = self.connect()
         handler.received = lambda data: 1 / 0
