Callers: long requests are rejected once they would take the VM's memory

What callers saw: where many upload at once to one VM, it exceeds its memory and is killed with all requests that it holds.

Cause: nothing bounded what a VM holds of requests; only unsent responses are bounded.

Change: bodies count from the head of their request (in chunks: as they arrive) until their call is freed. Above a fifth of the memory a request is rejected at once with 503, which promises that it did not run, and Retry-After. Without a memory in the settings there is no limit, as before.

--- a/postspring/transport/http_messages.py
+++ b/postspring/transport/http_messages.py
@@ -13,6 +13,7 @@
     "HttpListener",
     "HttpRequest",
     "ResponseCollector",
+    "content_length",
     "decode_headers",
     "encode_fields",
     "has_length",
@@ -158,6 +159,20 @@
     return not names.isdisjoint((b"content-length", b"transfer-encoding"))
 
 
+def content_length(fields: Iterable[tuple[bytes, bytes]]) -> int:
+    """Return the length that header fields state, or 0.
+
+    Examples
+    --------
+    >>> content_length([(b"content-length", b"12")]), content_length([])
+    (12, 0)
+    """
+    for name, value in fields:
+        if name.lower() == b"content-length":
+            return parse_integer(value.decode("latin-1")) or 0
+    return 0
+
+
 def _encode(text: str | bytes) -> bytes:
     return text.encode("latin-1") if isinstance(text, str) else text
 
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -6,6 +6,7 @@
 import sys
 
 from postspring.transport import incoming
+from postspring.transport import request_memory
 from postspring.transport import server_connection
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
@@ -64,6 +65,9 @@
         self.timers = timers
         self.limits = limits
         self.closing = False
+        self.request_memory = request_memory.RequestMemory(
+            lambda: self.limits.request_bytes or sys.maxsize
+        )
         self.discarded_responses = 0
         self._application = application
         self._on_rejected = on_rejected
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -9,6 +9,7 @@
 
 from postspring.transport import connection_end
 from postspring.transport import descriptor_limits
+from postspring.transport import request_memory
 
 __all__ = [
     "EndedBy",
@@ -28,6 +29,8 @@
 # Share of a VM's memory that unread responses may take; of 160 MB a VM under
 # load needs 29 MB without them.
 UNSENT_SHARE = 0.4
+# Share for requests, which are held twice while they are sent.
+REQUEST_SHARE = 0.2
 
 
 @dataclasses.dataclass(slots=True)
@@ -40,7 +43,8 @@
     A server reads the values at each use, so a new configuration takes
     effect at once.  ``body_seconds`` limits the time from the start of a
     request to the end of its body.  ``unsent_bytes`` limits the response bytes
-    that the process buffers for all callers; 0 for no limit.
+    that the process buffers for all callers, and ``request_bytes`` the bodies
+    of requests that it holds; 0 for no limit.
     """
 
     header_bytes: int = 16 * 1024
@@ -49,6 +53,7 @@
     body_seconds: float = 30.0
     idle_seconds: float = 60.0
     unsent_bytes: int = 0
+    request_bytes: int = 0
     connections: int = dataclasses.field(
         default_factory=descriptor_limits.connection_limit
     )
@@ -68,10 +73,13 @@
         --------
         >>> ServerLimits.within(8200, 160).unsent_bytes
         67108864
+        >>> ServerLimits.within(8200, 160).request_bytes
+        33554432
         """
         return cls(
             connections=descriptor_limits.connection_limit(max_files),
             unsent_bytes=int(UNSENT_SHARE * memory_mb) * 1024 * 1024,
+            request_bytes=int(REQUEST_SHARE * memory_mb) * 1024 * 1024,
         )
 
 
@@ -158,6 +166,8 @@
         Header fields in the order and case in which they were sent.
     received_at : float
         Monotonic time of the request's last byte, in seconds.
+    reservation : Reservation, optional
+        Kept as long as the call.
 
     Attributes
     ==========
@@ -182,6 +192,7 @@
         fields: list[tuple[str, str]],
         body: bytes,
         received_at: float,
+        reservation: request_memory.Reservation | None = None,
     ):
         self._connection = connection
         self.method = method
@@ -189,6 +200,7 @@
         self.fields = fields
         self.body = body
         self.received_at = received_at
+        self._reservation = reservation
         self.gone = False
         self.close_after_response = False
         self.answered = False
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -16,6 +16,7 @@
 from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import lingering_close
+from postspring.transport import request_memory
 from postspring.transport import server_protocol
 
 __all__ = ["ServerConnection"]
@@ -58,6 +59,7 @@
         self._head: h11.Request | None = None
         self._body: list[bytes] = []
         self._body_bytes = 0
+        self._reservation = server.request_memory.reserve()
         self.call: incoming.IncomingCall | None = None
         self.state_since = server.timers.now()
         self.is_receiving = False
@@ -108,6 +110,7 @@
                 ended_by, self._incomplete_call, self._unsent_bytes
             )
         self._incomplete_call = None
+        self._release_body()
 
     def unsent_discarded(self, unsent: int) -> None:
         """Record how many bytes of a response were discarded."""
@@ -276,7 +279,7 @@
         except h11.RemoteProtocolError as error:
             self._reject(error.error_status_hint)
 
-    def _must_wait_for_reader(self) -> bool:
+    def _must_wait(self) -> bool:
         """Hold the next request while too much of a response is unsent."""
         hub = self._server.hub
         if self.call is None and not self._is_held:
@@ -287,7 +290,7 @@
         return self._is_held
 
     def _parse(self) -> None:
-        while self.call is None and not self._must_wait_for_reader():
+        while not (self.call or self._is_closing or self._must_wait()):
             event = self._http.next_event()
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
@@ -295,8 +298,7 @@
                 self._handle_head(event)
             elif isinstance(event, h11.Data):
                 self._body_bytes += len(event.data)
-                if self._body_bytes > self._server.limits.body_bytes:
-                    self._reject(413)
+                if not self._accepts_body(self._body_bytes):
                     return
                 self._body.append(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
@@ -307,15 +309,31 @@
     def _handle_head(self, head: h11.Request) -> None:
         self._head = head
         self.is_receiving = True
+        size = http_messages.content_length(head.headers)
+        if not self._accepts_body(min(size, self._server.limits.body_bytes)):
+            return
         if self._http.they_are_waiting_for_100_continue:
             proceed = h11.InformationalResponse(status_code=100, headers=[])
             self._server.hub.send(self._sock, self._http.send(proceed))
 
+    def _accepts_body(self, size: int) -> bool:
+        """Return whether a body of this size is accepted; else reject it."""
+        if size > self._server.limits.body_bytes:
+            self._reject(413)
+        elif not self._reservation.grow_to(size):
+            self._reject(503, request_memory.RETRY_AFTER_SECONDS)
+        else:
+            return True
+        return False
+
+    def _release_body(self) -> None:
+        self._body.clear()
+        self._body_bytes = 0
+        self._reservation = self._server.request_memory.reserve()
+
     def _start_call(self) -> None:
         head = self._head
         body = b"".join(self._body)
-        self._body.clear()
-        self._body_bytes = 0
         self.is_receiving = False
         self._awaits_first_request = False
         self._incomplete_call = None
@@ -330,7 +348,9 @@
             fields,
             body,
             self._server.timers.now(),
+            self._reservation,
         )
+        self._release_body()
         self.call = call
         self._server.dispatch(call)
 
@@ -360,11 +380,14 @@
         elif at_end:
             self._server.hub.close_when_sent(self._sock)
 
-    def _reject(self, status: int) -> None:
+    def _reject(self, status: int, retry_after: float | None = None) -> None:
         """Answer a request that can't be read, and close the connection."""
         self._server.report_rejected(status)
+        self._release_body()
         if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
             fields = [("Content-Length", "0"), ("Connection", "close")]
+            if retry_after is not None:
+                fields.append(("Retry-After", f"{retry_after:.2f}"))
             try:
                 event = h11.Response(status_code=status, headers=fields)
                 self._server.hub.send(self._sock, self._http.send(event))
--- a/postspring/transport/server_protocol.py
+++ b/postspring/transport/server_protocol.py
@@ -4,6 +4,7 @@
 from typing import Protocol
 
 from postspring.transport import incoming
+from postspring.transport import request_memory
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
 
@@ -17,6 +18,7 @@
     timers: timers_module.Timers
     limits: incoming.ServerLimits
     closing: bool
+    request_memory: request_memory.RequestMemory
 
     def report_rejected(self, status: int) -> None:
         """Report a request that could not be read, with its status."""
