--- a/postspring/transport/tests/test_request_memory.py
+++ b/postspring/transport/tests/test_request_memory.py
@@ -4,7 +4,7 @@
 and it was killed with all requests that it held.
 """
 
-import select
+import selectors
 import socket
 import threading
 
@@ -42,7 +42,9 @@
 
     def assert_rejected(self, sock):
         """Check for a rejection that says when to try again."""
-        self.run_loop_until(lambda: select.select([sock], [], [], 0)[0])
+        with selectors.PollSelector() as readable:
+            readable.register(sock, selectors.EVENT_READ)
+            self.run_loop_until(lambda: readable.select(0))
         answer = sock.recv(1000)
         self.assertTrue(answer.startswith(REJECTION), answer)
         self.assertIn(b"\r\nRetry-After: 0.50\r\n", answer)
