A turn of the event loop parses a bounded part of a caller's input

What callers saw: nobody was served while thirty callers sent bodies in chunks of two bytes, nor in the 30 s after they had left.

Cause: h11 makes an event of each chunk (10 us here, a trial on h11 alone), and all that a read had brought was parsed in one go: 64 KiB are 9,400 chunks, 0.1 s a connection and turn. Each read also copied the whole buffer to learn its length, and a body was kept as a list of chunks, each an object of 35 bytes.

Change: 64 events are handled at once. The rest waits in a queue that takes 5 ms of a turn, and the connection is not read meanwhile; sockets are polled between. The body is one buffer. Requests as callers within the limits send them have far fewer events. The parsing moves to a module of its own.

--- a/postspring/testing/soak/breaking.py
+++ b/postspring/testing/soak/breaking.py
@@ -111,8 +111,11 @@
 class BreakingConnection(server_connection.ServerConnection):
     """Leaves requests that ask for a break to the upstream at their heads."""
 
-    def _handle_head(self, head: h11.Request) -> None:
-        super()._handle_head(head)
+    def _parse_received(self) -> None:
+        super()._parse_received()
+        head = self._reader.head
+        if head is None or self._is_closing:
+            return
         way = Break.parse(head.target)
         if way is not None:
             self._is_closing = True
--- a/postspring/transport/connection_hub.py
+++ b/postspring/transport/connection_hub.py
@@ -31,6 +31,7 @@
         # return what has arrived and then an EOF.
         self._error_by_socket: dict[socket.socket, OSError] = {}
         self._send_windows = send_windows.SendWindowMonitor(timers)
+        self._paused: set[socket.socket] = set()
         self._unsent_total = 0
         super().__init__(bind, **options)
 
@@ -164,6 +165,7 @@
             self._closeq.remove(sock)
         unsent = self.unsent_bytes(sock)
         self._unsent_total -= unsent
+        self._paused.discard(sock)
         self._send_windows.remove(sock)
         super()._close(sock)
         if conn_handler is None:
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -10,6 +10,7 @@
 from postspring.transport import server_connection
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
+from postspring.transport import turn_queue
 from postspring.transport import unsent_responses
 
 __all__ = ["HttpServer"]
@@ -68,6 +69,7 @@
         self.request_memory = request_memory.RequestMemory(
             lambda: self.limits.request_bytes or sys.maxsize
         )
+        self.turn_queue = turn_queue.TurnQueue(timers)
         self.discarded_responses = 0
         self._is_check_scheduled = False
         self._application = application
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -9,7 +9,6 @@
 
 from postspring.transport import connection_end
 from postspring.transport import descriptor_limits
-from postspring.transport import request_memory
 
 __all__ = [
     "EndedBy",
@@ -166,8 +165,8 @@
         Header fields in the order and case in which they were sent.
     received_at : float
         Monotonic time of the request's last byte, in seconds.
-    reservation : Reservation, optional
-        Kept as long as the call.
+    held : object, optional
+        Counts the memory of the request; kept as long as the call.
 
     Attributes
     ==========
@@ -192,7 +191,7 @@
         fields: list[tuple[str, str]],
         body: bytes,
         received_at: float,
-        reservation: request_memory.Reservation | None = None,
+        held: object = None,
     ):
         self._connection = connection
         self.method = method
@@ -200,7 +199,7 @@
         self.fields = fields
         self.body = body
         self.received_at = received_at
-        self._reservation = reservation
+        self._held = held
         self.gone = False
         self.close_after_response = False
         self.answered = False
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -13,10 +13,9 @@
 
 from postspring.transport import connection_end
 from postspring.transport import connection_handler
-from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import lingering_close
-from postspring.transport import request_memory
+from postspring.transport import request_reader
 from postspring.transport import response_encoder
 from postspring.transport import server_protocol
 
@@ -55,11 +54,14 @@
             our_role=h11.SERVER,
             max_incomplete_event_size=server.limits.header_bytes,
         )
+        self._reader = request_reader.RequestReader(
+            self._http,
+            server.limits,
+            server.request_memory,
+        )
         self._encoder = response_encoder.ResponseEncoder(self._http)
+        # Head of the request whose response is sent.
         self._head: h11.Request | None = None
-        self._body: list[bytes] = []
-        self._body_bytes = 0
-        self._reservation = server.request_memory.reserve()
         self.call: incoming.IncomingCall | None = None
         self.state_since = server.timers.now()
         self.is_receiving = False
@@ -67,6 +69,8 @@
         self._is_closing = False
         # Requests are not served until the caller has read more.
         self._is_held = False
+        # The rest of the input is parsed in a later turn.
+        self._is_queued = False
         # The call whose response was not sent completely when last checked.
         self._incomplete_call: incoming.IncomingCall | None = None
         self._unsent_bytes = 0
@@ -77,18 +81,17 @@
     # -- from the hub ---------------------------------------------------------
 
     def received(self, data: bytes) -> None:
-        """Parse received bytes."""
+        """Parse received bytes, or keep them until the call is answered."""
         if self._is_closing:
             return
-        if self.call is None and not self.is_receiving:
-            self.is_receiving = True
-            self.state_since = self._server.timers.now()
-        self._http.receive_data(data)
+        self._reader.add(data)
         limits = self._server.limits
-        unparsed, at_end = self._http.trailing_data
-        if len(unparsed) > limits.body_bytes + limits.header_bytes:
+        if self._reader.unparsed > limits.body_bytes + limits.header_bytes:
             self._reject(413)
             return
+        if self.call is None and not self.is_receiving:
+            self.is_receiving = True
+            self.state_since = self._server.timers.now()
         self._parse_received()
 
     def drained(self) -> None:
@@ -102,6 +105,7 @@
 
     def ended(self, end: connection_end.ConnectionEnd) -> None:
         """Handle the end of the connection; report an incomplete response."""
+        self._is_closing = True
         self._server.remove_connection(self)
         self._disconnect_call()
         if self._is_interrupted or self._unsent_bytes:
@@ -110,7 +114,7 @@
                 ended_by, self._incomplete_call, self._unsent_bytes
             )
         self._incomplete_call = None
-        self._release_body()
+        self._reader.release()
 
     def unsent_discarded(self, unsent: int) -> None:
         """Record how many bytes of a response were discarded."""
@@ -242,10 +246,14 @@
         limit = limits.idle_seconds
         if self.is_receiving:
             limit = limits.header_seconds
-            if self._head is not None:
+            if self._reader.head is not None:
                 limit = limits.body_seconds
         return now - self.state_since > limit
 
+    @property
+    def _closes_after_response(self) -> bool:
+        return self._server.closing or self.call.close_after_response
+
     def _close_after_response(self) -> None:
         """Close once the response is sent, without losing it to a reset.
 
@@ -253,34 +261,47 @@
         """
         self._is_closing = True
         hub = self._server.hub
-        is_request_complete = self._http.their_state in (
-            h11.DONE,
-            h11.MUST_CLOSE,
-        )
-        if is_request_complete and not hub.has_unread(self._sock):
+        is_whole = self._http.their_state in (h11.DONE, h11.MUST_CLOSE)
+        if is_whole and not hub.has_unread(self._sock):
             hub.close_when_sent(self._sock)
         else:
             lingering_close.LingeringClose(
                 hub, self._server.timers, self._sock, self
             )
 
-    @property
-    def _closes_after_response(self) -> bool:
-        return self._server.closing or self.call.close_after_response
-
     def _send(self, data: bytes) -> None:
         if data:
             self._server.hub.send(self._sock, data)
             self._server.check_memory()
 
     def _parse_received(self) -> None:
-        """Parse buffered input; reject it if it is not valid HTTP."""
-        if self._is_closing:
+        """Parse a part of the input; reject it if it is not valid HTTP."""
+        if self.call or self._is_closing or self._must_wait():
             return
         try:
-            self._parse()
-        except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint)
+            progress = self._reader.read()
+        except request_reader.RejectedError as error:
+            self._reject(error.status, error.retry_after)
+            return
+        if self._http.they_are_waiting_for_100_continue:
+            self._send(self._encoder.proceed())
+        if progress is request_reader.Progress.UNFINISHED:
+            self._parse_later()
+        elif progress is request_reader.Progress.COMPLETE:
+            self._start_call()
+
+    def _parse_later(self) -> None:
+        """Let other connections be served before the rest is parsed."""
+        if not self._is_queued:
+            self._is_queued = True
+            self._server.hub.pause_reading(self._sock)
+            self._server.turn_queue.add(self._parse_queued)
+
+    def _parse_queued(self) -> None:
+        self._is_queued = False
+        self._parse_received()
+        if not (self._is_queued or self._is_held):
+            self._server.hub.resume_reading(self._sock)
 
     def _must_wait(self) -> bool:
         """Hold the next request while too much of a response is unsent."""
@@ -292,50 +313,9 @@
                 LOG.info("caller is not reading; its next request waits")
         return self._is_held
 
-    def _parse(self) -> None:
-        while not (self.call or self._is_closing or self._must_wait()):
-            event = self._http.next_event()
-            if event in (h11.NEED_DATA, h11.PAUSED):
-                return
-            if isinstance(event, h11.Request):
-                self._handle_head(event)
-            elif isinstance(event, h11.Data):
-                self._body_bytes += len(event.data)
-                if not self._accepts_body(self._body_bytes):
-                    return
-                self._body.append(bytes(event.data))
-            elif isinstance(event, h11.EndOfMessage):
-                self._start_call()
-            elif isinstance(event, h11.ConnectionClosed):
-                return
-
-    def _handle_head(self, head: h11.Request) -> None:
-        self._head = head
-        self.is_receiving = True
-        size = http_messages.content_length(head.headers)
-        if not self._accepts_body(min(size, self._server.limits.body_bytes)):
-            return
-        if self._http.they_are_waiting_for_100_continue:
-            self._send(self._encoder.proceed())
-
-    def _accepts_body(self, size: int) -> bool:
-        """Return whether a body of this size is accepted; else reject it."""
-        if size > self._server.limits.body_bytes:
-            self._reject(413)
-        elif not self._reservation.grow_to(size):
-            self._reject(503, request_memory.RETRY_AFTER_SECONDS)
-        else:
-            return True
-        return False
-
-    def _release_body(self) -> None:
-        self._body.clear()
-        self._body_bytes = 0
-        self._reservation = self._server.request_memory.reserve()
-
     def _start_call(self) -> None:
-        head = self._head
-        body = b"".join(self._body)
+        head, body, held = self._reader.take()
+        self._head = head
         self.is_receiving = False
         self._awaits_first_request = False
         self._incomplete_call = None
@@ -350,9 +330,8 @@
             fields,
             body,
             self._server.timers.now(),
-            self._reservation,
+            held,
         )
-        self._release_body()
         self.call = call
         self._server.dispatch(call)
 
@@ -368,17 +347,15 @@
             self._close_after_response()
             return
         self._http.start_next_cycle()
-        surplus, at_end = self._http.trailing_data
-        if surplus:
+        if self._reader.unparsed:
             self.is_receiving = True
             self._server.timers.call_later(0, self._parse_received)
-        elif at_end:
-            self._server.hub.close_when_sent(self._sock)
 
     def _reject(self, status: int, retry_after: float | None = None) -> None:
         """Answer a request that can't be read, and close the connection."""
         self._server.report_rejected(status)
-        self._release_body()
+        self._server.check_memory()
+        self._reader.release()
         self._send(self._encoder.rejection(status, retry_after))
         self._disconnect_call()
         self._close_after_response()
--- a/postspring/transport/server_protocol.py
+++ b/postspring/transport/server_protocol.py
@@ -7,6 +7,7 @@
 from postspring.transport import request_memory
 from postspring.transport import sockets
 from postspring.transport import timers as timers_module
+from postspring.transport import turn_queue
 
 __all__ = ["Server"]
 
@@ -19,6 +20,7 @@
     limits: incoming.ServerLimits
     closing: bool
     request_memory: request_memory.RequestMemory
+    turn_queue: turn_queue.TurnQueue
 
     def report_rejected(self, status: int) -> None:
         """Report a request that could not be read, with its status."""
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -125,6 +125,7 @@
         """
         if sock not in self._handler_by_socket or sock in self._paced:
             return
+        self._paused.discard(sock)
         self._poller.removeReader(sock)
         self._paced[sock] = None
         if self._paced_timer is None:
@@ -139,11 +140,13 @@
     def pause_reading(self, sock: socket.socket) -> None:
         """Stop reading a connection until :meth:`resume_reading` is called."""
         self._paced.pop(sock, None)
+        self._paused.add(sock)
         if self._poller.isReading(sock):
             self._poller.removeReader(sock)
 
     def resume_reading(self, sock: socket.socket) -> None:
         """Read a connection whenever it has input, as at the start."""
+        self._paused.discard(sock)
         if sock in self._handler_by_socket and not self._poller.isReading(
             sock
         ):
@@ -183,7 +186,7 @@
         which is otherwise as old as the pause.
         """
         for _ in range(MAX_READS):
-            if not self._read(sock):
+            if sock in self._paused or not self._read(sock):
                 return
 
     def accept_pending(self) -> None:
