A caller that sends ahead of its response has the connection closed

What callers saw: forty connections that sent requests ahead and read nothing had a VM of 96 MB take 212 to 308 MB, for which it is killed. If more than the longest request was sent ahead, 413 was the answer, also to the request that was being served, which may have run.

Cause: while a call was open, its connection was read on, up to the longest request (4 MB).

Change: beyond 64 KiB the connection is closed with the open response, which stays its own; what was sent ahead is discarded and does not run. Callers within the limits send the next request after the response; up to 64 KiB, requests sent ahead are answered in order as before. Ruled out: to stop reading, as then the end behind unread bytes isn't seen and work goes on for a caller that has left. Instead, such a connection is read on, at intervals, and its input is discarded.

--- a/postspring/transport/connection_handler.py
+++ b/postspring/transport/connection_handler.py
@@ -25,6 +25,11 @@
         """
         return False
 
+    @property
+    def discards_input(self) -> bool:
+        """Whether received bytes are discarded."""
+        return False
+
     def drained(self) -> None:
         """Handle that the kernel has taken all buffered bytes."""
 
--- a/postspring/transport/lingering_close.py
+++ b/postspring/transport/lingering_close.py
@@ -53,6 +53,11 @@
         """Whether buffered bytes are still sent after the peer's EOF."""
         return True
 
+    @property
+    def discards_input(self) -> bool:
+        """True: the bytes are read so that closing does not reset."""
+        return True
+
     def unsent_discarded(self, unsent: int) -> None:
         """Pass the event to the previous handler."""
         self._previous_handler.unsent_discarded(unsent)
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -30,6 +30,9 @@
 # request waits.  Otherwise a caller that sends requests and reads nothing has
 # this VM hold all of their responses.  Small responses are not delayed.
 MAX_UNSENT_BYTES = 64 * 1024
+# A caller that sends more than this before it has the response is served no
+# further request: callers within the limits wait for the response.
+MAX_AHEAD_BYTES = 64 * 1024
 
 
 class ServerConnection(connection_handler.ConnectionHandler):
@@ -71,6 +74,8 @@
         self._is_held = False
         # The rest of the input is parsed in a later turn.
         self._is_queued = False
+        # The connection ends with the open response.
+        self._is_overrun = False
         # The call whose response was not sent completely when last checked.
         self._incomplete_call: incoming.IncomingCall | None = None
         self._unsent_bytes = 0
@@ -82,14 +87,13 @@
 
     def received(self, data: bytes) -> None:
         """Parse received bytes, or keep them until the call is answered."""
-        if self._is_closing:
+        if self._is_closing or self._is_overrun:
             return
         self._reader.add(data)
-        limits = self._server.limits
-        if self._reader.unparsed > limits.body_bytes + limits.header_bytes:
-            self._reject(413)
+        if self.call is not None:
+            self._limit_ahead()
             return
-        if self.call is None and not self.is_receiving:
+        if not self.is_receiving:
             self.is_receiving = True
             self.state_since = self._server.timers.now()
         self._parse_received()
@@ -103,6 +107,11 @@
         self._server.hub.resume_reading(self._sock)
         self._parse_received()
 
+    @property
+    def discards_input(self) -> bool:
+        """Whether further input is discarded."""
+        return self._is_overrun
+
     def ended(self, end: connection_end.ConnectionEnd) -> None:
         """Handle the end of the connection; report an incomplete response."""
         self._is_closing = True
@@ -262,7 +271,8 @@
         self._is_closing = True
         hub = self._server.hub
         is_whole = self._http.their_state in (h11.DONE, h11.MUST_CLOSE)
-        if is_whole and not hub.has_unread(self._sock):
+        is_read = not self._is_overrun and not hub.has_unread(self._sock)
+        if is_whole and is_read:
             hub.close_when_sent(self._sock)
         else:
             lingering_close.LingeringClose(
@@ -274,6 +284,22 @@
             self._server.hub.send(self._sock, data)
             self._server.check_memory()
 
+    def _limit_ahead(self) -> None:
+        """Bound the input that arrives before the response is complete."""
+        if self._reader.unparsed > MAX_AHEAD_BYTES:
+            self._end_with_response()
+
+    def _end_with_response(self) -> None:
+        """Close the connection after the open response; discard its input.
+
+        Only reading shows that the caller has left and work for it has to end.
+        """
+        LOG.info("requests sent ahead of their turn are discarded")
+        self._is_overrun = True
+        self.call.close_after_response = True
+        self._reader.release()
+        self._server.hub.start_paced_reading(self._sock)
+
     def _parse_received(self) -> None:
         """Parse a part of the input; reject it if it is not valid HTTP."""
         if self.call or self._is_closing or self._must_wait():
@@ -300,7 +326,7 @@
     def _parse_queued(self) -> None:
         self._is_queued = False
         self._parse_received()
-        if not (self._is_queued or self._is_held):
+        if not (self._is_queued or self._is_held or self._is_overrun):
             self._server.hub.resume_reading(self._sock)
 
     def _must_wait(self) -> bool:
@@ -343,7 +369,8 @@
         self._head = None
         self.state_since = self._server.timers.now()
         is_done = self._http.our_state is h11.DONE
-        if not is_done or self._http.their_state is not h11.DONE:
+        is_read = self._http.their_state is h11.DONE
+        if not is_done or not is_read or self._is_overrun:
             self._close_after_response()
             return
         self._http.start_next_cycle()
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -27,6 +27,9 @@
 LOG = logging.getLogger(__name__)
 READ_BYTES = 64 * 1024
 PACE_SECONDS = 0.01
+# Reads at each interval of a connection whose input is discarded, so that the
+# end behind what the kernel holds is seen soon.
+DISCARDING_READS = 4
 # Small parts that wait to be sent are joined up to this size, in bytes: an
 # object for each event of a stream would take more than the event.
 JOINED_BYTES = 4096
@@ -316,7 +319,11 @@
     def _read_paced(self) -> None:
         self._paced_timer = None
         for sock in list(self._paced):
-            self._read(sock)
+            conn_handler = self._handler_by_socket[sock]
+            reads = DISCARDING_READS if conn_handler.discards_input else 1
+            for _ in range(reads):
+                if not self._read(sock):
+                    break
         if self._paced:
             self._paced_timer = self._timers.call_later(
                 PACE_SECONDS, self._read_paced
