One account of all that callers have a process hold

What callers saw: 1,400 callers that sent bodies of 64 kB but for the last byte had a VM of 96 MB take 123 MB, for which it is killed.

Cause: only bodies above 64 KiB were counted. Unparsed input, shorter bodies, header fields (of which 16 KB can hold 3,000, each two objects) and the objects of connections and calls were not, so nothing bounded their sum.

Change: an account a process counts these, and the unsent responses. Its limit is 0.45 of the memory that the settings state; with 160 MB, 72 MB, to which the 0.4 for unread responses and the 0.2 for long requests now belong. Input sent ahead may use half of it, partial requests three quarters, complete requests all, so that callers with partial requests keep no one else out. Above that a request is rejected with 503 and Retry-After, as it has not run, and the unread responses of callers that have read nothing for the longest time are discarded sooner, down to a quarter. Without stated memory there is no limit, as before.

AccountTest: nothing is counted after the end, a complete request is served beside partial ones, header fields are counted.

--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -1,6 +1,8 @@
 """Timers, TCP connections and HTTP/1.1 on the circuits event loop."""
 
 from postspring.transport.address_probe import probe_address
+from postspring.transport.caller_memory import CallerMemory
+from postspring.transport.caller_memory import MemoryUse
 from postspring.transport.connection_end import ConnectionEnd
 from postspring.transport.exchange import Exchange
 from postspring.transport.exchange_observer import ExchangeObserver
@@ -20,6 +22,7 @@
 from postspring.transport.timers import Timers
 
 __all__ = [
+    "CallerMemory",
     "ConnectionEnd",
     "ConnectionHandler",
     "EndedBy",
@@ -31,6 +34,7 @@
     "HttpServer",
     "IncomingCall",
     "InterruptedResponse",
+    "MemoryUse",
     "ResponseCollector",
     "ServerLimits",
     "SocketHub",
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -5,6 +5,7 @@
 import socket
 import sys
 
+from postspring.transport import caller_memory
 from postspring.transport import incoming
 from postspring.transport import request_memory
 from postspring.transport import server_connection
@@ -69,6 +70,10 @@
         self.request_memory = request_memory.RequestMemory(
             lambda: self.limits.request_bytes or sys.maxsize
         )
+        self.caller_memory = caller_memory.CallerMemory(
+            lambda: self.limits.caller_bytes or sys.maxsize,
+            lambda: self.unsent_bytes,
+        )
         self.turn_queue = turn_queue.TurnQueue(timers)
         self.discarded_responses = 0
         self._is_check_scheduled = False
@@ -215,7 +220,10 @@
 
     @property
     def _unsent_limit(self) -> int:
-        return self.limits.unsent_bytes or sys.maxsize
+        return min(
+            self.limits.unsent_bytes or sys.maxsize,
+            self.caller_memory.room_for_responses,
+        )
 
     def _check_memory(self) -> None:
         self._is_check_scheduled = False
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -30,6 +30,9 @@
 UNSENT_SHARE = 0.4
 # Share for requests, which are held twice while they are sent.
 REQUEST_SHARE = 0.2
+# Share for all that callers have a process hold: requests, whole or in part,
+# the objects of connections and calls, and unread responses.
+CALLER_SHARE = 0.45
 
 
 @dataclasses.dataclass(slots=True)
@@ -43,7 +46,8 @@
     effect at once.  ``body_seconds`` limits the time from the start of a
     request to the end of its body.  ``unsent_bytes`` limits the response bytes
     that the process buffers for all callers, and ``request_bytes`` the bodies
-    of requests that it holds; 0 for no limit.
+    of requests that it holds; ``caller_bytes`` limits all that it holds for
+    callers.  0 is for no limit.
     """
 
     header_bytes: int = 16 * 1024
@@ -53,6 +57,7 @@
     idle_seconds: float = 60.0
     unsent_bytes: int = 0
     request_bytes: int = 0
+    caller_bytes: int = 0
     connections: int = dataclasses.field(
         default_factory=descriptor_limits.connection_limit
     )
@@ -74,11 +79,14 @@
         67108864
         >>> ServerLimits.within(8200, 160).request_bytes
         33554432
+        >>> ServerLimits.within(8200, 160).caller_bytes
+        75497472
         """
         return cls(
             connections=descriptor_limits.connection_limit(max_files),
             unsent_bytes=int(UNSENT_SHARE * memory_mb) * 1024 * 1024,
             request_bytes=int(REQUEST_SHARE * memory_mb) * 1024 * 1024,
+            caller_bytes=int(CALLER_SHARE * memory_mb) * 1024 * 1024,
         )
 
 
--- a/postspring/transport/request_reader.py
+++ b/postspring/transport/request_reader.py
@@ -4,6 +4,7 @@
 
 import h11
 
+from postspring.transport import caller_memory
 from postspring.transport import http_messages
 from postspring.transport import incoming
 from postspring.transport import request_memory
@@ -64,19 +65,24 @@
         http: h11.Connection,
         limits: incoming.ServerLimits,
         requests: request_memory.RequestMemory,
+        callers: caller_memory.CallerMemory,
     ):
         self._http = http
         self._limits = limits
         self._requests = requests
+        self._callers = callers
         self._body = bytearray()
         self._reservation = requests.reserve()
+        self._holding = callers.hold()
         self.head: h11.Request | None = None
         self.unparsed = 0
+        self._count()
 
     def add(self, data: bytes) -> None:
         """Add input without parsing it."""
         self._http.receive_data(data)
         self.unparsed += len(data)
+        self._count()
 
     def read(self) -> Progress:
         """Parse a part of the input; return how far the request is read.
@@ -88,11 +94,19 @@
             for it.
         """
         try:
-            return self._read()
+            progress = self._read()
         except h11.RemoteProtocolError as error:
             raise RejectedError(error.error_status_hint) from error
         finally:
             self.unparsed = len(self._http.trailing_data[0])
+            self._count()
+        is_complete = progress is Progress.COMPLETE
+        use = caller_memory.MemoryUse.PARTIAL
+        if is_complete:
+            use = caller_memory.MemoryUse.COMPLETE
+        if self._callers.is_above(use) and not self._holding.is_only:
+            raise RejectedError(503, request_memory.RETRY_AFTER_SECONDS)
+        return progress
 
     def take(self) -> tuple[h11.Request, bytes, object]:
         """Return a complete request, and what counts its memory.
@@ -100,7 +114,9 @@
         The memory is counted until the last object is freed.
         """
         head, body = self.head, bytes(self._body)
-        held = self._reservation
+        holding = self._callers.hold()
+        holding.set(self._request_bytes)
+        held = (self._reservation, holding)
         self.release()
         return head, body, held
 
@@ -109,6 +125,12 @@
         self.head = None
         self._body = bytearray()
         self._reservation = self._requests.reserve()
+        self._count()
+
+    def close(self) -> None:
+        """Count nothing any more."""
+        self.release()
+        self._holding.set(0)
 
     # -- own ------------------------------------------------------------------
 
@@ -137,3 +159,15 @@
             raise RejectedError(413)
         if not self._reservation.grow_to(size):
             raise RejectedError(503, request_memory.RETRY_AFTER_SECONDS)
+
+    @property
+    def _request_bytes(self) -> int:
+        """Memory of the request that is being read."""
+        if self.head is None:
+            return 0
+        fields = len(self.head.headers) * caller_memory.FIELD_BYTES
+        return caller_memory.CALL_BYTES + fields + len(self._body)
+
+    def _count(self) -> None:
+        size = caller_memory.CONNECTION_BYTES + self.unparsed
+        self._holding.set(size + self._request_bytes)
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -11,6 +11,7 @@
 
 import h11
 
+from postspring.transport import caller_memory
 from postspring.transport import connection_end
 from postspring.transport import connection_handler
 from postspring.transport import incoming
@@ -61,6 +62,7 @@
             self._http,
             server.limits,
             server.request_memory,
+            server.caller_memory,
         )
         self._encoder = response_encoder.ResponseEncoder(self._http)
         # Head of the request whose response is sent.
@@ -123,7 +125,7 @@
                 ended_by, self._incomplete_call, self._unsent_bytes
             )
         self._incomplete_call = None
-        self._reader.release()
+        self._reader.close()
 
     def unsent_discarded(self, unsent: int) -> None:
         """Record how many bytes of a response were discarded."""
@@ -286,9 +288,14 @@
 
     def _limit_ahead(self) -> None:
         """Bound the input that arrives before the response is complete."""
-        if self._reader.unparsed > MAX_AHEAD_BYTES:
+        if self._reader.unparsed > MAX_AHEAD_BYTES or not self._has_memory:
             self._end_with_response()
 
+    @property
+    def _has_memory(self) -> bool:
+        memory = self._server.caller_memory
+        return not memory.is_above(caller_memory.MemoryUse.AHEAD)
+
     def _end_with_response(self) -> None:
         """Close the connection after the open response; discard its input.
 
@@ -359,6 +366,8 @@
             held,
         )
         self.call = call
+        if self._reader.unparsed and not self._has_memory:
+            self._end_with_response()
         self._server.dispatch(call)
 
     def _finish_response(self) -> None:
--- a/postspring/transport/server_protocol.py
+++ b/postspring/transport/server_protocol.py
@@ -3,6 +3,7 @@
 from typing import Any
 from typing import Protocol
 
+from postspring.transport import caller_memory
 from postspring.transport import incoming
 from postspring.transport import request_memory
 from postspring.transport import sockets
@@ -20,6 +21,7 @@
     limits: incoming.ServerLimits
     closing: bool
     request_memory: request_memory.RequestMemory
+    caller_memory: caller_memory.CallerMemory
     turn_queue: turn_queue.TurnQueue
 
     def report_rejected(self, status: int) -> None:
