Answers that are collected whole are read within the memory of callers

What callers saw: sixty callers that asked for answers of 2 MB each and read nothing had a VM of 96 MB take 136 to 143 MB, for which it is killed.

Cause: an answer that is no stream is collected before it is passed on, and nothing bounded the sum of these.

Change: they count in the account of what callers have the process hold. Above its limit, reading from the upstreams pauses, so that the rest waits there; the answer that began first is read on, so that one always ends. Rejecting was ruled out: the upstream has run the request.

--- a/postspring/forwarding/__init__.py
+++ b/postspring/forwarding/__init__.py
@@ -5,6 +5,7 @@
 from postspring.forwarding.certainty import Doubt
 from postspring.forwarding.certainty import find_doubts
 from postspring.forwarding.certainty import loggable_age
+from postspring.forwarding.collected_answer import AnswerMemory
 from postspring.forwarding.delivery import Delivery
 from postspring.forwarding.delivery_context import DeliveryContext
 from postspring.forwarding.delivery_context import Receiver
@@ -29,6 +30,7 @@
 __all__ = [
     "RELAYED_NAME",
     "Admission",
+    "AnswerMemory",
     "ResponseFacts",
     "CallFacts",
     "Certainty",
--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -66,7 +66,7 @@
         self._exchange: transport.Exchange | None = None
         self._status = 0
         self._answer = ports.ResponseFacts()
-        self._buffer = bytearray()
+        self._collected = context.answers.collect()
         self._splitter = event_splitter.EventSplitter()
         self._use: upstream_use.UpstreamUse | None = None
         self._position = stream_position.StreamPosition(
@@ -142,7 +142,7 @@
         )
         self._phase = _Phase.SENT
         self._status = 0
-        self._buffer.clear()
+        self._collected.clear()
         self._splitter = event_splitter.EventSplitter()
         self._silence_timer.start(self._on_silence)
         self._exchange = self._context.http.send(self._request(upstream), self)
@@ -203,7 +203,7 @@
         if self._is_stream:
             self._relay(self._splitter.feed(chunk))
         else:
-            self._buffer += chunk
+            self._collected.add(chunk, self._exchange)
 
     def end(self) -> None:
         """Handle the end of a complete answer."""
@@ -319,7 +319,7 @@
         else:
             self._crash_guard.note_completed()
             fields = self._context.caller_fields(self._exchange)
-            body = bytes(self._buffer)
+            body = self._collected.take()
             self._finish().answered(self._status, fields, body)
 
     def _handle_rejection(self) -> None:
@@ -390,6 +390,7 @@
         """End the delivery; return the receiver, for its last callback."""
         self._release_upstream()
         self._phase = _Phase.DONE
+        self._collected.clear()
         self._silence_timer.stop()
         if self._timer is not None:
             self._timer.cancel()
--- a/postspring/forwarding/delivery_context.py
+++ b/postspring/forwarding/delivery_context.py
@@ -4,6 +4,7 @@
 import dataclasses
 import random
 
+from postspring.forwarding import collected_answer
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
 from postspring import quarantine as quarantine_module
@@ -66,6 +67,8 @@
         The upstreams that this VM prefers; without it, all are candidates.
     quarantine : Quarantine
         Rejects requests under which upstreams crash.
+    answers : AnswerMemory
+        Collects answers that are not streams.
     """
 
     http: transport.HttpClient
@@ -74,6 +77,7 @@
     placement: scheduling.Placement
     wire: ports.WireFormat
     metrics: object
+    answers: collected_answer.AnswerMemory
     data_center: str = ""
     urgency: scheduling.Urgency = scheduling.urgency_by_name["none"]()
     admission: scheduling.Admission = scheduling.admission_by_name["none"]()
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -311,6 +311,7 @@
             self.metrics,
             self.members,
             self.quarantine,
+            self.callers.caller_memory,
         )
         self.forwarder = forwarding.Forwarder(
             context,
--- a/postspring/front/policies.py
+++ b/postspring/front/policies.py
@@ -24,6 +24,7 @@
     metrics: metrics_module.Metrics,
     members: peering.Members,
     quarantine_policy: quarantine.Quarantine,
+    memory: transport.CallerMemory,
 ) -> forwarding.DeliveryContext:
     """Return what deliveries share, with the policies of the settings."""
     own = members.own
@@ -43,6 +44,7 @@
         scheduling.placement_by_name[settings.placement](),
         wire,
         metrics,
+        forwarding.AnswerMemory(timers, memory),
         own.data_center,
         urgency=scheduling.urgency_by_name[settings.urgency](),
         subsets=subsets,
--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -59,6 +59,7 @@
         self._http: h11.Connection | None = None
         self._reused = False
         self._has_head = False
+        self._is_paused = False
         self._received_bytes = 0
         self._unsent_bytes = 0
         self.response_end: response_end.ResponseEnd | None = None
@@ -98,6 +99,18 @@
             self._client.hub.resume_reading(self._socket)
             self._client.hub.start_paced_reading(self._socket)
 
+    def pause_reading(self) -> None:
+        """Leave the rest of the response in the kernel."""
+        if self._socket is not None:
+            self._is_paused = True
+            self._client.hub.pause_reading(self._socket)
+
+    def resume_reading(self) -> None:
+        """Read on after :meth:`pause_reading`."""
+        if self._is_paused and self._socket is not None:
+            self._is_paused = False
+            self._client.hub.resume_reading(self._socket)
+
     # -- from the client ------------------------------------------------------
 
     def attach(
@@ -260,6 +273,7 @@
         self._timeout_timer.cancel()
         if self.request.paced and self._socket is not None:
             self._client.hub.resume_reading(self._socket)
+        self.resume_reading()
         headers = http_messages.decode_headers(self.header_fields)
         sock, self._socket = self._socket, None
         self._client.keep_idle(self.request.address, sock, self._http, headers)
