The ports for other VMs, readiness and metrics have limits of memory

What was seen: forty connections with bodies of 4 MB without an end, at the port for other VMs or at that for readiness, had a VM of 96 MB take 202 MB. Clients are not meant to reach these ports, but nothing else bounds them.

Cause: these servers were created without limits of memory.

Change: other VMs may have a process hold a tenth of its memory; with 160 MB, 16 MB, which is room for eight of the longest calls to the log that VMs relay for each other.

--- a/postspring/front/metrics_page.py
+++ b/postspring/front/metrics_page.py
@@ -20,5 +20,6 @@
         fields = [("Content-Type", "text/plain; version=0.0.4")]
         call.respond(200, fields, metrics.scrape())
 
-    server = transport.HttpServer(timers, answer, transport.ServerLimits())
+    limits = transport.ServerLimits.for_probes()
+    server = transport.HttpServer(timers, answer, limits)
     server.listen(parent, bind, "metrics")
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -197,13 +197,15 @@
         self.readiness = transport.HttpServer(
             self.timers,
             lambda call: call.respond(200 if self.is_ready else 503, []),
-            transport.ServerLimits(),
+            transport.ServerLimits.for_probes(),
         )
         self.readiness.listen(self, self.vm.readiness, "readiness")
         self.peers = transport.HttpServer(
             self.timers,
             lambda call: self._peer_service.handle(call),
-            transport.ServerLimits(),
+            transport.ServerLimits.for_peers(
+                self.vm.max_files, self.vm.memory_mb
+            ),
         )
         self.peers.listen(self, self.vm.peers, "peers")
 
--- a/postspring/transport/incoming.py
+++ b/postspring/transport/incoming.py
@@ -33,6 +33,14 @@
 # Share for all that callers have a process hold: requests, whole or in part,
 # the objects of connections and calls, and unread responses.
 CALLER_SHARE = 0.45
+# Share for what other VMs have a process hold, mainly calls to the log that
+# are relayed for them.
+PEER_SHARE = 0.1
+# A balancer that asks whether a VM is ready, or a collector of metrics, sends
+# requests without a body, each VM one at a time.
+PROBE_CONNECTIONS = 256
+PROBE_BODY_BYTES = 16 * 1024
+PROBE_MEMORY_BYTES = 1024 * 1024
 
 
 @dataclasses.dataclass(slots=True)
@@ -89,6 +97,34 @@
             caller_bytes=int(CALLER_SHARE * memory_mb) * 1024 * 1024,
         )
 
+    @classmethod
+    def for_peers(cls, max_files: int, memory_mb: int = 0) -> "ServerLimits":
+        """Return limits for the port that other VMs call.
+
+        Examples
+        --------
+        >>> ServerLimits.for_peers(8200, 160).caller_bytes
+        16777216
+        """
+        share = int(PEER_SHARE * memory_mb * 1024 * 1024)
+        return cls(
+            connections=descriptor_limits.connection_limit(max_files),
+            unsent_bytes=share,
+            request_bytes=share,
+            caller_bytes=share,
+        )
+
+    @classmethod
+    def for_probes(cls) -> "ServerLimits":
+        """Return limits for a port with short requests of few callers."""
+        return cls(
+            body_bytes=PROBE_BODY_BYTES,
+            connections=PROBE_CONNECTIONS,
+            unsent_bytes=PROBE_MEMORY_BYTES,
+            request_bytes=PROBE_MEMORY_BYTES,
+            caller_bytes=PROBE_MEMORY_BYTES,
+        )
+
 
 class EndedBy(enum.Enum):
     """Which side ended a connection with an incomplete response."""
