--- a/postspring/daemon/tests/test_misbehaving_clients.py
+++ b/postspring/daemon/tests/test_misbehaving_clients.py
@@ -28,6 +28,8 @@
     names.TOKEN_BUDGET: "100000",
     names.TOKEN_USAGE: "100,40",
 }
+# Within the longest head that the configuration allows, 16 KiB.
+MANY_FIELDS = TURN_HEADERS | {f"a{n}": "b" for n in range(1500)}
 CHUNKED = {"Transfer-Encoding": "chunked"}
 
 
@@ -95,6 +97,11 @@
         request = misbehaving.Request("/safe/large/2000000")
         self.play(60, request.repeat, 100_000)
 
+    # Guards against header fields whose objects are not counted.
+    def test_many_header_fields(self):
+        request = misbehaving.Request("/stream/x", "POST", MANY_FIELDS, b"x")
+        self.play(200, request.repeat, 128 * 1024)
+
     # Guards against an event loop that parses one caller's chunks only.
     def test_bodies_in_tiny_chunks(self):
         request = misbehaving.Request("/once/x", "POST", CHUNKED)
