--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -83,11 +83,7 @@
     @property
     def peak_bytes(self) -> int:
         """Most resident memory that the VM's process has had, in bytes."""
-        path = pathlib.Path(f"/proc/{self._process.pid}/status")
-        for line in path.read_text().splitlines():
-            if line.startswith("VmHWM:"):
-                return int(line.split()[1]) * 1024
-        return 0
+        return processes.peak_bytes(self._process)
 
     @property
     def open_files(self) -> int:
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -104,6 +104,15 @@
         connection.close()
 
 
+def peak_bytes(process: subprocess.Popen) -> int:
+    """Return the most resident memory that a process has had, in bytes."""
+    path = pathlib.Path(f"/proc/{process.pid}/status")
+    for line in path.read_text().splitlines():
+        if line.startswith("VmHWM:"):
+            return int(line.split()[1]) * 1024
+    return 0
+
+
 class ProcessGroup:
     """Processes that end together, by their ids.
 
