The memory of long buffers is returned when they are freed

What was seen: sixty callers that read nothing of answers of 2 MB had a VM of 96 MB peak at 78 to 87 MB in the first crowd and at 89 to 94 MB in the second (three runs beside load), though nothing is held after the first.

Cause: glibc raises the length from which it maps buffers by themselves when a mapped one is freed, up to 32 MiB. Long bodies come from the heap then, where freed memory between other objects stays with the process. Shown by runs with the variable MALLOC_MMAP_THRESHOLD_ set to the initial value: 72 and 73 MB.

Change: the daemon fixes that length at its initial value, 128 KiB, when it starts. Another C library is left as it is.

--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -16,6 +16,7 @@
     EARLY_SIGNALS.install()
 
 with reduced_imports.without_collector(), reduced_imports.placeholders():
+    from postspring.daemon import allocator
     from postspring.daemon import process
     from postspring import errors
     from postspring.front import node as node_module
@@ -46,6 +47,7 @@
     if EARLY_SIGNALS.has(signal.SIGTERM, signal.SIGINT):
         LOG.info("stopped by a signal during the start")
         return
+    allocator.fix_mapping_threshold()
     process.raise_file_limit(vm.max_files)
     node = node_module.FrontNode(
         vm, front_settings, on_stopped=process.end_process
