Test of tiny chunks fails without the bound of a turn's work

The end is sent with the chunks now, so that the order shows which request was parsed first. The crowd of test_misbehaving_clients is unchanged.

--- a/postspring/transport/tests/test_tiny_chunks.py
+++ b/postspring/transport/tests/test_tiny_chunks.py
@@ -23,13 +23,12 @@
 
     # Guards against an event loop that is busy with one caller's chunks.
     def test_other_caller_is_served_meanwhile(self):
-        self.caller.sendall(CHUNKED + b"2\r\nab\r\n" * 9000)
+        chunks = b"2\r\nab\r\n" * 9000
+        self.caller.sendall(CHUNKED + chunks + b"0\r\n\r\n")
         other = socket.create_connection(self.address)
         self.addCleanup(other.close)
         self.run_loop(2)
         other.sendall(REQUEST % 7)
-        self.run_loop_until(lambda: self.calls)
-        self.caller.sendall(b"0\r\n\r\n")
         self.run_loop_until(lambda: len(self.calls) == 2)
         self.assertEqual("/7", self.calls[0].target)
         self.assertEqual(b"ab" * 9000, self.calls[1].body)
