Reading at intervals goes on when a connection ends meanwhile

What callers would have seen: all streams of a VM stand still after one response's data ended another exchange in the same interval.

The loop over the connections that are read at intervals looked up the handler of one that a read before had ended, and the error ended the series of intervals.

Change: such a connection is passed over, as it was before.

Evidence: test_paced_reading failed without the change (the loop was turned in vain) and passes four of four times with it.

--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -319,7 +319,10 @@
     def _read_paced(self) -> None:
         self._paced_timer = None
         for sock in list(self._paced):
-            conn_handler = self._handler_by_socket[sock]
+            # Another connection's read may have ended this one.
+            conn_handler = self._handler_by_socket.get(sock)
+            if conn_handler is None:
+                continue
             reads = DISCARDING_READS if conn_handler.discards_input else 1
             for _ in range(reads):
                 if not self._read(sock):
