A request that waits to be parsed is not too slow

What a caller saw: a single body of 4 MB in chunks of two bytes, which is within the limits, was answered 408 after 30 s; the code before answered it 200 after 48 s.

Cause: since its parsing is spread over turns of the event loop, and the time for which it waited in this VM counted as its caller's.

Change: a connection that waits to be parsed is not overdue, as one whose caller has to read first.

--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -251,7 +251,8 @@
         call.disconnect()
 
     def _is_overdue(self, now: float) -> bool:
-        if self.call is not None or self._is_closing or self._is_held:
+        is_waiting = self._is_held or self._is_queued
+        if self.call is not None or self._is_closing or is_waiting:
             return False
         limits = self._server.limits
         limit = limits.idle_seconds
--- a/postspring/transport/tests/test_tiny_chunks.py
+++ b/postspring/transport/tests/test_tiny_chunks.py
@@ -32,3 +32,16 @@
         self.run_loop_until(lambda: len(self.calls) == 2)
         self.assertEqual("/7", self.calls[0].target)
         self.assertEqual(b"ab" * 9000, self.calls[1].body)
+
+    # Guards against 408 for a request that this VM has not parsed yet.
+    def test_request_that_waits_to_be_parsed_is_not_too_slow(self):
+        self.server.limits.body_seconds = 0.0
+        self.server.limits.header_seconds = 0.0
+        chunks = b"2\r\nab\r\n" * 9000
+        self.caller.sendall(CHUNKED + chunks + b"0\r\n\r\n")
+        self.run_loop_until(lambda: self.server.connection_count)
+        while not self.calls:
+            self.run_loop(1)
+            self.server._sweep()
+            self.assertEqual(1, self.server.connection_count)
+        self.assertEqual(b"ab" * 9000, self.calls[0].body)
