--- a/postspring/daemon/tests/test_misbehaving_entry_clients.py
+++ b/postspring/daemon/tests/test_misbehaving_entry_clients.py
@@ -8,6 +8,7 @@
 import unittest
 
 from postspring.testing import misbehaving
+from postspring.testing import probes
 from postspring.testing import processes
 
 MIB = 1024 * 1024
@@ -51,7 +52,7 @@
         if passed > WINDOW_SECONDS:
             before = self.used
             self.measured_at = time.monotonic()
-            self.used = processes.processor_seconds(self.process)
+            self.used = probes.processor_seconds(self.process)
             self.is_at_work = self.used - before > BUSY_SHARE * passed
         return self.is_at_work
 
@@ -59,12 +60,12 @@
         """Check that the process is alive and within its memory."""
         log = self.deployment.log(VM)[-2000:]
         self.assertIsNone(self.process.poll(), log)
-        peak = processes.peak_bytes(self.process)
+        peak = probes.peak_bytes(self.process)
         self.assertLessEqual(peak, MEMORY_MB * MIB)
 
     def answers(self):
         """Return whether an ordinary request is answered with success."""
-        return processes.status_of(self.address, "/v1/status") == 200
+        return probes.status_of(self.address, "/v1/status") == 200
 
     # Guards against requests sent ahead that are read without a bound.
     def test_requests_sent_ahead(self):
--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -7,6 +7,7 @@
 
 from postspring.platform import names
 from postspring.testing.fleet import fleet
+from postspring.testing import probes
 from postspring.testing import processes
 from postspring.testing.soak import stage
 from postspring.testing.soak import world as world_module
@@ -83,7 +84,7 @@
     @property
     def peak_bytes(self) -> int:
         """Most resident memory that the VM's process has had, in bytes."""
-        return processes.peak_bytes(self._process)
+        return probes.peak_bytes(self._process)
 
     @property
     def open_files(self) -> int:
@@ -97,7 +98,7 @@
             names.REQUEST_ID: uuid.uuid4().hex,
             names.DEADLINE_MS: str(DEADLINE_MS),
         }
-        return processes.status_of(self.callers, "/safe/x", headers) == 200
+        return probes.status_of(self.callers, "/safe/x", headers) == 200
 
     @property
     def vm_log(self) -> str:
@@ -122,4 +123,4 @@
 
     def _is_ready(self) -> bool:
         path = names.READINESS_PATH
-        return processes.status_of(self.readiness, path) == 200
+        return probes.status_of(self.readiness, path) == 200
--- a/postspring/transport/caller_memory.py
+++ b/postspring/transport/caller_memory.py
@@ -18,6 +18,7 @@
 CONNECTION_BYTES = 6 * 1024
 CALL_BYTES = 16 * 1024
 FIELD_BYTES = 512
+# Share of the limit that unsent responses may take whatever else is held.
 RESPONSE_SHARE = 0.125
 
 
