A VM logs what it holds before its memory is exhausted

A process that exceeds the memory of its machine is killed without a line, so logs could not tell this end from others, nor who had filled the memory.

--- a/postspring/front/gauges.py
+++ b/postspring/front/gauges.py
@@ -2,6 +2,7 @@
 
 import time
 
+from postspring.front import memory_watch
 from postspring import histories
 from postspring import keyedlog
 from postspring import metrics as metrics_module
@@ -10,6 +11,8 @@
 
 __all__ = ["observe_vm"]
 
+MEBIBYTE = 1024 * 1024
+
 
 def observe_vm(
     metrics: metrics_module.Metrics,
@@ -20,8 +23,10 @@
     journal: histories.Journal,
     timers: transport.Timers,
     quarantine_policy: quarantine.Quarantine,
-) -> None:
-    """Register the gauges of a front VM.
+    peers: transport.HttpServer,
+    memory_mb: int,
+) -> memory_watch.MemoryWatch:
+    """Register the gauges of a front VM; return the watch of its memory.
 
     Parameters
     ----------
@@ -31,6 +36,10 @@
         Sends calls to upstreams.
     callers : HttpServer
         Receives callers' requests.
+    peers : HttpServer
+        Receives requests of other VMs.
+    memory_mb : int
+        Memory of the VM in MiB; 0 if unknown.
     """
     metrics.add_gauge(
         "configuration_age_seconds",
@@ -95,3 +104,29 @@
     metrics.add_gauge(
         "processor_seconds", "Processor time used", time.process_time
     )
+    metrics.add_gauge(
+        "resident_peak_bytes",
+        "Most resident memory that the process has had",
+        memory_watch.peak_resident_bytes,
+    )
+    metrics.add_gauge(
+        "caller_memory_bytes",
+        "Bytes held for callers, without unsent responses",
+        lambda: callers.caller_memory.held,
+    )
+    metrics.add_gauge(
+        "peer_memory_bytes",
+        "Bytes held for requests of other VMs",
+        lambda: peers.caller_memory.held,
+    )
+
+    return memory_watch.MemoryWatch(
+        timers,
+        memory_mb * MEBIBYTE,
+        {
+            "callers": lambda: callers.caller_memory.held,
+            "unsent_responses": lambda: callers.unsent_bytes,
+            "unsent_requests": lambda: http.hub.all_unsent_bytes,
+            "peers": lambda: peers.caller_memory.held,
+        },
+    )
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -132,6 +132,7 @@
             "incarnation": self.incarnation,
         }
         LOG.info("started", extra=extra)
+        self._memory_watch.start()
         self.cut_detection.start()
         self.members.start()
         self.loads.start()
@@ -329,7 +330,7 @@
         if settings.metrics_port:
             bind = (self.vm.callers[0], settings.metrics_port)
             metrics_page.serve_metrics(self, self.timers, self.metrics, bind)
-        gauges.observe_vm(
+        self._memory_watch = gauges.observe_vm(
             self.metrics,
             self.followers.configuration,
             self.followers.upstreams,
@@ -338,15 +339,14 @@
             self.journal,
             self.timers,
             self.quarantine,
+            self.peers,
+            self.vm.memory_mb,
         )
 
     # -- events ---------------------------------------------------------------
 
     def _on_configuration_change(self, snapshot: routing.Snapshot) -> None:
-        self._caller_limits.header_bytes = snapshot.limits.header_bytes
-        self._caller_limits.body_bytes = snapshot.limits.body_bytes
-        self._caller_limits.header_seconds = snapshot.limits.header_seconds
-        self._caller_limits.idle_seconds = snapshot.limits.idle_seconds
+        reload.apply_caller_limits(self._caller_limits, snapshot.limits)
 
     def _on_upstream_retired(self, upstream: upstreams.Upstream) -> None:
         self.http.close_idle_connections(upstream.address)
--- a/postspring/front/reload.py
+++ b/postspring/front/reload.py
@@ -1,11 +1,13 @@
-"""Applies changed settings of a VM while it runs."""
+"""Applies changed settings and configurations while a VM runs."""
 
 import dataclasses
 import logging
 
 from postspring import platform
+from postspring import routing
+from postspring import transport
 
-__all__ = ["apply_settings"]
+__all__ = ["apply_caller_limits", "apply_settings"]
 
 LOG = logging.getLogger(__name__)
 
@@ -28,3 +30,13 @@
     )
     kept = {name: getattr(current, name) for name in restart}
     return dataclasses.replace(loaded, **kept)
+
+
+def apply_caller_limits(
+    limits: transport.ServerLimits, configured: routing.CallerLimits
+) -> None:
+    """Have a server enforce the limits of a configuration."""
+    limits.header_bytes = configured.header_bytes
+    limits.body_bytes = configured.body_bytes
+    limits.header_seconds = configured.header_seconds
+    limits.idle_seconds = configured.idle_seconds
