Soak: answers without an end, and VMs that exceed their memory

The soak played neither: its upstreams' answers ended, and nothing enforced the memory that its settings state, so a process that grew to a gigabyte went on serving. The new profile endless sends bursts of requests whose answers go on until the connection is closed, and in all profiles a VM above 160 MB is killed and counts as one that ended by itself.

--- a/postspring/testing/soak/plan.py
+++ b/postspring/testing/soak/plan.py
@@ -58,6 +58,8 @@
         From one request that crashes upstreams to the next.
     breaks : float
         From one burst of requests whose answers are broken off to the next.
+    endless : float
+        From one burst of requests whose answers have no end to the next.
     """
 
     stops: float = 0.0
@@ -70,6 +72,7 @@
     leaves: float = 0.0
     crashes: float = 0.0
     breaks: float = 0.0
+    endless: float = 0.0
 
 
 PROFILES = {
@@ -88,6 +91,7 @@
     "leaves": Profile(stops=12.0, store=5.0, leaves=10.0),
     "crashes": Profile(reloads=10.0, configures=15.0, crashes=4.0),
     "breaks": Profile(stops=6.0, kills=15.0, pauses=10.0, breaks=0.7),
+    "endless": Profile(stops=8.0, kills=20.0, reloads=8.0, endless=3.0),
     "final": Profile(stops=6.0, store=8.0, final=25.0),
 }
 # Nothing is done before this, nor in the last seconds.
--- a/postspring/testing/soak/programs.py
+++ b/postspring/testing/soak/programs.py
@@ -125,6 +125,13 @@
                         caller, breaking.send_breaking, self._world.breaks
                     )
                 )
+            if self._world.endless:
+                caller = self._caller("endless", "endless")
+                group.create_task(
+                    self._send(
+                        caller, breaking.send_endless, self._world.endless
+                    )
+                )
         self._balancer.close()
 
     def _caller(self, name: str, draws: str) -> callers.Caller:
--- a/postspring/testing/soak/report.py
+++ b/postspring/testing/soak/report.py
@@ -100,6 +100,7 @@
         leaves=chosen.leaves,
         crashes=chosen.crashes,
         breaks=chosen.breaks,
+        endless=chosen.endless,
     )
     network, claim = world_module.claim_network()
     world = world_module.build_world(
--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -11,6 +11,7 @@
 
 from postspring.platform import names
 from postspring.testing.fleet import fleet
+from postspring.testing import probes
 from postspring.testing import processes
 from postspring.testing.soak import events as events_module
 from postspring.testing.soak import leaving
@@ -23,9 +24,12 @@
 
 MODULE = "postspring.testing.soak"
 TICK_SECONDS = 0.02
+# Interval at which the memory of VMs is compared with their limit.
+MEMORY_SECONDS = 0.1
 # From a process's end to its next start.
 RESTART_SECONDS = 0.3
 START_SECONDS = 60.0
+MEMORY_BYTES = world_module.MEMORY_MB * 1024 * 1024
 # After the end of traffic callers finish what is under way.
 FINISH_SECONDS = 60.0
 DEPLOY_FILE = "deploy/system.toml"
@@ -87,6 +91,7 @@
         self._burners = burners
         self._stalls = stalls
         self._draw = random.Random(world.seed)
+        self._memory_checked_at = 0.0
         self._words = daemon_words()
 
     def play(self, plan: list[plan_module.Step], seconds: float) -> Lines:
@@ -154,6 +159,7 @@
             while steps and steps[0].at <= now - began:
                 self._do(steps.pop(0))
             self._look_after(now)
+            self._limit_memory(now)
             self._stall(now)
             if now - began > seconds + FINISH_SECONDS:
                 raise TimeoutError("callers did not finish")
@@ -238,6 +244,19 @@
             else:
                 self._look_at_process(daemon, now)
 
+    def _limit_memory(self, now: float) -> None:
+        """Kill a VM's process that exceeds the memory of its machine."""
+        if now - self._memory_checked_at < MEMORY_SECONDS:
+            return
+        self._memory_checked_at = now
+        for daemon in self._daemons:
+            process = self.process_by_name[daemon.vm.name]
+            if process.poll() is None and (
+                probes.peak_bytes(process) > MEMORY_BYTES
+            ):
+                # Its end counts as one of its own.
+                process.kill()
+
     def _stall(self, now: float) -> None:
         """Hold up some VMs for a short time, as a busy machine does."""
         for daemon in self._daemons:
--- a/postspring/testing/soak/tests/test_breaking.py
+++ b/postspring/testing/soak/tests/test_breaking.py
@@ -34,6 +34,16 @@
             way, breaking.Break.parse(f"/once/{way.path}".encode())
         )
 
+    # Guards against an endless answer that is played or judged as another.
+    def test_endless_answer(self):
+        for framing in breaking.Framing:
+            way = breaking.Break(framing, False, False, is_endless=True)
+            self.assertFalse(way.is_complete, way)
+            self.assertEqual(
+                way, breaking.Break.parse(f"/once/{way.path}".encode())
+            )
+            self.assertFalse(way.answer([], b"abcd").endswith(b"0\r\n\r\n"))
+
     # Guards against a cut answer that ends by its framing.
     def test_answer_in_chunks(self):
         whole = breaking.Break(CHUNKS, False, True).answer([], b"abcd")
--- a/postspring/testing/soak/tests/test_short_run.py
+++ b/postspring/testing/soak/tests/test_short_run.py
@@ -1,4 +1,4 @@
-"""Short runs of real daemons: planned work, crashes, broken answers."""
+"""Short runs of real daemons: planned work, crashes, odd answers."""
 
 import pathlib
 import tempfile
@@ -43,3 +43,13 @@
             )
         self.assertGreater(outcome.counts["break"], 0)
         self.assertEqual(outcome.details(), [])
+
+    # Guards against answers without an end that exhaust the memory of VMs.
+    def test_endless_answers_end_no_process(self):
+        shape = world.Shape(vms=4, engines=2, services=6, users=15)
+        with tempfile.TemporaryDirectory() as folder:
+            outcome = report.play(
+                SEED, SECONDS, "endless", shape, pathlib.Path(folder, "run")
+            )
+        self.assertGreater(outcome.counts["break"], 0)
+        self.assertEqual(outcome.details(), [])
--- a/postspring/testing/soak/world.py
+++ b/postspring/testing/soak/world.py
@@ -48,6 +48,8 @@
 RETENTION_SECONDS = 60.0
 ROUTE_FIELDS = ("timeout_ms", "target_latency_ms", "max_attempts")
 HEARTBEAT_SECONDS = 1.2
+# Memory of a VM; a process that exceeds it is killed.
+MEMORY_MB = 160
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -72,6 +74,9 @@
     breaks : float
         Mean seconds from one burst of requests whose answers are broken off
         to the next; 0 for none.
+    endless : float
+        Mean seconds from one burst of requests whose answers have no end to
+        the next; 0 for none.
     """
 
     vms: int = 11
@@ -82,6 +87,7 @@
     leaves: float = 0.0
     crashes: float = 0.0
     breaks: float = 0.0
+    endless: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -140,6 +146,7 @@
     leaves: float
     crashes: float
     breaks: float
+    endless: float
     vms: tuple[Vm, ...]
     upstreams: tuple[Upstream, ...]
 
@@ -194,7 +201,7 @@
             },
             "seeds": [self.vms[i].peers for i in self._seed_numbers()],
             "bootstrap": bootstrap,
-            "limits": {"memory_mb": 160, "max_fds": 8200},
+            "limits": {"memory_mb": MEMORY_MB, "max_fds": 8200},
             "data_dir": None,
             "heartbeat_ms": round(HEARTBEAT_SECONDS * 1000),
             "bounds": BOUNDS,
@@ -245,6 +252,7 @@
         leaves=shape.leaves,
         crashes=shape.crashes,
         breaks=shape.breaks,
+        endless=shape.endless,
         vms=vms,
         upstreams=tuple(upstreams),
     )
