Members: entries of the list of VMs are checked

Entries with a port out of range, a port that is text and a host that is a name were taken for VMs; connecting to a host with a NUL or to "a..b" raises ValueError or UnicodeError, which the hub does not take for a failed connection, and a name is resolved while the event loop waits.

Cause: the decoder converted whatever the fields were with str() and int().

An entry is converted strictly now: text, an IPv4 address, a port from 1 to 65535. Anything else is logged as a malformed entry and ignored. The decoder moves to a module of its own. Fixtures of two tests used "h" as a host and have an address now.

Ruled out: nesting 1,000,000 deep, declared lengths without content, shared and self-references, tags for dates, fractions, regular expressions, MIME and sets raise cbor2's own error in every CBOR decoder (run in a process with 1 GiB of address space each).

--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -1,7 +1,6 @@
 """The list of entry VMs, each entry written to the log by its VM."""
 
 from collections.abc import Callable
-import dataclasses
 import logging
 import math
 import random
@@ -9,10 +8,13 @@
 import cbor2
 
 from postspring import keyedlog
+from postspring.peering import member_entries
 from postspring.transport import timers as timers_module
 
 __all__ = ["Member", "Members"]
 
+Member = member_entries.Member
+
 LOG = logging.getLogger(__name__)
 
 PLACE = keyedlog.LogPlace(keyedlog.Subject.MEMBERS, 0)
@@ -36,24 +38,6 @@
 ASSUMED_VMS = 64
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Member:
-    """One entry VM.
-
-    Parameters
-    ==========
-
-    peers, callers : tuple of (str, int)
-        Addresses at which it listens for other VMs and for callers.
-    """
-
-    name: str
-    incarnation: str
-    data_center: str
-    peers: tuple[str, int]
-    callers: tuple[str, int]
-
-
 class Members:
     """Announces this VM in the list, and follows the list.
 
@@ -178,7 +162,7 @@
     @property
     def own_entry(self) -> bytes:
         """This VM's entry, encoded."""
-        return _encode(self.own)
+        return member_entries.encode(self.own)
 
     def add_member(self, name: str, entry: bytes) -> None:
         """Add a VM whose entry this VM may not have read from the log yet."""
@@ -261,7 +245,7 @@
         self._log.read(PLACE, start, on_page, lambda error: on_error())
 
     def _renew(self) -> None:
-        entry = keyedlog.LogEntry(self.own.name, _encode(self.own))
+        entry = keyedlog.LogEntry(self.own.name, self.own_entry)
         self._log.append(
             PLACE, [entry], lambda offset: None, lambda error: None
         )
@@ -316,11 +300,11 @@
         self._apply(entries)
         if not self._is_read:
             self._is_read = True
-            self._announce(_encode(self.own), self._on_announced)
+            self._announce(self.own_entry, self._on_announced)
 
     def _apply(self, entries: list[keyedlog.LogEntry]) -> None:
         for entry in entries:
-            decoded = _decode(entry) if entry.value else ""
+            decoded = member_entries.decode(entry) if entry.value else ""
             if entry.key == self.own.name and not self._is_own(decoded):
                 self._has_predecessor = True
             if isinstance(decoded, Member):
@@ -359,40 +343,3 @@
             if member and incarnation in ("", member.incarnation):
                 del members[name]
                 self.revision += 1
-
-
-def _encode(member: Member) -> bytes:
-    return cbor2.dumps(
-        [
-            member.incarnation,
-            member.data_center,
-            list(member.peers),
-            list(member.callers),
-        ]
-    )
-
-
-def _decode(entry: keyedlog.LogEntry) -> Member | str | None:
-    """Return a VM, or the incarnation that has left; None if malformed."""
-    try:
-        incarnation, *rest = cbor2.loads(entry.value)
-        if not rest:
-            return str(incarnation)
-        data_center, peers, callers = rest
-        return Member(
-            entry.key,
-            str(incarnation),
-            str(data_center),
-            (str(peers[0]), int(peers[1])),
-            (str(callers[0]), int(callers[1])),
-        )
-    except (
-        cbor2.CBORDecodeError,
-        LookupError,
-        OverflowError,
-        RecursionError,
-        TypeError,
-        ValueError,
-    ) as error:
-        LOG.warning("malformed member entry", extra={"error": str(error)})
-        return None
--- a/postspring/peering/tests/test_members.py
+++ b/postspring/peering/tests/test_members.py
@@ -22,7 +22,9 @@
         timers = clock_module.VirtualTimers(self.clock, process)
         log = memory_log.MemoryLog(self.data, timers)
         log.faults.down = down
-        own = peering.Member(name, f"{name}/1", "z", ("h", 1), ("h", 2))
+        own = peering.Member(
+            name, f"{name}/1", "z", ("10.0.0.1", 1), ("10.0.0.1", 2)
+        )
         members = peering.Members(log, timers, own)
         members.start()
         return members
--- a/postspring/peering/tests/test_paused_vm.py
+++ b/postspring/peering/tests/test_paused_vm.py
@@ -20,7 +20,9 @@
 
 def member(name):
     """Return a VM."""
-    return peering.Member(name, f"{name}/1", "z", ("h", 1), ("h", 2))
+    return peering.Member(
+        name, f"{name}/1", "z", ("10.0.0.1", 1), ("10.0.0.1", 2)
+    )
 
 
 class PeerHttp:
--- a/postspring/platform/tests/test_decoders.py
+++ b/postspring/platform/tests/test_decoders.py
@@ -14,7 +14,7 @@
 from postspring import errors
 from postspring import histories
 from postspring import keyedlog
-from postspring.peering import members
+from postspring.peering import member_entries
 from postspring.peering import messages
 from postspring import platform
 from postspring.platform import names
@@ -131,7 +131,7 @@
     @hypothesis.given(PACKED_VALUES | strategies.lists(PACKED_VALUES))
     def test_member_entries(self, value):
         entry = keyedlog.LogEntry("vm", cbor2.dumps(value))
-        members._decode(entry)
+        member_entries.decode(entry)
 
     @hypothesis.given(
         strategies.text(max_size=4),
@@ -141,7 +141,7 @@
     def test_member_entries_of_the_right_length(self, vm, address, port):
         for value in (address, [vm, port], {vm: port}, port):
             data = cbor2.dumps([vm, vm, value, value])
-            members._decode(keyedlog.LogEntry("vm", data))
+            member_entries.decode(keyedlog.LogEntry("vm", data))
 
     @hypothesis.given(
         strategies.sampled_from(["open", "whole", "ended", "at", "x"]),
@@ -155,7 +155,7 @@
 
     def test_too_deep_nesting(self):
         data = b"\x81" * DEEP_NESTING + b"\x00"
-        members._decode(keyedlog.LogEntry("vm", data))
+        member_entries.decode(keyedlog.LogEntry("vm", data))
         self.assert_only_raises(
             errors.PeerError, messages.decode, messages.FindResponse, data
         )
