Follower: a callback that raises does not end the reads

Seen: by tests; not in a run of processes. The follower of a partition schedules its next read after it has passed the records of the last one on. An exception of the receiver, of the callback for the end of an outage, or of the call that sends the read left no read scheduled: the VM then decides on a view that gets older for as long as the process runs. Receivers' TypeErrors and ValueErrors went through the store's client as "bad_answer", so the read was repeated, behind the page of which the rest was lost.

Cause: a chain of reads of which each link depends on code that handles what other writers put into the log.

Each callback and the sending of a read are guarded now: the exception is logged with its subject and counted (postspring_follower_failures). Records of a page that raised are passed on one by one, with removals of those that the page no longer has, so that only the odd one is left out. The position has advanced, so it is not read again. The announcement of a VM in the list of VMs no longer depends on the other entries of the first read.

Ruled out: no entry is known that raises such an exception in the receivers of today; 3,000 lists of up to 12 odd but valid records in the programs' and locations' folds raised none.

Against the old follower all six new tests fail, with the receiver's "ZeroDivisionError: a" or, for the read that can't be sent, "TypeError: 'NoneType' object is not callable" leaving the follower.

--- a/postspring/front/gauges.py
+++ b/postspring/front/gauges.py
@@ -42,6 +42,11 @@
         "Seconds since when entries of upstreams may be missing here",
         lambda: upstreams.age,
     )
+    metrics.add_gauge(
+        "follower_failures",
+        "Exceptions raised while records of the log were applied or read",
+        lambda: configuration.failures + upstreams.failures,
+    )
     metrics.add_gauge(
         "upstream_connections_opened",
         "Connections opened to upstreams",
--- a/postspring/front/tests/test_metrics_page.py
+++ b/postspring/front/tests/test_metrics_page.py
@@ -16,6 +16,7 @@
     "calls",
     "configuration_age_seconds",
     "connections_without_room",
+    "follower_failures",
     "held_turns",
     "paused_seconds",
     "pauses",
--- a/postspring/keyedlog/follower.py
+++ b/postspring/keyedlog/follower.py
@@ -1,8 +1,10 @@
 """Follower of a partition: reads its state, then the records added."""
 
 from collections.abc import Callable
+from collections.abc import Sequence
 import logging
 import math
+from typing import Any
 from typing import NamedTuple
 
 from postspring.keyedlog import errors
@@ -79,6 +81,9 @@
     the follower exposes the age of its view, and logs when the log becomes
     unavailable and available again.
 
+    Records have other writers, so a callback that raises an exception neither
+    ends the reads nor hides the records beside the one that it fails for.
+
     Parameters
     ==========
 
@@ -97,6 +102,12 @@
     request_view : callable, optional
         Requests the views of other VMs if a read fails while this VM has no
         view; called with the place and a callback for a page.
+
+    Attributes
+    ==========
+
+    failures : int
+        Number of callbacks and reads that raised an exception.
     """
 
     def __init__(
@@ -136,6 +147,7 @@
         self._unavailable_at = -math.inf
         # Number of reads in a row that a busy log refused.
         self._busy_responses = 0
+        self.failures = 0
 
     def start(self) -> None:
         """Begin to follow the partition."""
@@ -215,19 +227,27 @@
             if read_number == self._read_number:
                 self._on_error(error)
 
+        if not self._call_safely(self._send_read, on_page, on_error):
+            on_error(errors.LogUnavailable("not_sent"))
+
+    def _send_read(
+        self,
+        on_page: Callable[[ports.LogPage], None],
+        on_error: Callable[[errors.KeyedLogError], None],
+    ) -> None:
         self._wait_seconds = 0.0
         if self._next_offset is None:
             self._log.read_newest(self._place, on_page, on_error)
-        else:
-            can_wait = self._may_wait and self.failing_since is None
-            self._wait_seconds = self._wait() if can_wait else 0.0
-            self._log.read(
-                self._place,
-                self._next_offset,
-                on_page,
-                on_error,
-                self._wait_seconds,
-            )
+            return
+        can_wait = self._may_wait and self.failing_since is None
+        self._wait_seconds = self._wait() if can_wait else 0.0
+        self._log.read(
+            self._place,
+            self._next_offset,
+            on_page,
+            on_error,
+            self._wait_seconds,
+        )
 
     def _on_page(self, page: ports.LogPage) -> None:
         was_reset = self._next_offset is None
@@ -236,11 +256,11 @@
         # If records end a waiting read, their delay on the way is unknown.
         # The next read does not wait, so that the age stays low.
         self._may_wait = was_reset or not page.entries
-        self._update_view(page, was_reset)
         if was_reset:
-            self._on_reset(page.entries)
+            self._replace_view(page)
         elif page.entries:
-            self._on_entries(page.entries)
+            self._add_to_view(page.entries)
+            self._apply(self._on_entries, page.entries)
         is_behind = page.next < page.end
         self._schedule_read(0.0 if is_behind else self._read_delay(page))
 
@@ -249,21 +269,57 @@
             return self._read_interval()
         return max(self._read_interval(), RETRY_SECONDS)
 
-    def _update_view(self, page: ports.LogPage, was_reset: bool) -> None:
-        if was_reset:
-            self._newest_by_key.clear()
-        for entry in page.entries:
+    def _replace_view(self, page: ports.LogPage) -> None:
+        earlier_keys = set(self._newest_by_key)
+        self._newest_by_key.clear()
+        self._add_to_view(page.entries)
+        removed_keys = earlier_keys - set(self._newest_by_key)
+        removals = [ports.LogEntry(key, b"") for key in sorted(removed_keys)]
+        self._apply(self._on_reset, page.entries, removals)
+
+    def _add_to_view(self, entries: list[ports.LogEntry]) -> None:
+        for entry in entries:
             if entry.value:
                 self._newest_by_key[entry.key] = entry
             else:
                 self._newest_by_key.pop(entry.key, None)
 
+    def _apply(
+        self,
+        apply: Callable[[list[ports.LogEntry]], None],
+        entries: list[ports.LogEntry],
+        removals: Sequence[ports.LogEntry] = (),
+    ) -> None:
+        """Pass records to a callback; one by one if it raises an exception.
+
+        Parameters
+        ----------
+        removals
+            Removals of the earlier records that ``entries`` replace.
+        """
+        if self._call_safely(apply, entries):
+            return
+        for entry in (*removals, *entries):
+            self._call_safely(self._on_entries, [entry])
+
+    def _call_safely(self, function: Callable, *arguments: Any) -> bool:
+        """Call a function; return whether it raised no exception."""
+        try:
+            function(*arguments)
+        except Exception:
+            self.failures += 1
+            LOG.exception(
+                "follower of log failed",
+                extra={"subject": self._place.subject.value},
+            )
+            return False
+        return True
+
     def _on_view(self, page: ports.LogPage) -> None:
         """Start from another VM's view unless there is a view already."""
         if self._next_offset is not None:
             return
         self._next_offset = page.next
-        self._update_view(page, was_reset=True)
         LOG.info(
             "view of another VM",
             extra={
@@ -271,7 +327,7 @@
                 "entries": len(page.entries),
             },
         )
-        self._on_reset(page.entries)
+        self._replace_view(page)
 
     def _on_error(self, error: errors.KeyedLogError) -> None:
         if isinstance(error, errors.LogExpired):
@@ -291,7 +347,7 @@
                 },
             )
         if self._next_offset is None:
-            self._request_view(self._place, self._on_view)
+            self._call_safely(self._request_view, self._place, self._on_view)
         self._schedule_read(self._retry_delay(error))
 
     def _retry_delay(self, error: errors.KeyedLogError) -> float:
@@ -332,7 +388,7 @@
                 "shortest": round(outage.shortest, 3),
             },
         )
-        self._on_recovered(outage)
+        self._call_safely(self._on_recovered, outage)
 
     def _schedule_read(self, seconds: float) -> None:
         read_number = self._read_number
--- a/postspring/keyedlog/tests/test_follower.py
+++ b/postspring/keyedlog/tests/test_follower.py
@@ -90,6 +90,124 @@
         self.assertEqual([("a", b"1")], self.added)
 
 
+class RaisingCallbackTest(unittest.TestCase):
+    """A callback or a read raises an exception.
+
+    Guards against a follower that is never called again after that, and
+    against an odd record that hides those beside it.
+    """
+
+    def setUp(self):
+        self.enterContext(self.assertLogs("postspring.keyedlog", "ERROR"))
+        self.clock = clock_module.VirtualClock()
+        process = clock_module.VirtualProcess("vm")
+        timers = clock_module.VirtualTimers(self.clock, process)
+        self.data = memory_log.LogData()
+        self.log = memory_log.MemoryLog(self.data, timers)
+        self.state = {}
+        self.follower = keyedlog.Follower(
+            self.log,
+            timers,
+            PLACE,
+            self.reset,
+            self.apply,
+            read_interval=lambda: 0.5,
+        )
+
+    def reset(self, entries):
+        """Replace the state."""
+        applied = dict(self.state)
+        self.state.clear()
+        try:
+            self.apply(entries)
+        except ZeroDivisionError:
+            self.state = applied
+            raise
+
+    def apply(self, entries):
+        """Add to the state; an odd record raises an exception."""
+        for key, value in entries:
+            if value == b"odd":
+                raise ZeroDivisionError(key)
+            self.state[key] = value
+            if not value:
+                del self.state[key]
+
+    def put(self, *pairs):
+        """Append records to the log."""
+        entries = [keyedlog.LogEntry(*pair) for pair in pairs]
+        self.data.append(PLACE, entries)
+
+    def test_odd_record_among_those_that_were_added(self):
+        self.put(("a", b"1"), ("b", b"1"))
+        self.follower.start()
+        self.clock.run_for(1)
+        self.put(("a", b"odd"), ("b", b"2"), ("c", b"3"), ("d", b"odd"))
+        self.clock.run_for(1)
+        self.assertEqual({"a": b"1", "b": b"2", "c": b"3"}, self.state)
+        self.put(("a", b"4"), ("d", b"5"))
+        self.clock.run_for(1)
+        self.assertEqual((b"4", b"5"), (self.state["a"], self.state["d"]))
+
+    def test_odd_record_in_the_first_read(self):
+        self.put(("a", b"odd"), ("b", b"2"))
+        self.follower.start()
+        self.clock.run_for(1)
+        self.assertEqual({"b": b"2"}, self.state)
+        self.put(("c", b"3"))
+        self.clock.run_for(1)
+        self.assertEqual({"b": b"2", "c": b"3"}, self.state)
+
+    def test_odd_record_after_others_have_expired(self):
+        self.put(("a", b"1"), ("b", b"1"))
+        self.follower.start()
+        self.clock.run_for(1)
+        self.log.faults.down = True
+        self.clock.run_for(1)
+        self.put(("a", b""), ("b", b"2"), ("c", b"odd"))
+        self.data.expire(PLACE)
+        self.log.faults.down = False
+        self.clock.run_for(2)
+        self.assertEqual({"b": b"2"}, self.state)
+
+    def test_odd_record_is_passed_on_once(self):
+        self.put(("a", b"1"))
+        self.follower.start()
+        self.clock.run_for(1)
+        self.put(("b", b"odd"))
+        self.clock.run_for(1)
+        failures = self.follower.failures
+        self.assertGreater(failures, 0)
+        self.clock.run_for(20)
+        self.assertEqual(failures, self.follower.failures)
+
+    def test_read_that_can_not_be_sent(self):
+        self.put(("a", b"1"))
+        self.follower.start()
+        self.clock.run_for(1)
+        read = self.log.read
+        self.log.read = None
+        self.clock.run_for(5)
+        self.assertIsNotNone(self.follower.failing_since)
+        self.log.read = read
+        self.put(("b", b"2"))
+        self.clock.run_for(1)
+        self.assertEqual({"a": b"1", "b": b"2"}, self.state)
+
+    def test_recovery_and_request_for_a_view(self):
+        def fail(*arguments):
+            raise ZeroDivisionError
+
+        self.follower._on_recovered = self.follower._request_view = fail
+        self.put(("a", b"1"))
+        self.log.faults.down = True
+        self.follower.start()
+        self.clock.run_for(1)
+        self.log.faults.down = False
+        self.clock.run_for(1)
+        self.assertEqual({"a": b"1"}, self.state)
+
+
 class AgeTest(unittest.TestCase):
     """The age counts from the time at which the view was complete.
 
--- a/postspring/peering/members.py
+++ b/postspring/peering/members.py
@@ -297,10 +297,12 @@
     def _reset(self, entries: list[keyedlog.LogEntry]) -> None:
         self.by_name.clear()
         self.revision += 1
-        self._apply(entries)
-        if not self._is_read:
-            self._is_read = True
-            self._announce(self.own_entry, self._on_announced)
+        try:
+            self._apply(entries)
+        finally:
+            if not self._is_read:
+                self._is_read = True
+                self._announce(self.own_entry, self._on_announced)
 
     def _apply(self, entries: list[keyedlog.LogEntry]) -> None:
         for entry in entries:
