Entries of upstreams: ids that can't be sent, addresses of no machine

Seen: by calls of the decoder and of the choice of upstreams, not in a run of processes. A valid entry under a key with a lone surrogate (a key that isn't UTF-8, as JSON may represent it) was taken for an upstream. The choice of a service's subset then raises "UnicodeEncodeError('utf-8', '\ud800', 0, 1, 'surrogates not allowed')" for each call of the service, at each VM with a subset. A port of digits of another script was taken for a port, and 0.0.0.0, a multicast or the broadcast address for a machine: 0.0.0.0 is this VM's own.

Cause: the key of an entry was not checked at all, and addresses only for their form.

Such an entry is unreadable now, like any other odd one: its upstream gets no new work, and all other entries hold. The error's text has the id escaped.

Against the old decoder 12 of the new checks fail with "UpstreamError not raised", 8 for ids and 4 for addresses.

--- a/postspring/platform/documents.py
+++ b/postspring/platform/documents.py
@@ -1,9 +1,9 @@
 """Decoders of the store's documents: configuration, upstreams' entries."""
 
 import enum
+import ipaddress
 import json
 import math
-import socket
 from typing import Annotated
 from typing import Any
 
@@ -32,6 +32,7 @@
 _MAX_SLOTS = 1_000_000
 _MAX_WARM_UP_MS = 3_600_000
 _MAX_PORT = 65_535
+_BROADCAST_ADDRESS = ipaddress.IPv4Address("255.255.255.255")
 # Far above any key length, rate and priority that an operator configures.
 _MAX_KEY_LENGTH = 4096
 _MAX_REQUESTS = 1e9
@@ -165,9 +166,11 @@
     ------
     UpstreamError
         If the entry is invalid: fields are missing, of the wrong type or
-        out of bounds, or the bytes can't be decoded.
+        out of bounds, the bytes can't be decoded, or the id can't be sent in
+        a header field.
     """
     try:
+        _check_id(upstream)
         entry = _entry_decoder.decode(data)
         return upstreams.Announcement(
             id=upstreams.UpstreamId(upstream),
@@ -180,17 +183,29 @@
             born=entry.born,
         )
     except (RecursionError, ValueError) as error:
-        text = f"entry of {upstream}: {type(error).__name__}: {error}"
+        text = f"entry of {upstream!a}: {type(error).__name__}: {error}"
         raise errors.UpstreamError(text[:_MAX_ERROR_LENGTH]) from error
 
 
+def _check_id(upstream: str) -> None:
+    """Raise ValueError unless an id can be sent in a header field."""
+    upstream.encode("latin-1")
+    if not upstream or not upstream.isprintable():
+        raise ValueError("the id is empty or has control characters")
+    if upstream != upstream.strip():
+        raise ValueError("the id begins or ends with a space")
+
+
 def _address(text: str) -> tuple[str, int]:
     """Return the IPv4 address and port that an upstream listens on."""
     host, port = settings.parse_address(text)
-    try:
-        socket.inet_pton(socket.AF_INET, host)
-    except OSError as error:
-        raise ValueError(f"{host!r} is not an IPv4 address") from error
+    address = ipaddress.IPv4Address(host)
+    if (
+        address.is_unspecified
+        or address.is_multicast
+        or address == _BROADCAST_ADDRESS
+    ):
+        raise ValueError(f"{host} is not the address of a machine")
     if not 0 < port <= _MAX_PORT:
         raise ValueError(f"{port} is not a port number")
     return host, port
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -160,6 +160,6 @@
     ('10.1.0.38', 8149)
     """
     host, separator, port = text.rpartition(":")
-    if not separator or not port.isdigit():
+    if not separator or not (port.isascii() and port.isdigit()):
         raise ValueError(f"{text!r} is not IP:PORT")
     return host, int(port)
--- a/postspring/platform/tests/test_documents.py
+++ b/postspring/platform/tests/test_documents.py
@@ -112,6 +112,14 @@
             ("address", "10.0.0.9:99999"),
             ("address", "10.0.0.9:0"),
             ("address", "machine:80"),
+            ("address", "10.0.0.9:８０"),
+            ("address", "10.0.0.9:²"),
+            ("address", "10.0.0.9:" + "9" * 190),
+            ("address", "10.0.0.9\0:80"),
+            ("address", "１0.0.0.9:80"),
+            ("address", "0.0.0.0:80"),
+            ("address", "224.0.0.1:80"),
+            ("address", "255.255.255.255:80"),
             ("slots", "4"),
             ("slots", True),
             ("slots", 2.7),
@@ -137,3 +145,19 @@
         for data in (b"", b"\xff", b"{", overflowing.encode(), deeply_nested):
             with self.subTest(data[:20]):
                 self.assert_rejected(data)
+
+    def test_id_that_can_not_be_sent(self):
+        """Guards against one odd key that fails all calls of a service.
+
+        An id is hashed for the choice of upstreams, and sent in a field.
+        """
+        data = json.dumps(self.RAW).encode()
+        ids = ("", " ", "a ", "a\r\nX: y", "a\0", "\x7f", "\ud800", "\ufffd")
+        for upstream in ids:
+            with self.subTest(ascii(upstream)):
+                with self.assertRaises(errors.UpstreamError) as caught:
+                    platform.decode_announcement(upstream, data)
+                self.assertTrue(str(caught.exception).isprintable())
+        for upstream in ("i-1", "a b", "\xe9", "x" * 255):
+            entry = platform.decode_announcement(upstream, data)
+            self.assertEqual(upstream, entry.id)
