Stop: a VM with a short grace accepts work for half of it, not for 3 s

What callers saw: a VM whose grace is shorter than about 4 s took requests up to the end of its stop and passed them on. Most got a 502 a moment later; one that came between the last two checks, on a connection just opened, was cut with no answer, whether or not it may be repeated.

Cause: Shutdown.accepts_work was true for a constant 3 s after SIGTERM, also in the phase of final answers, and the listener stayed open until the first forced answers. The end of the process closes what is open without an answer, because all that is open is supposed to have had its final answer before.

Now work is accepted in the phase LEAVING_ROTATION only, for 3 s and at most half of the time before the final answers; then the listener closes and requests on open connections are refused as not run, as before after 3 s. From a grace of 6.6 s on nothing changes.

CallersEdge.freeze() lets time pass by the test alone.

--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -18,6 +18,9 @@
 # after two refusals; new connections may arrive until then.  In seconds.
 ROTATION_SECONDS = 3.0
 CHECK_SECONDS = 0.1
+# Share of the time before the final answers in which work is accepted; the
+# rest is for finishing it.
+ACCEPTING_SHARE = 0.5
 # Seconds before the platform's SIGKILL: when open requests are answered, early
 # enough for the answers to be sent, and when the process exits regardless.
 ANSWER_MARGIN_SECONDS = 0.6
@@ -30,7 +33,8 @@
     Explanation
     ===========
 
-    In ``LEAVING_ROTATION`` new connections are still accepted and served.
+    In ``LEAVING_ROTATION`` new connections are still accepted and served; if
+    the grace period is short, only until half of it has passed.
     In ``DRAINING`` the VM stops listening, because the balancer also sends
     connections to VMs that are not ready while most VMs of a data centre are
     not.  A caller whose connection is refused finds another VM at once;
@@ -97,12 +101,15 @@
     def accepts_work(self) -> bool:
         """Whether the VM still runs requests that arrive now.
 
-        After the rotation period, a request on a connection that stayed open
-        is refused as not run, and its caller retries at another VM.
+        After that, a request on a connection that stayed open is refused as
+        not run, and its caller retries at another VM.
         """
         if not self.is_stopping:
             return True
-        return self._elapsed < ROTATION_SECONDS
+        return (
+            self.phase is Phase.LEAVING_ROTATION
+            and self._elapsed < self._accepting_seconds
+        )
 
     def begin(self) -> None:
         """Report not ready, keep serving, and exit once drained."""
@@ -114,6 +121,12 @@
         self._began_at = self._timers.now()
         self._timers.call_every(CHECK_SECONDS, self._check)
 
+    @property
+    def _accepting_seconds(self) -> float:
+        """Seconds from the signal in which new work is accepted."""
+        share = ACCEPTING_SHARE * (self.grace - ANSWER_MARGIN_SECONDS)
+        return min(ROTATION_SECONDS, share)
+
     @property
     def _elapsed(self) -> float:
         return self._timers.now() - self._began_at
@@ -130,7 +143,7 @@
         elif seconds_left < ANSWER_MARGIN_SECONDS:
             self._answer_open_requests()
         elif self.phase is Phase.LEAVING_ROTATION:
-            if self._elapsed > ROTATION_SECONDS:
+            if not self.accepts_work:
                 self.phase = Phase.DRAINING
                 self._callers.stop_accepting()
                 self._callers.close_idle()
--- a/postspring/testing/callers_edge.py
+++ b/postspring/testing/callers_edge.py
@@ -73,9 +73,8 @@
         )
         self._connected: list[caller_module.Caller] = []
         self._late = 0.0
-        clock = types.SimpleNamespace(
-            monotonic=lambda: time.monotonic() + self._late
-        )
+        self._frozen_at: float | None = None
+        clock = types.SimpleNamespace(monotonic=self._read_clock)
         self._clock = mock.patch.object(timers_module, "time", clock)
         self._clock.start()
         self._running = True
@@ -97,6 +96,10 @@
         """Let time pass in which the process does not run."""
         self._late += seconds
 
+    def freeze(self) -> None:
+        """Let time pass by :meth:`pass_time` alone from now on."""
+        self._frozen_at = time.monotonic()
+
     def run_loop(self, count: int = 5) -> None:
         """Turn the loop some times."""
         for _ in range(count):
@@ -121,6 +124,10 @@
             caller.close()
         self._close_sockets()
 
+    def _read_clock(self) -> float:
+        now = self._frozen_at
+        return (time.monotonic() if now is None else now) + self._late
+
     def _end(self) -> None:
         """Do what the kernel does when the process ends."""
         self.stopped = True
