Stop: a call that waits for a permit is refused as not run, and never runs

What callers saw: a call that still waited for the permit of its workspace's limit when the grace ended got a plain 502, which says that it may have run. It then ran, if the permit came before the process had ended: an answer from nobody's point of view, and work that nobody awaited.

Cause: a call has a relay, which ends it at a stop, only once it is started; while Permits asked the allocators it had none, so IncomingCall fell back to a plain 502. Forwarder._on_verdict checked only whether the caller had left.

Ruled out by reading: the other waits of a turn (admission of its program, chain, opening, other VMs) come after the relay is made, which refuses them as not run and checks that on each callback.

Now such a call is refused as shutting_down with Retry-After, and a later verdict returns its permit.

Before, with a limiter that the test decides for: status 502, one run at the upstream after that, no permit released; the test failed with "no logs of level INFO or higher triggered on postspring.calls", as the call had no line in the log either. After: 503, no run, one permit released, one log line. test_grace_end, test_limits, test_workspaces pass.

--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -141,7 +141,14 @@
         if needs_no_permit or self._is_spent(routed):
             self._start(routed)
             return
-        # The caller may leave before the verdict; _on_verdict() checks that.
+        # Before the verdict the caller may leave or this VM may have to stop;
+        # _on_verdict() checks that.
+        routed.call.on_shutdown_deadline = lambda: self._refuse(
+            routed.call,
+            routed.facts,
+            routed.outcome,
+            refusals.Refusal.SHUTTING_DOWN,
+        )
         self._limiter.request_permit(
             found,
             routed.use,
@@ -169,6 +176,9 @@
             verdict.release_permit()
             routed.outcome.report("caller_gone", self._context.timers.now())
             return
+        if routed.call.answered:
+            verdict.release_permit()
+            return
         if verdict.is_granted:
             routed.outcome.call_if_not_run(verdict.release_permit)
             self._start(routed)
--- a/postspring/front/tests/test_grace_end.py
+++ b/postspring/front/tests/test_grace_end.py
@@ -5,23 +5,26 @@
 has not run.
 """
 
+from postspring import forwarding
 from postspring.testing.fleet import case
+from postspring.testing.fleet import fleet as fleet_module
 
 TURN = {"program_id": "p", "token_usage": "1,16", "token_budget": "100"}
 GRACE_USED_SECONDS = 7.5
+KEY = "key-of-acme"
 
 
-class GraceEndTest(case.FleetCase):
-    """Open requests get their final answers."""
+class GraceEndCase(case.FleetCase):
+    """A VM whose grace period ends."""
 
     def setUp(self):
         super().setUp()
         self.node = self.fleet.nodes[0]
         self.caller = self.fleet.caller()
 
-    def send(self, target, body=b"x"):
+    def send(self, target, body=b"x", **other):
         """Send a request that is a turn if its route has programs."""
-        headers = self.fleet.headers("r", TURN)
+        headers = self.fleet.headers("r", TURN | other)
         self.caller.send("POST", target, headers, body)
 
     def end_grace_period(self):
@@ -33,6 +36,10 @@
         self.lines = lines.records
         return self.caller.answer
 
+
+class GraceEndTest(GraceEndCase):
+    """Open requests get their final answers."""
+
     def test_call_that_may_have_run_gets_bad_gateway(self):
         tool = self.fleet.tools[0]
         tool.faults.hang = True
@@ -104,3 +111,52 @@
         node.shutdown._began_at -= GRACE_USED_SECONDS
         self.fleet.run_loop_until(lambda: caller.answer.settled)
         self.assertTrue(caller.answer.complete)
+
+
+class PendingLimiter(forwarding.Limiter):
+    """Decides on calls when the test says so."""
+
+    def __init__(self):
+        self.waiting = []
+        self.released = 0
+
+    def request_permit(self, workspace, use, on_done):
+        """Keep the caller's callback."""
+        self.waiting.append(on_done)
+
+    def release(self):
+        """Count a permit that was returned."""
+        self.released += 1
+
+    def grant_all(self):
+        """Grant all permits that were requested."""
+        while self.waiting:
+            verdict = forwarding.Verdict(True, release_permit=self.release)
+            self.waiting.pop()(verdict)
+
+
+class PermitTest(GraceEndCase):
+    """A call waits for the permit of its workspace's limit.
+
+    It got 502, which is for calls that may have run, and ran once the permit
+    was granted.
+    """
+
+    def test_call_that_waits_for_a_permit_is_refused_and_never_runs(self):
+        configuration = fleet_module.default_configuration(2)
+        configuration["tenants"] = [
+            {"name": "acme", "api_keys": [KEY], "rate_per_s": 5, "burst": 5}
+        ]
+        self.fleet.configure(configuration)
+        self.fleet.run_loop_until(lambda: self.node.configuration.version == 2)
+        limiter = PendingLimiter()
+        self.node.forwarder._limiter = limiter
+        self.send("/once/x", credential=KEY)
+        self.fleet.run_loop_until(lambda: limiter.waiting)
+        answer = self.end_grace_period()
+        self.assertEqual((503, True), (answer.status, answer.complete))
+        self.assertEqual("shutting_down", self.lines[-1].reason)
+        limiter.grant_all()
+        self.fleet.turn_for(0.3)
+        self.assertEqual([], self.fleet.tools[0].runs)
+        self.assertEqual(1, limiter.released)
