Stop: requests that were sent ahead on a connection are answered

What callers saw: a caller that sends several requests on a connection without waiting got an answer to the first of them when the VM stopped, with "Connection: close", and none to the others, though the VM had read them.

Cause: while a server closes, each response ends its connection, whatever has been read behind its request.

Now the response that ends the connection is the last one for which input has been read: the requests behind the first are served while work is accepted, refused as not run after that, and a partial one gets its 503 at the end of the grace. Callers that wait for each answer see no difference.

--- a/postspring/front/tests/test_late_requests.py
+++ b/postspring/front/tests/test_late_requests.py
@@ -13,6 +13,8 @@
 from postspring import transport
 
 STEP_SECONDS = 0.1
+# Turns of the loop within which the next request is parsed.
+TURNS = 10
 # Seconds before the end of the grace in which only answers are sent.
 MARGIN_SECONDS = shutdown.ANSWER_MARGIN_SECONDS
 GRACES = (0.5, 1.0, 1.5, 2.0, 3.0, 4.0, 8.0)
@@ -43,6 +45,7 @@
         # Moments at which requests were passed on, and those of the ones that
         # were broken off.
         self.taken_at = []
+        self.taken_calls = []
         self.broken_off = []
         self.kept = [self.edge.connect() for _ in range(kept)]
         for caller in self.kept:
@@ -123,6 +126,7 @@
         """Pass a call on to an upstream."""
         taken_at = self.elapsed
         self.taken_at.append(taken_at)
+        self.taken_calls.append(call)
 
         def break_off():
             self.broken_off.append(taken_at)
@@ -193,3 +197,52 @@
         self.pass_steps(lambda: not self.edge.stopped)
         caller.poll()
         return request
+
+
+class SentAheadTest(LateRequestsCase):
+    """Requests that a caller sent ahead on one connection are answered.
+
+    The connection ended with the response to the first of them, though the
+    others had been read.
+    """
+
+    COUNT = 5
+    REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    def send_ahead(self, count, rest=b""):
+        """Begin a stop and send requests at once; return the caller."""
+        self.begin(8.0)
+        caller = self.edge.connect()
+        caller.send_raw(count * self.REQUEST + rest)
+        self.edge.run_loop()
+        return caller
+
+    def statuses(self, caller):
+        """Return the statuses of all responses until the connection ends."""
+        received = b""
+        while not caller.answer.closed:
+            caller.received = b""
+            caller.poll()
+            received += caller.received
+            self.edge.run_loop(1)
+        self.assertEqual(1, received.lower().count(b"connection: close"))
+        return [int(part[:3]) for part in received.split(b"HTTP/1.1 ")[1:]]
+
+    def test_requests_sent_ahead_are_answered(self):
+        caller = self.send_ahead(self.COUNT)
+        for _ in range(self.COUNT):
+            self.taken_calls.pop().respond(200, [])
+            self.edge.run_loop(TURNS)
+        self.assertEqual(self.COUNT * [200], self.statuses(caller))
+
+    def test_only_the_one_that_was_taken_is_broken_off(self):
+        caller = self.send_ahead(self.COUNT)
+        self.pass_steps(lambda: not self.edge.stopped)
+        expected = [502] + (self.COUNT - 1) * [503]
+        self.assertEqual(expected, self.statuses(caller))
+        self.assertEqual(1, len(self.taken_at))
+
+    def test_partial_request_behind_them_is_refused(self):
+        caller = self.send_ahead(1, rest=self.REQUEST[:-2])
+        self.pass_steps(lambda: not self.edge.stopped)
+        self.assertEqual([502, 503], self.statuses(caller))
--- a/postspring/transport/server_connection.py
+++ b/postspring/transport/server_connection.py
@@ -264,7 +264,9 @@
 
     @property
     def _closes_after_response(self) -> bool:
-        return self._server.closing or self.call.close_after_response
+        """Whether this is the last response; requests read are answered."""
+        is_last = self._server.closing and not self._reader.unparsed
+        return is_last or self.call.close_after_response
 
     def _close_after_response(self) -> None:
         """Close once the response is sent, without losing it to a reset.
@@ -357,7 +359,7 @@
             (name.decode("latin-1"), value.decode("latin-1"))
             for name, value in head.headers.raw_items()
         ]
-        call = incoming.IncomingCall(
+        call = self.call = incoming.IncomingCall(
             self,
             head.method.decode("ascii"),
             head.target.decode("latin-1"),
@@ -366,7 +368,6 @@
             self._server.timers.now(),
             held,
         )
-        self.call = call
         if self._reader.unparsed and not self._has_memory:
             self._end_with_response()
         self._server.dispatch(call)
