Stop: a grace that is extended during the final answers delays no exit

What operators saw: a VM that got SIGHUP with a longer grace while it gave its final answers (0.6 s before the old end) did nothing more until shortly before the new end: it neither closed idle connections nor exited once it was drained.

Cause: Shutdown._check chose the step by the time that is left, and had none for the phase of final answers with more time than their margin.

Ruled out: a grace that is shortened below the time that has passed, and a second SIGTERM; their tests passed before.

Now the phase, once begun, goes on until the exit.

Before, on the old shutdown.py: SignalsTest "Ran 3 tests, FAILED (failures=1)", test_grace_extended_during_the_final_answers "False is not true": not stopped 1 s after all was recorded. After: 15 tests of test_shutdown pass.

--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -140,7 +140,7 @@
             and self.phase is Phase.FORCED_ANSWERS
         ):
             self._end()
-        elif seconds_left < ANSWER_MARGIN_SECONDS:
+        elif self._is_out_of_time:
             self._answer_open_requests()
         elif self.phase is Phase.LEAVING_ROTATION:
             if not self.accepts_work:
@@ -150,6 +150,13 @@
         elif self.phase is Phase.DRAINING:
             self._drain()
 
+    @property
+    def _is_out_of_time(self) -> bool:
+        """Whether final answers are due; a longer grace revokes none."""
+        seconds_left = self.grace - self._elapsed
+        is_due = seconds_left < ANSWER_MARGIN_SECONDS
+        return is_due or self.phase is Phase.FORCED_ANSWERS
+
     def _drain(self) -> None:
         """Finish once every connection is closed and the VM may exit.
 
--- a/postspring/front/tests/test_shutdown.py
+++ b/postspring/front/tests/test_shutdown.py
@@ -186,6 +186,54 @@
         self.assertIs(shutdown.Phase.ENDED, self.edge.shutdown.phase)
 
 
+class SignalsTest(CallersEdgeCase):
+    """Signals that arrive during a stop.
+
+    A VM whose grace was extended during its final answers did nothing more
+    until the end of the new grace.
+    """
+
+    def setUp(self):
+        super().setUp()
+        self.edge.freeze()
+        self.edge.shutdown.begin()
+
+    def pass_steps(self, seconds):
+        """Let time pass, with the checks that are due."""
+        for _ in range(round(seconds / shutdown.CHECK_SECONDS)):
+            self.edge.pass_time(shutdown.CHECK_SECONDS)
+            self.edge.run_loop()
+
+    def test_grace_extended_during_the_final_answers(self):
+        self.edge.is_recorded = False
+        self.pass_steps(NEAR_END_SECONDS)
+        self.assertIs(shutdown.Phase.FORCED_ANSWERS, self.edge.shutdown.phase)
+        self.edge.shutdown.grace = 60.0
+        self.pass_steps(1.0)
+        self.assertFalse(self.edge.stopped)
+        self.edge.is_recorded = True
+        self.pass_steps(1.0)
+        self.assertTrue(self.edge.stopped)
+
+    def test_shortened_grace_still_has_final_answers(self):
+        caller = self.edge.connect()
+        self.edge.ask(caller)
+        self.edge.run_loop_until(lambda: self.edge.calls)
+        self.pass_steps(5.0)
+        self.edge.shutdown.grace = 2.0
+        self.pass_steps(1.0)
+        self.edge.run_loop_until(lambda: caller.answer.settled)
+        self.assertTrue(caller.answer.complete)
+        self.assertTrue(self.edge.stopped)
+
+    def test_second_signal_does_not_start_the_grace_again(self):
+        self.edge.is_recorded = False
+        self.pass_steps(NEAR_END_SECONDS)
+        self.edge.shutdown.begin()
+        self.pass_steps(1.0)
+        self.assertTrue(self.edge.stopped)
+
+
 class DelayedExitTest(CallersEdgeCase):
     """A slow caller delays the exit of a VM past its rotation period.
 
