Stop: a call that has not run is not sent in the last second before the end

What callers saw: a call taken in time that had to wait (for a permit, for the log, for an upstream that refused it as not run) was sent to an upstream at any moment up to the final answers. A moment later it was broken off with 502, which leaves open whether it ran; one that may not be repeated was stuck with that, though a refusal a moment earlier would have sent it to another VM.

Cause: only the arrival of a request was checked against the stop, not the begin of its attempts.

Ruled out: calls that may have run already. They are retried or resumed as before, as an answer is the only way to a known outcome.

Now an attempt of a call that has not run begins only while at least 1 s, or a quarter of the time if the grace is short, is left before the final answers; later it is refused as shutting_down. This is for a stop alone.

The tests of the end of a grace run on the clock that passes by turns, so that a paused machine loses no time in them.

--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -169,10 +169,9 @@
         self._retry("slow", refusals.Refusal.UNKNOWN_OUTCOME)
 
     def _refusal_without_upstream(self) -> refusals.Refusal:
-        if_not_run = refusals.Refusal.NO_UPSTREAM
-        if self._context.directory.is_service_unreachable(self._service):
-            if_not_run = refusals.Refusal.UPSTREAMS_UNREACHABLE
-        return self.attempts.final_refusal(if_not_run)
+        return self.attempts.final_refusal(
+            self._context.refusal_without_upstream(self._service)
+        )
 
     def _request(self, upstream: upstreams.Upstream) -> transport.HttpRequest:
         self.passed_deadline = self._deadline - self._context.timers.now()
--- a/postspring/forwarding/delivery_context.py
+++ b/postspring/forwarding/delivery_context.py
@@ -69,6 +69,9 @@
         Rejects requests under which upstreams crash.
     answers : AnswerMemory
         Collects answers that are not streams.
+    sends_work : callable
+        Returns whether a call that has not run could be finished before this
+        VM stops.
     """
 
     http: transport.HttpClient
@@ -87,6 +90,15 @@
     )
     subsets: upstreams.Subsets | None = None
     quarantine: quarantine_module.Quarantine = quarantine_module.NoQuarantine()
+    sends_work: Callable[[], bool] = lambda: True
+
+    def refusal_without_upstream(self, service: str) -> refusals.Refusal:
+        """Return why a call that has not run is sent to no upstream."""
+        if not self.sends_work():
+            return refusals.Refusal.SHUTTING_DOWN
+        if self.directory.is_service_unreachable(service):
+            return refusals.Refusal.UPSTREAMS_UNREACHABLE
+        return refusals.Refusal.NO_UPSTREAM
 
     def caller_fields(self, exchange: transport.Exchange) -> ports.Fields:
         """Return the header fields of an upstream's answer to relay."""
--- a/postspring/forwarding/outbound_call.py
+++ b/postspring/forwarding/outbound_call.py
@@ -166,6 +166,8 @@
         attempts: attempts_module.Attempts,
     ) -> upstreams.Upstream | None:
         """Return the upstream to send it to, or None if there is none."""
+        if not (attempts.may_have_run or context.sends_work()):
+            return None
         if self.only is not None:
             is_tried = self.only.incarnation in attempts.tried
             return None if is_tried else self.only
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -314,6 +314,7 @@
             self.members,
             self.quarantine,
             self.callers.caller_memory,
+            lambda: self.shutdown.sends_work,
         )
         self.forwarder = forwarding.Forwarder(
             context,
--- a/postspring/front/policies.py
+++ b/postspring/front/policies.py
@@ -25,6 +25,7 @@
     members: peering.Members,
     quarantine_policy: quarantine.Quarantine,
     memory: transport.CallerMemory,
+    sends_work: Callable[[], bool],
 ) -> forwarding.DeliveryContext:
     """Return what deliveries share, with the policies of the settings."""
     own = members.own
@@ -50,6 +51,7 @@
         subsets=subsets,
         admission=scheduling.admission_by_name[settings.admission](),
         quarantine=quarantine_policy,
+        sends_work=sends_work,
     )
 
 
--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -21,6 +21,11 @@
 # Share of the time before the final answers in which work is accepted; the
 # rest is for finishing it.
 ACCEPTING_SHARE = 0.5
+# A call that has not run is sent to an upstream only while this much of that
+# time is left, as a share of it and in seconds; otherwise it would probably
+# be broken off, and its caller could not know whether it ran.
+MIN_ATTEMPT_SHARE = 0.25
+MIN_ATTEMPT_SECONDS = 1.0
 # Seconds before the platform's SIGKILL: when open requests are answered, early
 # enough for the answers to be sent, and when the process exits regardless.
 ANSWER_MARGIN_SECONDS = 0.6
@@ -111,6 +116,15 @@
             and self._elapsed < self._accepting_seconds
         )
 
+    @property
+    def sends_work(self) -> bool:
+        """Whether calls that have not run are still sent to upstreams."""
+        if not self.is_stopping:
+            return True
+        share = MIN_ATTEMPT_SHARE * self._answering_seconds
+        seconds_left = self._answering_seconds - self._elapsed
+        return seconds_left > min(MIN_ATTEMPT_SECONDS, share)
+
     def begin(self) -> None:
         """Report not ready, keep serving, and exit once drained."""
         if self.is_stopping:
@@ -124,9 +138,14 @@
     @property
     def _accepting_seconds(self) -> float:
         """Seconds from the signal in which new work is accepted."""
-        share = ACCEPTING_SHARE * (self.grace - ANSWER_MARGIN_SECONDS)
+        share = ACCEPTING_SHARE * self._answering_seconds
         return min(ROTATION_SECONDS, share)
 
+    @property
+    def _answering_seconds(self) -> float:
+        """Seconds from the signal until the final answers."""
+        return self.grace - ANSWER_MARGIN_SECONDS
+
     @property
     def _elapsed(self) -> float:
         return self._timers.now() - self._began_at
--- a/postspring/front/tests/test_grace_end.py
+++ b/postspring/front/tests/test_grace_end.py
@@ -7,14 +7,19 @@
 
 from postspring import forwarding
 from postspring.testing.fleet import case
+from postspring.testing.fleet import engine_service
 from postspring.testing.fleet import fleet as fleet_module
 
 TURN = {"program_id": "p", "token_usage": "1,16", "token_budget": "100"}
 GRACE_USED_SECONDS = 7.5
+# Moments before the final answers at 7.4 s, with too little time for a call
+# that has not run, and with enough.
+LATE_ATTEMPT_SECONDS = 6.5
+SOON_ENOUGH_SECONDS = 4.0
 KEY = "key-of-acme"
 
 
-class GraceEndCase(case.FleetCase):
+class GraceEndCase(case.TurnedFleetCase):
     """A VM whose grace period ends."""
 
     def setUp(self):
@@ -135,28 +140,101 @@
             self.waiting.pop()(verdict)
 
 
-class PermitTest(GraceEndCase):
-    """A call waits for the permit of its workspace's limit.
+class PermitCase(GraceEndCase):
+    """A call waits for the permit of its workspace's limit."""
 
-    It got 502, which is for calls that may have run, and ran once the permit
-    was granted.
-    """
-
-    def test_call_that_waits_for_a_permit_is_refused_and_never_runs(self):
+    def wait_for_permit(self):
+        """Send a call that has no permit yet."""
         configuration = fleet_module.default_configuration(2)
         configuration["tenants"] = [
             {"name": "acme", "api_keys": [KEY], "rate_per_s": 5, "burst": 5}
         ]
         self.fleet.configure(configuration)
         self.fleet.run_loop_until(lambda: self.node.configuration.version == 2)
-        limiter = PendingLimiter()
-        self.node.forwarder._limiter = limiter
+        self.limiter = PendingLimiter()
+        self.node.forwarder._limiter = self.limiter
         self.send("/once/x", credential=KEY)
-        self.fleet.run_loop_until(lambda: limiter.waiting)
+        self.fleet.run_loop_until(lambda: self.limiter.waiting)
+
+
+class PermitTest(PermitCase):
+    """The grace ends before the permit is granted.
+
+    The call got 502, which is for calls that may have run, and ran once the
+    permit was granted.
+    """
+
+    def test_call_that_waits_for_a_permit_is_refused_and_never_runs(self):
+        self.wait_for_permit()
         answer = self.end_grace_period()
         self.assertEqual((503, True), (answer.status, answer.complete))
         self.assertEqual("shutting_down", self.lines[-1].reason)
-        limiter.grant_all()
+        self.limiter.grant_all()
         self.fleet.turn_for(0.3)
         self.assertEqual([], self.fleet.tools[0].runs)
-        self.assertEqual(1, limiter.released)
+        self.assertEqual(1, self.limiter.released)
+
+
+class SheddingFaults(engine_service.EngineFaults):
+    """Refuses all requests as not run, and tells the test first."""
+
+    on_shed = None
+
+    def take(self, name):
+        """Shed every request."""
+        if name == "shed":
+            SheddingFaults.on_shed()
+        return name == "shed"
+
+
+class LateAttemptTest(PermitCase):
+    """Calls that have not run shortly before the end of the grace.
+
+    They were sent to an upstream and broken off a moment later, with an
+    answer that leaves open whether they ran.
+    """
+
+    tools = 2
+
+    @property
+    def runs(self):
+        """All requests that ran at the tools."""
+        return [run for tool in self.fleet.tools for run in tool.runs]
+
+    def near_end(self):
+        """Let time pass until little is left before the final answers."""
+        self.node.shutdown._began_at = (
+            self.node.timers.now() - LATE_ATTEMPT_SECONDS
+        )
+
+    def test_permit_that_is_granted_late(self):
+        self.wait_for_permit()
+        for tool in self.fleet.tools:
+            tool.faults.hang = True
+        self.node.shutdown.begin()
+        self.near_end()
+        self.limiter.grant_all()
+        self.fleet.run_loop_until(lambda: self.caller.answer.settled)
+        answer = self.caller.answer
+        self.assertEqual((503, True), (answer.status, answer.complete))
+        self.assertEqual([], self.runs)
+        self.assertEqual(1, self.limiter.released)
+
+    def test_call_that_an_upstream_shed_late(self):
+        SheddingFaults.on_shed = self.near_end
+        for tool in self.fleet.tools:
+            tool.faults = SheddingFaults()
+        self.node.shutdown.begin()
+        self.send("/once/x")
+        self.fleet.run_loop_until(lambda: self.caller.answer.settled)
+        answer = self.caller.answer
+        self.assertEqual((503, True), (answer.status, answer.complete))
+        self.assertEqual(1, sum(tool.arrivals for tool in self.fleet.tools))
+
+    def test_call_is_sent_while_there_is_time(self):
+        self.wait_for_permit()
+        self.node.shutdown.begin()
+        self.node.shutdown._began_at -= SOON_ENOUGH_SECONDS
+        self.limiter.grant_all()
+        self.fleet.run_loop_until(lambda: self.caller.answer.settled)
+        self.assertEqual(200, self.caller.answer.status)
