--- a/postspring/front/shutdown.py
+++ b/postspring/front/shutdown.py
@@ -16,8 +16,18 @@
 
 # The balancer probes readiness once a second and stops sending connections
 # after two refusals; new connections may arrive until then.  In seconds.
-ROTATION_SECONDS = 3.0
+# Callers count 3 s from the sending of the signal, which a busy process
+# handles a little later.
+ROTATION_SECONDS = 2.8
 CHECK_SECONDS = 0.1
+# Share of the time before the final answers in which work is accepted; the
+# rest is for finishing it.
+ACCEPTING_SHARE = 0.5
+# A call that has not run is sent to an upstream only while this much of that
+# time is left, as a share of it and in seconds; otherwise it would probably
+# be broken off, and its caller could not know whether it ran.
+MIN_ATTEMPT_SHARE = 0.25
+MIN_ATTEMPT_SECONDS = 1.0
 # Seconds before the platform's SIGKILL: when open requests are answered, early
 # enough for the answers to be sent, and when the process exits regardless.
 ANSWER_MARGIN_SECONDS = 0.6
@@ -30,7 +40,8 @@
     Explanation
     ===========
 
-    In ``LEAVING_ROTATION`` new connections are still accepted and served.
+    In ``LEAVING_ROTATION`` new connections are still accepted and served; if
+    the grace period is short, only until half of it has passed.
     In ``DRAINING`` the VM stops listening, because the balancer also sends
     connections to VMs that are not ready while most VMs of a data centre are
     not.  A caller whose connection is refused finds another VM at once;
@@ -97,12 +108,24 @@
     def accepts_work(self) -> bool:
         """Whether the VM still runs requests that arrive now.
 
-        After the rotation period, a request on a connection that stayed open
-        is refused as not run, and its caller retries at another VM.
+        After that, a request on a connection that stayed open is refused as
+        not run, and its caller retries at another VM.
         """
         if not self.is_stopping:
             return True
-        return self._elapsed < ROTATION_SECONDS
+        return (
+            self.phase is Phase.LEAVING_ROTATION
+            and self._elapsed < self._accepting_seconds
+        )
+
+    @property
+    def sends_work(self) -> bool:
+        """Whether calls that have not run are still sent to upstreams."""
+        if not self.is_stopping:
+            return True
+        share = MIN_ATTEMPT_SHARE * self._answering_seconds
+        seconds_left = self._answering_seconds - self._elapsed
+        return seconds_left > min(MIN_ATTEMPT_SECONDS, share)
 
     def begin(self) -> None:
         """Report not ready, keep serving, and exit once drained."""
@@ -114,6 +137,17 @@
         self._began_at = self._timers.now()
         self._timers.call_every(CHECK_SECONDS, self._check)
 
+    @property
+    def _accepting_seconds(self) -> float:
+        """Seconds from the signal in which new work is accepted."""
+        share = ACCEPTING_SHARE * self._answering_seconds
+        return min(ROTATION_SECONDS, share)
+
+    @property
+    def _answering_seconds(self) -> float:
+        """Seconds from the signal until the final answers."""
+        return self.grace - ANSWER_MARGIN_SECONDS
+
     @property
     def _elapsed(self) -> float:
         return self._timers.now() - self._began_at
@@ -127,16 +161,23 @@
             and self.phase is Phase.FORCED_ANSWERS
         ):
             self._end()
-        elif seconds_left < ANSWER_MARGIN_SECONDS:
+        elif self._is_out_of_time:
             self._answer_open_requests()
         elif self.phase is Phase.LEAVING_ROTATION:
-            if self._elapsed > ROTATION_SECONDS:
+            if not self.accepts_work:
                 self.phase = Phase.DRAINING
                 self._callers.stop_accepting()
                 self._callers.close_idle()
         elif self.phase is Phase.DRAINING:
             self._drain()
 
+    @property
+    def _is_out_of_time(self) -> bool:
+        """Whether final answers are due; a longer grace revokes none."""
+        seconds_left = self.grace - self._elapsed
+        is_due = seconds_left < ANSWER_MARGIN_SECONDS
+        return is_due or self.phase is Phase.FORCED_ANSWERS
+
     def _drain(self) -> None:
         """Finish once every connection is closed and the VM may exit.
 
