--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -15,6 +15,7 @@
 from postspring.transport import http_messages
 from postspring.transport import kept_connections
 from postspring.transport import response_end
+from postspring.transport import response_limits
 from postspring.transport import sockets
 
 __all__ = ["Exchange"]
@@ -60,6 +61,7 @@
         self._reused = False
         self._has_head = False
         self._is_paused = False
+        self._limits = response_limits.ResponseLimits()
         self._received_bytes = 0
         self._unsent_bytes = 0
         self.response_end: response_end.ResponseEnd | None = None
@@ -159,8 +161,7 @@
         self._received_bytes += len(data)
         self._client.observer.received(self)
         self._client.awaiting_response.pop(self, None)
-        self._http.receive_data(data)
-        self._parse()
+        self._parse(data)
 
     def _time_out(self) -> None:
         if self.is_silent:
@@ -218,13 +219,23 @@
         try:
             self._http.receive_data(b"")
             self._parse_events()
-        except h11.RemoteProtocolError:
+        except (
+            h11.RemoteProtocolError,
+            response_limits.ResponseLimitError,
+        ):
             pass
 
-    def _parse(self) -> None:
+    def _parse(self, data: bytes) -> None:
         try:
+            if self._skipping_response:
+                self._limits.add_skipped_bytes(len(data))
+            self._http.receive_data(data)
             self._parse_events()
-        except h11.RemoteProtocolError as error:
+        except (
+            h11.RemoteProtocolError,
+            response_limits.ResponseLimitError,
+        ) as error:
+            # No more is read: the bytes may come without an end.
             self._fail(f"bad answer: {error}")
 
     def _parse_events(self) -> None:
@@ -234,6 +245,8 @@
                 return
             if isinstance(event, h11.Response):
                 self._handle_head(event)
+            elif isinstance(event, h11.InformationalResponse):
+                self._limits.add_interim(event.headers.raw_items())
             elif isinstance(event, h11.Data):
                 if not self._skipping_response:
                     self._listener.data(bytes(event.data))
@@ -246,9 +259,11 @@
                 return
 
     def _handle_head(self, event: h11.Response) -> None:
+        self._limits.check_fields(event.headers.raw_items())
         headers = http_messages.decode_headers(event.headers)
         is_own_response = self.request.is_own_response
         if is_own_response is not None and not is_own_response(headers):
+            self._limits.add_skipped()
             self._skipping_response = True
             return
         self._has_head = True
--- a/postspring/transport/kept_connections.py
+++ b/postspring/transport/kept_connections.py
@@ -4,6 +4,7 @@
 
 from postspring.transport import connection_end
 from postspring.transport import http_messages
+from postspring.transport import response_limits
 from postspring.transport import sockets
 
 __all__ = [
@@ -17,7 +18,6 @@
 # A server that sends "Keep-Alive: timeout=N" closes after N whole seconds;
 # the client closes this much earlier, so that no request meets that close.
 KEEP_ALIVE_MARGIN_SECONDS = 0.5
-MAX_HEADER_BYTES = 16 * 1024
 
 
 class KeptConnection(sockets.ConnectionHandler):
@@ -50,7 +50,8 @@
 def new_connection() -> h11.Connection:
     """Return the HTTP protocol state of a newly opened connection."""
     return h11.Connection(
-        our_role=h11.CLIENT, max_incomplete_event_size=MAX_HEADER_BYTES
+        our_role=h11.CLIENT,
+        max_incomplete_event_size=response_limits.MAX_HEADER_BYTES,
     )
 
 
