Replies of the store and of other VMs have a longest length

A store, or whatever listens at the address of a VM, that sent a body without an end filled the memory of each VM that asked it: `ResponseCollector` kept what came until the exchange's timeout, in each of its calls at once. Callers are bounded, these servers were not.

`HttpRequest.max_response_bytes` bounds a body, in the exchange: by the stated length as soon as the head is there, else by what has come. Beyond it the connection is closed, nothing is read on, and the exchange fails as sent, so an append keeps its unknown end and a relayed call gets 502. Upstreams' calls state no limit, as before. The limits follow from the store's: a page is what a read requests and the record that exceeds it, twice for framing and base64, and 1 MiB for keys. A VM with 160 MB sends no view above 16 MiB either. The entry daemon's client of its log dropped chunks above its limit and read on; it has the same limit now, and so has its list of VMs.

The stand-in of the store ignored `max_kb` and the size of pages of newest records; it keeps to both now, as the platform does.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -74,6 +74,7 @@
             vm.store,
             vm.partitions,
             self.metrics.count_store_call,
+            record_bytes=vm.record_bytes,
         )
         self.log = peering.FailoverLog(
             self.store,
@@ -375,6 +376,7 @@
             member.peers,
             self.vm.partitions,
             path_prefix=peering.STORE_PREFIX,
+            record_bytes=self.vm.record_bytes,
         )
 
     def _catch_up_rate(self) -> float:
--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -40,6 +40,10 @@
 # Response of a VM that is shutting down, or can't reach the log, to a request
 # to record turns.
 LOG_UNREACHABLE_STATUS = 503
+# Longest responses, in bytes: loads of some 20,000 upstreams; and views, of
+# which a VM with little memory sends no more either.
+MAX_RESPONSE_BYTES = 1024 * 1024
+MAX_VIEW_BYTES = 16 * 1024 * 1024
 # Path prefix of calls to the platform's store that a VM relays.
 STORE_PREFIX = "/peer/store"
 
@@ -321,6 +325,9 @@
         body=body,
         connect_timeout=seconds,
         timeout=seconds,
+        max_response_bytes=(
+            MAX_VIEW_BYTES if path == VIEW_PATH else MAX_RESPONSE_BYTES
+        ),
         # A VM responds to it only when the store has responded.
         is_prompt=path != RECORD_PATH,
     )
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -29,6 +29,12 @@
 SILENT_SECONDS = 0.28
 # Size of the records that one read requests.
 READ_KIBIBYTES = 1024
+# Longest response to an append, in bytes: a short document.
+MAX_APPEND_RESPONSE_BYTES = 64 * 1024
+# The same for keys, offsets and names of fields in a page of newest records.
+MAX_PAGE_FIELD_BYTES = 1024 * 1024
+# Largest record unless the settings state it, in bytes.
+RECORD_BYTES = 256 * 1024
 # Returned to another VM when its relayed call got no response.
 BAD_GATEWAY = 502
 
@@ -109,6 +115,8 @@
         Called with the name and the outcome of every call, for metrics.
     path_prefix : str
         Prefix of each path, for calls that another VM relays.
+    record_bytes : int
+        Largest record, in bytes.
     """
 
     def __init__(
@@ -118,7 +126,11 @@
         partitions: int,
         on_call: Callable[[str, str], None] = lambda name, outcome: None,
         path_prefix: str = "",
+        record_bytes: int = RECORD_BYTES,
     ):
+        # The last record may begin just below the size that a read requests.
+        # Numbers before short records, or base64, take as much again at most.
+        self._max_page_bytes = 2 * (READ_KIBIBYTES * 1024 + record_bytes)
         self._path_prefix = path_prefix
         self._http = http
         self._address = address
@@ -140,6 +152,9 @@
         request = self._request(
             "POST", path, APPEND_TIMEOUT_SECONDS, pack_records(entries)
         )
+        request = dataclasses.replace(
+            request, max_response_bytes=MAX_APPEND_RESPONSE_BYTES
+        )
 
         def on_body(body: bytes) -> None:
             on_done(int(json.loads(body)["offset"]))
@@ -248,6 +263,7 @@
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
             timeout=timeout,
             silent_after=SILENT_SECONDS,
+            max_response_bytes=self._max_page_bytes + MAX_PAGE_FIELD_BYTES,
             # Another VM responds only when the store has.
             is_prompt=not self._path_prefix,
         )
--- a/postspring/sharedlog/log_client.py
+++ b/postspring/sharedlog/log_client.py
@@ -59,9 +59,8 @@
         self._status = status
 
     def data(self, chunk):
-        """Append a chunk unless the body would exceed its size limit."""
-        if len(self._body) + len(chunk) <= MAX_RESPONSE_BYTES:
-            self._body += chunk
+        """Append a chunk of the body."""
+        self._body += chunk
 
     def end(self):
         """Pass the body on, or an error if the status is not 200."""
@@ -125,6 +124,7 @@
             headers=(("Content-Type", "application/cbor"),),
             connect_timeout=min(1.0, self._timeout),
             timeout=self._timeout,
+            max_response_bytes=MAX_RESPONSE_BYTES,
         )
         self._http.send(request, _LogResponse(handle_body, on_error))
 
@@ -155,5 +155,6 @@
             ),
             connect_timeout=min(1.0, self._timeout),
             timeout=wait + self._timeout,
+            max_response_bytes=MAX_RESPONSE_BYTES,
         )
         return self._http.send(request, _LogResponse(handle_body, on_error))
--- a/postspring/sharedlog/vm_list.py
+++ b/postspring/sharedlog/vm_list.py
@@ -17,6 +17,8 @@
 
 LOG = logging.getLogger(__name__)
 POLL_SECONDS = 1.0
+# Longest list, in bytes: some 30,000 VMs.
+MAX_LIST_BYTES = 4 * 1024 * 1024
 
 
 class VmState(enum.StrEnum):
@@ -129,5 +131,6 @@
             path="/vms",
             connect_timeout=1.0,
             timeout=2.0,
+            max_response_bytes=MAX_LIST_BYTES,
         )
         self._http.send(request, self)
--- a/postspring/testing/fleet/store_service.py
+++ b/postspring/testing/fleet/store_service.py
@@ -14,6 +14,9 @@
 __all__ = ["StoreService"]
 
 LIMITS = transport.ServerLimits(body_bytes=64 * 1024 * 1024)
+# Most records of a page of newest ones, and most bytes of their values.
+NEWEST_RECORDS = 500
+NEWEST_BYTES = 1024 * 1024
 JSON_FIELDS = [("Content-Type", "application/json")]
 
 
@@ -130,8 +133,12 @@
             self._timers.call_later(0.02, self._read, call, place, query)
             return
         head = struct.pack(">QQ", len(records), first)
-        body = head + store_module.pack_records(records[start:])
-        call.respond(200, [], body)
+        body = bytearray(head)
+        for entry in records[start:]:
+            if len(body) >= int(query.get("max_kb", 1024)) * 1024:
+                break
+            body += store_module.pack_records([entry])
+        call.respond(200, [], bytes(body))
 
     def _newest(self, call, place, query) -> None:
         items = [
@@ -145,7 +152,14 @@
         items.sort(key=lambda item: item["key"])
         after = query.get("after", "")
         items = [item for item in items if item["key"] > after]
-        page, rest = items[:500], items[500:]
+        count = 0
+        page_bytes = 0
+        for item in items[:NEWEST_RECORDS]:
+            if page_bytes >= NEWEST_BYTES:
+                break
+            page_bytes += len(item["value"])
+            count += 1
+        page, rest = items[:count], items[count:]
         end = len(self.data.records_by_place.get(place, ()))
         answer = {"items": page, "more_pages": bool(rest), "end": end}
         call.respond(200, JSON_FIELDS, json.dumps(answer).encode())
--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -61,7 +61,9 @@
         self._reused = False
         self._has_head = False
         self._is_paused = False
-        self._limits = response_limits.ResponseLimits()
+        self._limits = response_limits.ResponseLimits(
+            request.max_response_bytes
+        )
         self._received_bytes = 0
         self._unsent_bytes = 0
         self.response_end: response_end.ResponseEnd | None = None
@@ -249,6 +251,7 @@
                 self._limits.add_interim(event.headers.raw_items())
             elif isinstance(event, h11.Data):
                 if not self._skipping_response:
+                    self._limits.add_body(len(event.data))
                     self._listener.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 if self._skipping_response:
@@ -266,6 +269,7 @@
             self._limits.add_skipped()
             self._skipping_response = True
             return
+        self._limits.check_length(event.headers.raw_items())
         self._has_head = True
         self.header_fields = event.headers.raw_items()
         self._listener.head(event.status_code, headers)
--- a/postspring/transport/http_messages.py
+++ b/postspring/transport/http_messages.py
@@ -76,6 +76,9 @@
         Takes the headers of a response (names in lower case) and returns
         whether the response belongs to this request.  Any other response
         is skipped as a late one to an earlier request.
+    max_response_bytes : float
+        Longest body of the response.  A longer one closes the connection and
+        fails the exchange, as soon as a header field or the body shows it.
     """
 
     address: tuple[str, int]
@@ -93,6 +96,7 @@
     is_prompt: bool = False
     data_center: str = ""
     is_own_response: Callable[[dict[str, str]], bool] | None = None
+    max_response_bytes: float = math.inf
 
     @property
     def is_resendable(self) -> bool:
@@ -234,7 +238,8 @@
 class ResponseCollector(HttpListener):
     """Buffers a response and passes it on when it is complete.
 
-    It suits small responses only: the whole body is kept in memory.
+    The whole body is kept in memory, so the request needs a limit for it:
+    ``max_response_bytes``.
 
     Parameters
     ==========
--- a/postspring/transport/tests/test_endless_responses.py
+++ b/postspring/transport/tests/test_endless_responses.py
@@ -145,3 +145,41 @@
         self.serve_endless(CHUNKED + b"\r\n", b"1\r\nx\r\n", pause=0.02)
         listener = self.send_and_wait(timeout=0.3)
         self.check_failure(listener, "timeout")
+
+
+class BodyTest(EndlessCase):
+    """Bodies of responses that are kept whole."""
+
+    # Guards against a process that exceeds its memory by one response.
+    def test_without_an_end(self):
+        part = b"10000\r\n%065536d\r\n" % 0
+        for start in (CHUNKED + b"\r\n", HEAD + b"\r\n"):
+            with self.subTest(start=start):
+                self.sent_bytes = 0
+                self.was_closed.clear()
+                self.serve_endless(start, part)
+                listener = self.send_and_wait(max_response_bytes=100_000)
+                self.check_failure(listener, "body above 100000 bytes")
+                self.assertLessEqual(len(listener.body), 100_000)
+                self.assertLess(self.sent_bytes, KERNEL_BYTES)
+
+    # Guards against a response that is received although its length is known.
+    def test_length_above_the_limit(self):
+        self.serve_endless(HEAD + b"Content-Length: 3\r\n\r\n", b"", 0.02)
+        listener = self.send_and_wait(max_response_bytes=2)
+        self.assertIn("body above 2 bytes", str(listener.error))
+        self.assertIsNone(listener.status)
+
+    def test_body_as_long_as_the_limit(self):
+        chunks = b"1\r\nh\r\n1\r\ni\r\n0\r\n\r\n"
+        for response in (OWN, CHUNKED + b"\r\n" + chunks, HEAD + b"\r\nhi"):
+            with self.subTest(response=response):
+                self.serve(response)
+                listener = self.send_and_wait(max_response_bytes=2, fresh=True)
+                self.assertEqual(b"hi", listener.body)
+
+    # Guards against a caller of an upstream who gets a part of a long answer.
+    def test_no_limit_unless_stated(self):
+        body = b"x" * 5_000_000
+        self.serve(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
+        self.assertEqual(body, self.send_and_wait().body)
