Newest records and pages of the store have an end

A VM that reads a partition's newest records asked for the next page as long as the store announced one: a page that repeats made it ask for ever, as fast as the store answers, and pages with ever new keys filled its memory. A page of a read with records of no content becomes objects of many times its bytes.

A page without a key that is new ends the read as `repeated_page`; records above a quarter of the VM's memory (64 MiB if that is not stated), with the objects of each, as `too_many_records`. Both are the LogUnavailable that any bad answer is, after which each reader waits as before. Of a read's page the first 32,768 records are decoded; the next read begins behind them, so nothing is refused.

Ruled out: lengths that lie are a `cut_record` and records without a length too (test_store, which passed before).

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -74,7 +74,7 @@
             vm.store,
             vm.partitions,
             self.metrics.count_store_call,
-            record_bytes=vm.record_bytes,
+            limits=vm.store_limits,
         )
         self.log = peering.FailoverLog(
             self.store,
@@ -376,7 +376,7 @@
             member.peers,
             self.vm.partitions,
             path_prefix=peering.STORE_PREFIX,
-            record_bytes=self.vm.record_bytes,
+            limits=self.vm.store_limits,
         )
 
     def _catch_up_rate(self) -> float:
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -11,6 +11,7 @@
 
 from postspring import errors
 from postspring.platform import names
+from postspring.platform import store_limits
 
 __all__ = ["VmSettings", "load_settings"]
 
@@ -84,6 +85,13 @@
     heartbeat: float = 1.2
     cores: float = 0.0
 
+    @property
+    def store_limits(self) -> store_limits.StoreLimits:
+        """Limits of what the store sends."""
+        return store_limits.StoreLimits.within(
+            self.record_bytes, self.memory_mb
+        )
+
 
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
     """Read the settings file that an environment variable names.
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -15,6 +15,7 @@
 from postspring import errors
 from postspring import keyedlog
 from postspring.platform import names
+from postspring.platform import store_limits
 from postspring import transport
 
 __all__ = ["Store", "pack_records", "unpack_records"]
@@ -27,14 +28,11 @@
 # Longer than a slow response, and shorter than the delay before the next
 # attempt (0.3 s), so that it does not reuse another unresponsive connection.
 SILENT_SECONDS = 0.28
-# Size of the records that one read requests.
-READ_KIBIBYTES = 1024
-# Longest response to an append, in bytes: a short document.
-MAX_APPEND_RESPONSE_BYTES = 64 * 1024
-# The same for keys, offsets and names of fields in a page of newest records.
-MAX_PAGE_FIELD_BYTES = 1024 * 1024
-# Largest record unless the settings state it, in bytes.
-RECORD_BYTES = 256 * 1024
+# Records of a page that are decoded; the next read begins behind them.
+# Objects of short records take many times their bytes.
+MAX_PAGE_RECORDS = 32_768
+# Bytes of the objects of a record that is kept.
+RECORD_OBJECT_BYTES = 256
 # Returned to another VM when its relayed call got no response.
 BAD_GATEWAY = 502
 
@@ -69,8 +67,10 @@
     return b"".join(parts)
 
 
-def unpack_records(data: bytes) -> list[keyedlog.LogEntry]:
-    """Return the keyed records in ``data``.
+def unpack_records(
+    data: bytes, max_records: int | None = None
+) -> list[keyedlog.LogEntry]:
+    """Return the keyed records in ``data``, the first ones of many.
 
     Raises
     ------
@@ -84,7 +84,7 @@
     """
     entries = []
     position = 0
-    while position < len(data):
+    while position < len(data) and len(entries) != max_records:
         start = position + _LENGTH.size
         if start > len(data):
             raise keyedlog.LogUnavailable("cut_record")
@@ -115,8 +115,8 @@
         Called with the name and the outcome of every call, for metrics.
     path_prefix : str
         Prefix of each path, for calls that another VM relays.
-    record_bytes : int
-        Largest record, in bytes.
+    limits : StoreLimits
+        Limits of the store's responses.
     """
 
     def __init__(
@@ -126,11 +126,9 @@
         partitions: int,
         on_call: Callable[[str, str], None] = lambda name, outcome: None,
         path_prefix: str = "",
-        record_bytes: int = RECORD_BYTES,
+        limits: store_limits.StoreLimits = store_limits.StoreLimits(),
     ):
-        # The last record may begin just below the size that a read requests.
-        # Numbers before short records, or base64, take as much again at most.
-        self._max_page_bytes = 2 * (READ_KIBIBYTES * 1024 + record_bytes)
+        self.limits = limits
         self._path_prefix = path_prefix
         self._http = http
         self._address = address
@@ -153,7 +151,7 @@
             "POST", path, APPEND_TIMEOUT_SECONDS, pack_records(entries)
         )
         request = dataclasses.replace(
-            request, max_response_bytes=MAX_APPEND_RESPONSE_BYTES
+            request, max_response_bytes=self.limits.append
         )
 
         def on_body(body: bytes) -> None:
@@ -168,7 +166,7 @@
             place,
             {
                 "from": start,
-                "max_kb": READ_KIBIBYTES,
+                "max_kb": store_limits.READ_KIBIBYTES,
                 "wait_ms": round(wait * 1000),
             },
         )
@@ -185,7 +183,7 @@
                 raise keyedlog.LogExpired(
                     f"offset {start} is before the first offset {first}"
                 )
-            entries = unpack_records(body[_OFFSETS.size :])
+            entries = unpack_records(body[_OFFSETS.size :], MAX_PAGE_RECORDS)
             next_offset = start + len(entries)
             known_after = 0.0 if entries else wait
             on_page(keyedlog.LogPage(entries, next_offset, end, known_after))
@@ -263,7 +261,7 @@
             connect_timeout=CONNECT_TIMEOUT_SECONDS,
             timeout=timeout,
             silent_after=SILENT_SECONDS,
-            max_response_bytes=self._max_page_bytes + MAX_PAGE_FIELD_BYTES,
+            max_response_bytes=self.limits.page,
             # Another VM responds only when the store has.
             is_prompt=not self._path_prefix,
         )
@@ -319,7 +317,8 @@
         self._place = place
         self._on_page = on_page
         self._on_error = on_error
-        self._items: list[tuple[int, keyedlog.LogEntry]] = []
+        self._item_by_key: dict[str, tuple[int, keyedlog.LogEntry]] = {}
+        self._bytes = 0
         self._end: int | None = None
 
     def start(self, after: str = "") -> None:
@@ -332,16 +331,30 @@
         if self._end is None:
             self._end = int(document["end"])
         key = ""
+        count_before = len(self._item_by_key)
         for item in document["items"]:
             key = item["key"]
             if not isinstance(key, str):
                 raise TypeError("a key is not a string")
             value = base64.b64decode(item["value"] or "")
             entry = keyedlog.LogEntry(key, value)
-            self._items.append((int(item["offset"]), entry))
+            self._add(int(item["offset"]), entry)
+        is_new = len(self._item_by_key) > count_before
         if document.get("more_pages") and key:
+            if not is_new:
+                raise keyedlog.LogUnavailable("repeated_page")
             self.start(key)
             return
-        self._items.sort(key=lambda pair: pair[0])
-        entries = [entry for offset, entry in self._items]
+        items = sorted(self._item_by_key.values(), key=lambda pair: pair[0])
+        entries = [entry for offset, entry in items]
         self._on_page(keyedlog.LogPage(entries, self._end, self._end))
+
+    def _add(self, offset: int, entry: keyedlog.LogEntry) -> None:
+        """Keep a record unless a newer one of its key is kept."""
+        known = self._item_by_key.get(entry.key)
+        if known is not None and known[0] > offset:
+            return
+        self._item_by_key[entry.key] = (offset, entry)
+        self._bytes += RECORD_OBJECT_BYTES + len(entry.key) + len(entry.value)
+        if self._bytes > self._store.limits.newest:
+            raise keyedlog.LogUnavailable("too_many_records")
--- a/postspring/platform/tests/test_store_responses.py
+++ b/postspring/platform/tests/test_store_responses.py
@@ -7,10 +7,12 @@
 
 from postspring import keyedlog
 from postspring.platform import store
+from postspring.platform import store_limits
 from postspring.transport.tests import test_endless_responses
 
 PLACE = keyedlog.LogPlace(keyedlog.Subject.MEMBERS, 0)
 RECORD_BYTES = 100_000
+NEWEST_BYTES = 4_000_000
 HEAD = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
 
 
@@ -21,7 +23,10 @@
         super().setUp()
         self.results = []
         self.client = store.Store(
-            self.http, self.address, 24, record_bytes=RECORD_BYTES
+            self.http,
+            self.address,
+            24,
+            limits=store_limits.StoreLimits(RECORD_BYTES, NEWEST_BYTES),
         )
 
     def wait_for_result(self):
@@ -91,7 +96,99 @@
             else:
                 self.assertEqual((502, b""), result)
             self.assertTrue(self.was_closed.wait(10))
-            most = self.client._max_page_bytes + 2 * 1024 * 1024
-            self.assertLess(
-                self.sent_bytes, most + test_endless_responses.KERNEL_BYTES
+            most = (
+                self.client.limits.page + test_endless_responses.KERNEL_BYTES
             )
+            self.assertLess(self.sent_bytes, most)
+
+
+class ShortRecordsTest(StoreCase):
+    """Pages with far more records than their bytes suggest."""
+
+    # Guards against objects that take many times the bytes of a page.
+    def test_page_is_read_in_parts(self):
+        count = 200_000
+        packed = store.pack_records([keyedlog.LogEntry("", b"")] * count)
+        body = struct.pack(">QQ", count, 0) + packed
+        self.serve(HEAD % len(body) + body)
+        self.client.read(PLACE, 0, self.results.append, self.results.append)
+        page = self.wait_for_result()
+        self.assertEqual(store.MAX_PAGE_RECORDS, len(page.entries))
+        self.assertEqual(store.MAX_PAGE_RECORDS, page.next)
+        self.assertEqual(count, page.end)
+
+
+class NewestPagesTest(StoreCase):
+    """Pages of newest records that go on and on."""
+
+    def serve_pages(self, page_of):
+        """Answer each request with ``page_of`` its number; count them."""
+        self.asked = 0
+
+        def run():
+            connection, _peer = self.listening.accept()
+            with connection:
+                while self.asked < 1000 and connection.recv(65536):
+                    document = {"more_pages": True, "end": 10**9}
+                    document |= page_of(self.asked)
+                    body = json.dumps(document).encode()
+                    self.asked += 1
+                    connection.sendall(HEAD % len(body) + body)
+
+        thread = threading.Thread(target=run, daemon=True)
+        thread.start()
+        self.addCleanup(thread.join, 5)
+
+    def read_newest(self):
+        """Read the newest records; return the result."""
+        take = self.results.append
+        self.client.read_newest(PLACE, take, take)
+        return self.wait_for_result()
+
+    # Guards against a store that is asked for the same page for ever.
+    def test_page_without_another_key(self):
+        item = {"key": "k", "value": "", "offset": 1}
+        self.serve_pages(lambda number: {"items": [item]})
+        self.assertEqual("repeated_page", self.read_newest().reason)
+        self.assertEqual(2, self.asked)
+
+    # Guards against a VM that keeps records until its memory is full.
+    def test_pages_without_an_end(self):
+        value = base64.b64encode(b"x" * RECORD_BYTES).decode()
+        self.serve_pages(
+            lambda number: {
+                "items": [
+                    {"key": f"{number}/{part}", "value": value, "offset": 1}
+                    for part in range(10)
+                ]
+            }
+        )
+        self.assertEqual("too_many_records", self.read_newest().reason)
+        self.assertEqual(4, self.asked)
+
+    def test_all_pages_are_read(self):
+        self.serve_pages(
+            lambda number: {
+                "items": [{"key": f"k{number}", "value": "", "offset": 9}],
+                "more_pages": number < 99,
+            }
+        )
+        self.assertEqual(100, len(self.read_newest().entries))
+
+    # A record may change between two pages, which are not a snapshot.
+    def test_newest_record_of_a_key_is_kept(self):
+        items = [
+            [
+                {"key": "a", "value": "Mg==", "offset": 2},
+                {"key": "b", "value": "MQ==", "offset": 1},
+            ],
+            [
+                {"key": "b", "value": "Mw==", "offset": 3},
+                {"key": "c", "value": "NA==", "offset": 4},
+            ],
+        ]
+        self.serve_pages(
+            lambda number: {"items": items[number], "more_pages": not number}
+        )
+        entries = [("a", b"2"), ("b", b"3"), ("c", b"4")]
+        self.assertEqual(entries, self.read_newest().entries)
