Replies of the store and of VMs share a tenth of the memory

A limit for each response is not one for all of them: with 400 callers of different programs and a store whose responses don't end, the daemon's process still had 556 MB of its 160 (VmHWM of the real process, one VM), as a partition's read may be in flight for each program. Without any limit it had 804 MB; with 60 programs 494 MB, and 82 MB with the limit for each.

The client for the store and for other VMs counts the bodies of unfinished exchanges. Above a tenth of the memory it reads on only the one that became long first, which its own limit and timeout end, and short ones up to 16 KiB: acknowledgements and answers to queries don't wait behind pages. The others stay at their servers; nothing is refused, so pages that are many at once, as after a start, arrive one after the other. Answers of upstreams have no such limit and don't count here.

--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -68,7 +68,9 @@
         self.timers = transport.Timers().register(self)
         self._hub = transport.SocketHub(self.timers).register(self)
         self.http = transport.HttpClient(self._hub, self.timers)
-        self._peer_http = transport.HttpClient(self._hub, self.timers)
+        self._peer_http = transport.HttpClient(
+            self._hub, self.timers, vm.response_bytes
+        )
         self.store = platform.Store(
             self._peer_http,
             vm.store,
@@ -371,13 +373,7 @@
         )
 
     def _store_via(self, member: peering.Member) -> platform.Store:
-        return platform.Store(
-            self._peer_http,
-            member.peers,
-            self.vm.partitions,
-            path_prefix=peering.STORE_PREFIX,
-            limits=self.vm.store_limits,
-        )
+        return self.store.via(member.peers, peering.STORE_PREFIX)
 
     def _catch_up_rate(self) -> float:
         return catch_up.catch_up_rate(
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -7,6 +7,7 @@
 from collections.abc import Mapping
 import dataclasses
 import json
+import math
 import pathlib
 
 from postspring import errors
@@ -16,6 +17,8 @@
 __all__ = ["VmSettings", "load_settings"]
 
 Address = tuple[str, int]
+# Share of the memory for what the store and other VMs send, while it arrives.
+RESPONSE_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -85,6 +88,12 @@
     heartbeat: float = 1.2
     cores: float = 0.0
 
+    @property
+    def response_bytes(self) -> float:
+        """Most bytes that responses of the store and of VMs may hold."""
+        share = RESPONSE_SHARE * self.memory_mb * 1024 * 1024
+        return share or math.inf
+
     @property
     def store_limits(self) -> store_limits.StoreLimits:
         """Limits of what the store sends."""
--- a/postspring/platform/store.py
+++ b/postspring/platform/store.py
@@ -144,6 +144,16 @@
         """Send all further calls to another address."""
         self._address = address
 
+    def via(self, address: tuple[str, int], path_prefix: str) -> "Store":
+        """Return a client whose calls the VM at an address relays."""
+        return Store(
+            self._http,
+            address,
+            self._partitions,
+            path_prefix=path_prefix,
+            limits=self.limits,
+        )
+
     def append(self, place, entries, on_done, on_error) -> None:
         """Append records atomically."""
         path = self._path(names.LOG_APPEND_PATH, place)
--- a/postspring/testing/misbehaving/__init__.py
+++ b/postspring/testing/misbehaving/__init__.py
@@ -1,7 +1,8 @@
-"""Callers that exceed the limits of the protocol, and a VM to serve them."""
+"""Callers and servers that exceed limits, and a VM between them."""
 
 from postspring.testing.misbehaving.crowd import Crowd
 from postspring.testing.misbehaving.crowd import Request
+from postspring.testing.misbehaving.endless_relay import EndlessRelay
 from postspring.testing.misbehaving.single_vm import SingleVm
 
-__all__ = ["Crowd", "Request", "SingleVm"]
+__all__ = ["Crowd", "EndlessRelay", "Request", "SingleVm"]
--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -1,5 +1,6 @@
 """One entry VM as the deploy file's process, with a store and upstreams."""
 
+from collections.abc import Iterable
 import os
 import pathlib
 import tempfile
@@ -54,16 +55,25 @@
         host, _, port = self._vm.peers.rpartition(":")
         self.peers = (host, int(port))
 
-    def open(self) -> None:
-        """Start all processes, and wait until the VM is ready."""
+    @property
+    def store(self) -> tuple[str, int]:
+        """Address of the store."""
+        return self._world.store
+
+    def open(self, **settings) -> None:
+        """Start all processes, and wait until the VM is ready.
+
+        Parameters
+        ----------
+        store, seeds : optional
+            Addresses that the VM's settings name in place of its own ones.
+        """
         world_path = self._world.save()
         self.start("store", [SOAK, "store", world_path], {})
         processes.wait_until("the store", self._configure)
         for service in (fleet.TURNS_SERVICE, fleet.PLAIN_SERVICE):
             self.start(service, [SOAK, "upstreams", world_path, service], {})
-        path = self._world.write_settings(
-            self._vm, True, limits=self._limits, seeds=[]
-        )
+        path = self._write_settings(**settings)
         variables = {names.SETTINGS_VARIABLE: path}
         self.start(self._vm.name, stage.daemon_words(), variables)
         processes.wait_until("the VM", self._is_ready)
@@ -121,6 +131,21 @@
         processes.fetch(f"{host}:{port}", "POST", "/put", record)
         return True
 
+    def _write_settings(
+        self,
+        store: tuple[str, int] | None = None,
+        seeds: Iterable[tuple[str, int]] = (),
+    ) -> str:
+        host, port = store or self.store
+        platform = self._world.settings(self._vm, True)["platform"]
+        return self._world.write_settings(
+            self._vm,
+            True,
+            limits=self._limits,
+            seeds=[f"{host}:{port}" for host, port in seeds],
+            platform=platform | {"address": f"{host}:{port}"},
+        )
+
     def _is_ready(self) -> bool:
         path = names.READINESS_PATH
         return probes.status_of(self.readiness, path) == 200
--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -80,6 +80,7 @@
     def cancel(self) -> None:
         """Abort the exchange; the listener is not called any more."""
         self._listener = None
+        self._client.memory.remove(self)
         self._client.observer.ended(self)
         self._timeout_timer.cancel()
         waited = self._client.timers.now() - self.sent_at
@@ -251,7 +252,7 @@
                 self._limits.add_interim(event.headers.raw_items())
             elif isinstance(event, h11.Data):
                 if not self._skipping_response:
-                    self._limits.add_body(len(event.data))
+                    self._count_body(len(event.data))
                     self._listener.data(bytes(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 if self._skipping_response:
@@ -276,6 +277,11 @@
         if self.request.paced and self._socket is not None:
             self._client.hub.start_paced_reading(self._socket)
 
+    def _count_body(self, count: int) -> None:
+        self._limits.add_body(count)
+        if self.request.max_response_bytes < math.inf:
+            self._client.memory.add(self, count)
+
     def _await_own_response(self) -> None:
         """Parse on after a response that belonged to another request."""
         self._skipping_response = False
@@ -288,6 +294,7 @@
     def _complete(self) -> None:
         listener = self._listener
         self._listener = None
+        self._client.memory.remove(self)
         self._client.observer.ended(self)
         self._timeout_timer.cancel()
         if self.request.paced and self._socket is not None:
--- a/postspring/transport/http_client.py
+++ b/postspring/transport/http_client.py
@@ -1,5 +1,6 @@
 """HTTP/1.1 client: exchanges on new connections and on kept ones."""
 
+import math
 import socket
 
 import h11
@@ -8,6 +9,7 @@
 from postspring.transport import exchange_observer
 from postspring.transport import http_messages
 from postspring.transport import kept_connections
+from postspring.transport import response_memory
 from postspring.transport import sockets
 from postspring.transport import timers
 
@@ -26,12 +28,21 @@
         Opens and carries the connections.
     timers : Timers
         For timeouts of requests and idle connections.
+    memory_bytes : float
+        Most bytes to hold of unfinished responses to requests with a
+        ``max_response_bytes``; above it, reading pauses.
     """
 
-    def __init__(self, hub: sockets.SocketHub, timers: timers.Timers):
+    def __init__(
+        self,
+        hub: sockets.SocketHub,
+        timers: timers.Timers,
+        memory_bytes: float = math.inf,
+    ):
         self.hub = hub
         self.timers = timers
         hub.shortage.reclaimers.append(self.close_oldest_idle)
+        self.memory = response_memory.ResponseMemory(memory_bytes)
         self.connections_opened = 0
         self.observer = exchange_observer.ExchangeObserver()
         # Exchanges with ``silent_after`` that were sent and have not received
