--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -68,12 +68,15 @@
         self.timers = transport.Timers().register(self)
         self._hub = transport.SocketHub(self.timers).register(self)
         self.http = transport.HttpClient(self._hub, self.timers)
-        self._peer_http = transport.HttpClient(self._hub, self.timers)
+        self._peer_http = transport.HttpClient(
+            self._hub, self.timers, vm.response_bytes
+        )
         self.store = platform.Store(
             self._peer_http,
             vm.store,
             vm.partitions,
             self.metrics.count_store_call,
+            limits=vm.store_limits,
         )
         self.log = peering.FailoverLog(
             self.store,
@@ -371,12 +374,7 @@
         )
 
     def _store_via(self, member: peering.Member) -> platform.Store:
-        return platform.Store(
-            self._peer_http,
-            member.peers,
-            self.vm.partitions,
-            path_prefix=peering.STORE_PREFIX,
-        )
+        return self.store.via(member.peers, peering.STORE_PREFIX)
 
     def _catch_up_rate(self) -> float:
         return catch_up.catch_up_rate(
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -7,14 +7,18 @@
 from collections.abc import Mapping
 import dataclasses
 import json
+import math
 import pathlib
 
 from postspring import errors
 from postspring.platform import names
+from postspring.platform import store_limits
 
 __all__ = ["VmSettings", "load_settings"]
 
 Address = tuple[str, int]
+# Share of the memory for what the store and other VMs send, while it arrives.
+RESPONSE_SHARE = 0.1
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -84,6 +88,19 @@
     heartbeat: float = 1.2
     cores: float = 0.0
 
+    @property
+    def response_bytes(self) -> float:
+        """Most bytes that responses of the store and of VMs may hold."""
+        share = RESPONSE_SHARE * self.memory_mb * 1024 * 1024
+        return share or math.inf
+
+    @property
+    def store_limits(self) -> store_limits.StoreLimits:
+        """Limits of what the store sends."""
+        return store_limits.StoreLimits.within(
+            self.record_bytes, self.memory_mb
+        )
+
 
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
     """Read the settings file that an environment variable names.
