Tests of upstreams whose answers have no end

Answers are collected until they end, and the one that began first is read on whatever memory there is.

--- a/postspring/testing/fleet/engine_service.py
+++ b/postspring/testing/fleet/engine_service.py
@@ -8,6 +8,8 @@
 __all__ = [
     "EngineFaults",
     "EngineService",
+    "LONG_BYTES",
+    "make_entry",
     "reset_connection",
     "send_unframed",
 ]
@@ -15,6 +17,8 @@
 # How long a request runs that crashes its upstream.
 CRASH_SECONDS = 0.02
 LIMITS = transport.ServerLimits(body_bytes=64 * 1024 * 1024)
+# Of an answer that exceeds what tests allow.
+LONG_BYTES = 300_000
 
 
 @dataclasses.dataclass(slots=True)
@@ -34,6 +38,10 @@
         Streams that are cut off between two events.
     stop_between : int
         Streams that fall silent between two events.
+    long_event : int
+        Streams that go on with an event of LONG_BYTES, and without its end.
+    long : int
+        Answers of LONG_BYTES.
     stale_answer : int
         Answers that come behind one to another request.
     unframed : int
@@ -66,6 +74,8 @@
     cut: int = 0
     cut_between: int = 0
     stop_between: int = 0
+    long_event: int = 0
+    long: int = 0
     stale_answer: int = 0
     unframed: int = 0
     reset_unframed: int = 0
@@ -120,6 +130,20 @@
     connection._server.hub.reset(connection._sock)
 
 
+def make_entry(service: str, address: str, state: str = "ready") -> dict:
+    """Return what an upstream writes into the store."""
+    return {
+        "service": service,
+        "address": address,
+        "zone": "z1",
+        "slots": 8,
+        "state": state,
+        "version": "v1",
+        "warmup_remaining_ms": 0,
+        "sequence": 1,
+    }
+
+
 class EngineService:
     """Answers streams with ``events`` events, other requests with a body.
 
@@ -175,16 +199,8 @@
 
     def entry(self, service: str, state: str = "ready") -> dict:
         """Return what it writes into the store."""
-        return {
-            "service": service,
-            "address": self.address,
-            "zone": "z1",
-            "slots": 8,
-            "state": state,
-            "version": "v1",
-            "warmup_remaining_ms": 0,
-            "sequence": 1,
-        } | ({} if self.born is None else {"born": self.born})
+        entry = make_entry(service, self.address, state)
+        return entry | ({} if self.born is None else {"born": self.born})
 
     def start_again(self, born: int) -> None:
         """Lose everything and begin anew under the same id."""
@@ -280,6 +296,8 @@
                 + b": another\r\n\r\nstale",
             )
         body = b"answer of " + self.id.encode()
+        if self.faults.take("long"):
+            body = b"x" * LONG_BYTES
         if self.faults.take("unframed"):
             send_unframed(call, fields, body)
             call.abort()
@@ -308,6 +326,8 @@
             call.abort()
         elif self.faults.take("cut_between"):
             call.abort()
+        elif self.faults.take("long_event"):
+            call.send(b"id: %d\ndata: " % number + b"x" * LONG_BYTES)
         elif not self.faults.take("stop_between"):
             return False
         return True
--- a/postspring/testing/misbehaving/__init__.py
+++ b/postspring/testing/misbehaving/__init__.py
@@ -2,6 +2,8 @@
 
 from postspring.testing.misbehaving.crowd import Crowd
 from postspring.testing.misbehaving.crowd import Request
+from postspring.testing.misbehaving.endless_upstream import EndlessUpstream
+from postspring.testing.misbehaving.endless_upstream import Form
 from postspring.testing.misbehaving.single_vm import SingleVm
 
-__all__ = ["Crowd", "Request", "SingleVm"]
+__all__ = ["Crowd", "EndlessUpstream", "Form", "Request", "SingleVm"]
--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -17,6 +17,7 @@
 SOAK = "postspring.testing.soak"
 SHAPE = world_module.Shape(vms=1, engines=2, services=2, users=0)
 SEED = 1
+SPARE_PORT = 8300
 DEADLINE_MS = 6000
 
 
@@ -38,11 +39,18 @@
 
     callers, readiness, peers : tuple of (str, int)
         Where the VM listens.
+    spare_address : tuple of (str, int)
+        A free address in its network.
+    data_center : str
+        Where it runs.
+    document : dict
+        The configuration, which may be changed before it is opened.
     """
 
     def __init__(self, memory_mb: int, max_files: int, body_bytes: int):
         super().__init__(pathlib.Path(tempfile.mkdtemp(prefix="postspring-")))
-        self._body_bytes = body_bytes
+        self.document = fleet.default_configuration()
+        self.document["limits"]["max_body_bytes"] = body_bytes
         self._limits = {"memory_mb": memory_mb, "max_fds": max_files}
         network, self._claim = world_module.claim_network()
         self._world = world_module.build_world(
@@ -53,6 +61,8 @@
         self.readiness = self._vm.readiness
         host, _, port = self._vm.peers.rpartition(":")
         self.peers = (host, int(port))
+        self.spare_address = (f"{network}.202.1", SPARE_PORT)
+        self.data_center = self._vm.data_center
 
     def open(self) -> None:
         """Start all processes, and wait until the VM is ready."""
@@ -109,16 +119,14 @@
     def _process(self):
         return self.process_by_name[self._vm.name]
 
-    def _configure(self) -> bool:
+    def put(self, topic: str, key: str, value: dict) -> None:
+        """Write a record into the store."""
         host, port = self._world.control
-        document = fleet.default_configuration()
-        document["limits"]["max_body_bytes"] = self._body_bytes
-        record = {
-            "topic": names.OPERATOR_TOPIC,
-            "key": names.CONFIGURATION_KEY,
-            "value": document,
-        }
+        record = {"topic": topic, "key": key, "value": value}
         processes.fetch(f"{host}:{port}", "POST", "/put", record)
+
+    def _configure(self) -> bool:
+        self.put(names.OPERATOR_TOPIC, names.CONFIGURATION_KEY, self.document)
         return True
 
     def _is_ready(self) -> bool:
