Bound the answers that a VM collects

An upstream that sent an answer without an end had a VM of 96 MiB take 685 to 976 MB for eight callers in 2 s, chunked, until its connection ended, with a stated length of 1 TB, and as the failure of a turn; other callers got 503 for want of memory (144 of 149 ordinary requests in 4 s). A machine with the stated memory ends the process.

The cause: above the limit for callers the answer that began first is read on, so that one of them always ends, and one that never ends is read without a bound, with the others behind it. Ruled out: the head of an answer (h11 ends it at 16 KiB) and a turn's record, which has a limit of its own.

One answer may take a quarter of the memory for callers, all together half of it, so that requests find room beside them. The incomplete event of a stream above 64 KiB counts as such an answer. If the memory isn't stated, that of 256 MiB is assumed. A length above the limit fails with the head. Then the connection is closed, the upstream has failed, and the call is repeated within its attempts if it may be, else it ends as 502 unknown_outcome: it has run. A stream that has started is resumed or broken off. What a call that broke had collected is dropped at once, not when its retry starts.

Why it works: the first answer now always ends, by its end or by the limit, so all answers take at most three quarters.

--- a/postspring/forwarding/delivery.py
+++ b/postspring/forwarding/delivery.py
@@ -13,7 +13,6 @@
 from postspring.forwarding import attempts as attempts_module
 from postspring.forwarding import crash_guard
 from postspring.forwarding import delivery_context
-from postspring.forwarding import event_splitter
 from postspring.forwarding import outbound_call
 from postspring.forwarding import ports
 from postspring.forwarding import refusals
@@ -67,7 +66,6 @@
         self._status = 0
         self._answer = ports.ResponseFacts()
         self._collected = context.answers.collect()
-        self._splitter = event_splitter.EventSplitter()
         self._use: upstream_use.UpstreamUse | None = None
         self._position = stream_position.StreamPosition(
             context.wire.decode_event
@@ -134,16 +132,10 @@
             return
         self.attempts.begin(upstream.incarnation, upstream.has_entry)
         self.upstream = upstream
-        self._use = upstream_use.UpstreamUse(
-            upstream,
-            self._context.timers.now(),
-            self._outbound_call.facts.request,
-            self._context.metrics,
-        )
+        self._use = self._outbound_call.use(self._context, upstream)
         self._phase = _Phase.SENT
         self._status = 0
         self._collected.clear()
-        self._splitter = event_splitter.EventSplitter()
         self._silence_timer.start(self._on_silence)
         self._exchange = self._context.http.send(self._request(upstream), self)
 
@@ -156,12 +148,9 @@
         is_plain_answer = self._status and not self._is_stream
         if self._phase is not _Phase.SENT or is_plain_answer:
             return
-        if self.attempts.is_last_attempt:
-            return
-        others = self._context.directory.usable(self._service)
-        if all(item.incarnation in self.attempts.tried for item in others):
-            return
-        if not self._context.slow_retry_budget.take():
+        if not outbound_call.may_leave_silent_upstream(
+            self._context, self._service, self.attempts
+        ):
             return
         self._abandon_attempt()
         self.upstream.note_failure(self._context.timers.now())
@@ -191,19 +180,19 @@
         self._status = status
         self._answer = self._context.wire.decode_response(status, headers)
         if answer_checks.is_uncountable_success(status, self._answer):
-            self._abandon_attempt()
-            self.upstream.note_failure(self._context.timers.now())
-            self._handle_break(
-                "uncountable", "uncountable", may_have_crashed=False
-            )
+            self._reject_answer("uncountable")
+        elif not self._is_stream:
+            self._collected.begin(status, self._exchange)
+            self._check_length()
 
     def data(self, chunk: bytes) -> None:
         """Handle a part of the answer's body."""
         self.upstream.note_answer(self._context.timers.now())
         if self._is_stream:
-            self._relay(self._splitter.feed(chunk))
+            self._relay(self._collected.split(chunk, self._exchange))
         else:
             self._collected.add(chunk, self._exchange)
+        self._check_length()
 
     def end(self) -> None:
         """Handle the end of a complete answer."""
@@ -260,7 +249,7 @@
     def _end_stream(self) -> None:
         self.upstream.note_success()
         self._use.pace.report(self._context.timers.now())
-        if not self._splitter.is_between_events:
+        if not self._collected.is_between_events:
             self._handle_break("cut_event", "cut_event")
         elif not self._has_started:
             self._handle_break("empty_stream", "empty_stream")
@@ -268,6 +257,18 @@
             self._crash_guard.note_completed()
             self._finish().stream_ended()
 
+    def _check_length(self) -> None:
+        """Reject an answer, or an event, that can't be collected."""
+        if self._collected.is_too_long:
+            self._use.report_too_long(self._exchange, self._collected)
+            self._reject_answer("answer_too_long")
+
+    def _reject_answer(self, reason: str) -> None:
+        """Read no more of a failed answer."""
+        self._abandon_attempt()
+        self.upstream.note_failure(self._context.timers.now())
+        self._handle_break(reason, reason, may_have_crashed=False)
+
     def _handle_break(
         self, reason: str, detail: str, may_have_crashed: bool = True
     ) -> None:
@@ -278,6 +279,7 @@
         """
         self.attempts.note_run()
         self._phase = _Phase.WAITING
+        self._collected.clear()
         self._crash_guard.note_broken(
             self.upstream,
             may_have_crashed,
--- a/postspring/forwarding/outbound_call.py
+++ b/postspring/forwarding/outbound_call.py
@@ -7,12 +7,18 @@
 from postspring.forwarding import attempts as attempts_module
 from postspring.forwarding import delivery_context
 from postspring.forwarding import ports
+from postspring.forwarding import upstream_use
 from postspring import quarantine
 from postspring import scheduling
 from postspring import transport
 from postspring import upstreams
 
-__all__ = ["OutboundCall", "PlacementRequest", "choose_upstream"]
+__all__ = [
+    "OutboundCall",
+    "PlacementRequest",
+    "choose_upstream",
+    "may_leave_silent_upstream",
+]
 
 # Links take a few ms; an address that takes longer counts as dead.
 CONNECT_TIMEOUT_SECONDS = 0.4
@@ -121,6 +127,20 @@
     context.metrics.subset_departures.add(1, {"reason": departure.value})
 
 
+def may_leave_silent_upstream(
+    context: delivery_context.DeliveryContext,
+    service: str,
+    attempts: attempts_module.Attempts,
+) -> bool:
+    """Take a retry of a call from the budget, if it may be sent elsewhere."""
+    if attempts.is_last_attempt:
+        return False
+    others = context.directory.usable(service)
+    if all(item.incarnation in attempts.tried for item in others):
+        return False
+    return context.slow_retry_budget.take()
+
+
 def _candidates(
     directory: upstreams.Directory, service: str, excluded: Collection[str]
 ) -> list[upstreams.Upstream]:
@@ -186,6 +206,19 @@
         attempts.expected_wait_by_id = placement_request.cost_by_id
         return chosen
 
+    def use(
+        self,
+        context: delivery_context.DeliveryContext,
+        upstream: upstreams.Upstream,
+    ) -> upstream_use.UpstreamUse:
+        """Count the call as in flight at an upstream."""
+        return upstream_use.UpstreamUse(
+            upstream,
+            context.timers.now(),
+            self.facts.request,
+            context.metrics,
+        )
+
     def _standing(
         self,
         context: delivery_context.DeliveryContext,
--- a/postspring/forwarding/response_ends.py
+++ b/postspring/forwarding/response_ends.py
@@ -2,9 +2,10 @@
 
 import logging
 
+from postspring.forwarding import collected_answer
 from postspring import transport
 
-__all__ = ["report_response_end"]
+__all__ = ["report_response_end", "report_too_long"]
 
 LOG = logging.getLogger(__name__)
 
@@ -37,3 +38,31 @@
             "unsent": response_end.unsent,
         },
     )
+
+
+def report_too_long(
+    exchange: transport.Exchange,
+    request: str,
+    upstream: str,
+    answer: collected_answer.CollectedAnswer,
+    metrics,
+) -> None:
+    """Log and count an answer that is too long to be collected.
+
+    Parameters
+    ----------
+    request, upstream : str
+        Ids of the request and of the upstream.
+    """
+    metrics.response_ends.add(1, {"end": "too_long", "complete": "no"})
+    fields = exchange.header_fields
+    LOG.info(
+        "answer is too long",
+        extra={
+            "request": request,
+            "upstream": upstream,
+            "bytes": answer.size,
+            "limit": answer.max_bytes,
+            "has_length": bool(transport.content_length(fields)),
+        },
+    )
--- a/postspring/forwarding/upstream_use.py
+++ b/postspring/forwarding/upstream_use.py
@@ -1,6 +1,7 @@
 """One attempt's use of an upstream: its place there, its pace, its failure."""
 
 from postspring import errors
+from postspring.forwarding import collected_answer
 from postspring.forwarding import response_ends
 from postspring.forwarding import stream_pace
 from postspring import transport
@@ -68,6 +69,16 @@
             exchange, self._request, self._upstream.id, self._metrics
         )
 
+    def report_too_long(
+        self,
+        exchange: transport.Exchange,
+        answer: collected_answer.CollectedAnswer,
+    ) -> None:
+        """Report an answer that is too long to be collected."""
+        response_ends.report_too_long(
+            exchange, self._request, self._upstream.id, answer, self._metrics
+        )
+
     def note_status(self, status: int, now: float) -> None:
         """Count a complete answer as a success or as a failure."""
         if status >= SERVER_ERROR and status != GATEWAY_TIMEOUT:
--- a/postspring/front/gauges.py
+++ b/postspring/front/gauges.py
@@ -2,6 +2,7 @@
 
 import time
 
+from postspring import forwarding
 from postspring import histories
 from postspring import keyedlog
 from postspring import metrics as metrics_module
@@ -20,6 +21,7 @@
     journal: histories.Journal,
     timers: transport.Timers,
     quarantine_policy: quarantine.Quarantine,
+    answers: forwarding.AnswerMemory,
 ) -> None:
     """Register the gauges of a front VM.
 
@@ -31,6 +33,8 @@
         Sends calls to upstreams.
     callers : HttpServer
         Receives callers' requests.
+    answers : AnswerMemory
+        Collects answers of upstreams.
     """
     metrics.add_gauge(
         "configuration_age_seconds",
@@ -72,6 +76,11 @@
         "Request bytes buffered for upstreams that have not read them",
         lambda: http.hub.all_unsent_bytes,
     )
+    metrics.add_gauge(
+        "collected_answer_bytes",
+        "Bytes of upstreams' answers that are not complete",
+        lambda: answers.held,
+    )
     metrics.add_gauge(
         "unread_responses_discarded",
         "Connections closed for what their callers had not read",
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -315,6 +315,7 @@
             self.quarantine,
             self.callers.caller_memory,
         )
+        self.answers = context.answers
         self.forwarder = forwarding.Forwarder(
             context,
             self.journal,
@@ -338,6 +339,7 @@
             self.journal,
             self.timers,
             self.quarantine,
+            self.answers,
         )
 
     # -- events ---------------------------------------------------------------
--- /dev/null
+++ b/postspring/front/tests/test_long_answers.py
@@ -0,0 +1,99 @@
+"""Answers and events that a VM has no memory to collect.
+
+A VM read them until its memory was used up, for as long as they went on.
+"""
+
+from postspring.testing.fleet import case
+from postspring.testing.fleet import engine_service
+
+# Of the memory for callers, one answer may take a quarter.
+CALLER_BYTES = 800_000
+MAX_BYTES = 200_000
+
+
+class LongAnswerCase(case.FleetCase):
+    """A VM with memory for answers shorter than the long ones."""
+
+    def setUp(self):
+        super().setUp()
+        self.assertGreater(engine_service.LONG_BYTES, MAX_BYTES)
+        (self.node,) = self.fleet.nodes
+        self.node.callers.limits.caller_bytes = CALLER_BYTES
+
+    @property
+    def held(self):
+        """Bytes of answers that the VM is collecting."""
+        return self.node.answers.held
+
+    def failures(self, upstream):
+        """Return how many calls failed at an upstream in a row."""
+        return self.node.directory.by_id[upstream.id].failures
+
+
+class LongAnswerTest(LongAnswerCase):
+    """A plain service whose answer is too long."""
+
+    def setUp(self):
+        super().setUp()
+        (self.tool,) = self.fleet.tools
+
+    # Guards against an answer that is passed on or refused as not run.
+    def test_call_that_runs_once_fails_as_possibly_run(self):
+        for unframed in (0, 1):
+            with self.subTest(unframed=unframed):
+                self.tool.runs.clear()
+                self.tool.faults.long = 1
+                self.tool.faults.unframed = unframed
+                answer = self.fleet.call(
+                    "POST", "/once/x", f"r{unframed}", b"x"
+                )
+                self.assertEqual(502, answer.status)
+                self.assertEqual(1, len(self.tool.runs))
+                self.assertEqual(0, self.held)
+
+    # Guards against a failure that ends calls that may be repeated.
+    def test_repeatable_call_is_retried(self):
+        self.tool.faults.long = 1
+        answer = self.fleet.call("GET", "/safe/x", "r1")
+        self.assertEqual(200, answer.status)
+        self.assertEqual(2, len(self.tool.runs))
+
+    # Guards against attempts without a bound, and calls for such an upstream.
+    def test_attempts_end_and_count_as_failures(self):
+        self.tool.faults.long = 2
+        answer = self.fleet.call("GET", "/safe/x", "r1")
+        self.assertEqual(502, answer.status)
+        self.assertEqual(2, self.failures(self.tool))
+
+    # Guards against a limit for answers that fit.
+    def test_answer_within_the_limit_is_passed_on(self):
+        self.node.callers.limits.caller_bytes = 8 * CALLER_BYTES
+        self.tool.faults.long = 1
+        answer = self.fleet.call("GET", "/safe/x", "r1")
+        self.assertEqual(200, answer.status)
+        self.assertEqual(engine_service.LONG_BYTES, len(answer.body))
+        self.assertEqual(0, self.held)
+
+
+class LongEventTest(LongAnswerCase):
+    """An engine whose stream goes on with an event that is too long."""
+
+    def setUp(self):
+        super().setUp()
+        (self.engine,) = self.fleet.engines
+        self.engine.faults.long_event = 1
+
+    # Guards against a stream that is read until its caller's deadline.
+    def test_turn_is_broken_off_and_not_recorded(self):
+        answer = self.fleet.take_turn("a")
+        self.assertFalse(answer.complete)
+        self.assertEqual(1, self.failures(self.engine))
+        self.assertEqual(0, self.held)
+        next_turn = self.fleet.take_turn("b", previous_turn="a")
+        self.assertEqual(404, next_turn.status)
+
+    # Guards against a resumable stream that ends there.
+    def test_resumable_stream_goes_on(self):
+        answer = self.fleet.take_turn("a", route="resumed-stream")
+        self.assertTrue(answer.complete)
+        self.assertEqual(2, len(self.engine.runs))
--- a/postspring/front/tests/test_metrics_page.py
+++ b/postspring/front/tests/test_metrics_page.py
@@ -14,6 +14,7 @@
     "blocked_requests",
     "call_seconds",
     "calls",
+    "collected_answer_bytes",
     "configuration_age_seconds",
     "connections_without_room",
     "held_turns",
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -7,6 +7,7 @@
 from postspring.transport.exchange import Exchange
 from postspring.transport.exchange_observer import ExchangeObserver
 from postspring.transport.http_client import HttpClient
+from postspring.transport.http_messages import content_length
 from postspring.transport.http_messages import HttpListener
 from postspring.transport.http_messages import HttpRequest
 from postspring.transport.http_messages import parse_integer
@@ -40,6 +41,7 @@
     "SocketHub",
     "TimerHandle",
     "Timers",
+    "content_length",
     "parse_integer",
     "probe_address",
 ]
--- a/postspring/transport/caller_memory.py
+++ b/postspring/transport/caller_memory.py
@@ -79,6 +79,11 @@
         """Return a holding of nothing."""
         return Holding(self)
 
+    @property
+    def limit(self) -> int:
+        """Most bytes to hold; ``sys.maxsize`` without a limit."""
+        return self._limit()
+
     @property
     def room_for_responses(self) -> int:
         """Most bytes that unsent responses may take now.
