--- a/postspring/front/gauges.py
+++ b/postspring/front/gauges.py
@@ -2,6 +2,7 @@
 
 import time
 
+from postspring import forwarding
 from postspring.front import memory_watch
 from postspring import histories
 from postspring import keyedlog
@@ -23,6 +24,7 @@
     journal: histories.Journal,
     timers: transport.Timers,
     quarantine_policy: quarantine.Quarantine,
+    answers: forwarding.AnswerMemory,
     peers: transport.HttpServer,
     memory_mb: int,
 ) -> memory_watch.MemoryWatch:
@@ -36,6 +38,8 @@
         Sends calls to upstreams.
     callers : HttpServer
         Receives callers' requests.
+    answers : AnswerMemory
+        Collects answers of upstreams.
     peers : HttpServer
         Receives requests of other VMs.
     memory_mb : int
@@ -86,6 +90,11 @@
         "Request bytes buffered for upstreams that have not read them",
         lambda: http.hub.all_unsent_bytes,
     )
+    metrics.add_gauge(
+        "collected_answer_bytes",
+        "Bytes of upstreams' answers that are not complete",
+        lambda: answers.held,
+    )
     metrics.add_gauge(
         "unread_responses_discarded",
         "Connections closed for what their callers had not read",
@@ -130,6 +139,7 @@
         memory_mb * MEBIBYTE,
         {
             "callers": lambda: callers.caller_memory.held,
+            "collected_answers": lambda: answers.held,
             "unsent_responses": lambda: callers.unsent_bytes,
             "unsent_requests": lambda: http.hub.all_unsent_bytes,
             "peers": lambda: peers.caller_memory.held,
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -320,6 +320,7 @@
             self.callers.caller_memory,
             lambda: self.shutdown.sends_work,
         )
+        self.answers = context.answers
         self.forwarder = forwarding.Forwarder(
             context,
             self.journal,
@@ -343,6 +344,7 @@
             self.journal,
             self.timers,
             self.quarantine,
+            self.answers,
             self.peers,
             self.vm.memory_mb,
         )
--- a/postspring/front/tests/test_metrics_page.py
+++ b/postspring/front/tests/test_metrics_page.py
@@ -15,6 +15,7 @@
     "call_seconds",
     "caller_memory_bytes",
     "calls",
+    "collected_answer_bytes",
     "configuration_age_seconds",
     "connections_without_room",
     "follower_failures",
