Test of message counts: VMs have addresses

Its VMs had names as hosts, which a list of VMs can't have since: three of its seven tests failed with KeyError, as no VM took another for one. The counts that they check are the same.

--- a/postspring/peering/tests/test_message_counts.py
+++ b/postspring/peering/tests/test_message_counts.py
@@ -116,8 +116,8 @@
             name,
             f"{name}/{number:016x}",
             f"d{number % DATA_CENTERS}",
-            (name, 1),
-            (name, 2),
+            (f"10.0.{number // 250}.{number % 250}", 1),
+            (f"10.0.{number // 250}.{number % 250}", 2),
         )
         members = peering.Members(
             CountedLog(data, timers, counts), timers, own
