Stop: the line of a call says whether the stop ended it, and may_repeat

What operators saw: the lines of calls that were open at the end of the grace were told from those of calls with the same reason only by their time, and said nothing on whether the request may be repeated. "unknown_outcome" has other causes too; a report of requests cut at a stop could not be checked against a VM's log.

Now each call that gets its final answer from the stop has at_stop and its route's may_repeat in the one line that it has anyway, with request, route, upstream and ms; the reason says whether it was sent (shutting_down with 503: not run). No further lines.

Before: five tests of test_grace_end ERROR, "'LogRecord' object has no attribute 'at_stop'". After: 10 passed.

--- a/postspring/forwarding/forwarder.py
+++ b/postspring/forwarding/forwarder.py
@@ -143,18 +143,19 @@
             return
         # Before the verdict the caller may leave or this VM may have to stop;
         # _on_verdict() checks that.
-        routed.call.on_shutdown_deadline = lambda: self._refuse(
-            routed.call,
-            routed.facts,
-            routed.outcome,
-            refusals.Refusal.SHUTTING_DOWN,
-        )
+        routed.call.on_shutdown_deadline = lambda: self._end_at_stop(routed)
         self._limiter.request_permit(
             found,
             routed.use,
             lambda verdict: self._on_verdict(routed, verdict),
         )
 
+    def _end_at_stop(self, routed: "_RoutedCall") -> None:
+        """Refuse a call that has no permit yet, as this VM stops."""
+        routed.outcome.note_stop()
+        refusal = refusals.Refusal.SHUTTING_DOWN
+        self._refuse(routed.call, routed.facts, routed.outcome, refusal)
+
     def _is_spent(self, routed: "_RoutedCall") -> bool:
         """Whether the budget of a turn's program is spent.
 
--- a/postspring/forwarding/outcome.py
+++ b/postspring/forwarding/outcome.py
@@ -50,6 +50,11 @@
         """Add fields to the log line."""
         self._fields.update(fields)
 
+    def note_stop(self) -> None:
+        """Add that the stop of this VM ends the call."""
+        may_repeat = self._route is not None and self._route.may_repeat
+        self.add(at_stop=True, may_repeat=may_repeat)
+
     def call_if_not_run(self, function: Callable[[], None]) -> None:
         """Set a function to call if the call is refused without running."""
         self._on_not_run = function
--- a/postspring/forwarding/relay.py
+++ b/postspring/forwarding/relay.py
@@ -25,7 +25,7 @@
         self._facts = facts
         self._outcome = outcome
         self._status = 0
-        call.on_shutdown_deadline = self.conclude
+        call.on_shutdown_deadline = self._on_shutdown_deadline
         self.delivery: delivery_module.Delivery | None = None
 
     def answered(self, status: int, fields: list, body: bytes) -> None:
@@ -77,6 +77,10 @@
         if self.delivery is not None:
             self.delivery.conclude()
 
+    def _on_shutdown_deadline(self) -> None:
+        self._outcome.note_stop()
+        self.conclude()
+
     def report(self, outcome: str, **fields) -> None:
         """Log and count the call's outcome."""
         self._add_delivery()
--- a/postspring/front/tests/test_grace_end.py
+++ b/postspring/front/tests/test_grace_end.py
@@ -41,6 +41,15 @@
         self.lines = lines.records
         return self.caller.answer
 
+    def assert_logged(self, route, reason, may_repeat):
+        """Check that the call's line says what the stop has ended."""
+        line = self.lines[-1]
+        self.assertEqual(
+            ("r", route, reason), (line.request, line.route, line.reason)
+        )
+        self.assertTrue(line.at_stop)
+        self.assertIs(may_repeat, line.may_repeat)
+
 
 class GraceEndTest(GraceEndCase):
     """Open requests get their final answers."""
@@ -52,6 +61,7 @@
         self.fleet.run_loop_until(lambda: tool.runs)
         answer = self.end_grace_period()
         self.assertEqual((502, True), (answer.status, answer.complete))
+        self.assert_logged("once", "unknown_outcome", may_repeat=False)
         self.fleet.run_loop_until(lambda: tool.gone)
         self.fleet.run_loop_until(lambda: self.fleet.stopped)
 
@@ -62,6 +72,7 @@
         answer = self.end_grace_period()
         self.assertEqual((503, True), (answer.status, answer.complete))
         self.assertIn("retry-after", answer.headers)
+        self.assert_logged("stream", "shutting_down", may_repeat=False)
         self.fleet.store.silent = False
         self.fleet.run_loop_until(lambda: self.fleet.stopped)
         self.fleet.turn_for(0.3)
@@ -74,8 +85,17 @@
         self.fleet.run_loop_until(lambda: self.caller.answer.body)
         answer = self.end_grace_period()
         self.assertFalse(answer.complete)
+        self.assert_logged("plain-stream", "shutting_down", may_repeat=False)
         self.fleet.run_loop_until(lambda: engine.gone)
 
+    def test_call_that_may_be_repeated_is_logged_as_such(self):
+        tool = self.fleet.tools[0]
+        tool.faults.hang = True
+        self.send("/safe/x")
+        self.fleet.run_loop_until(lambda: tool.runs)
+        self.end_grace_period()
+        self.assert_logged("safe", "unknown_outcome", may_repeat=True)
+
     def test_turn_that_waits_for_its_record_is_not_complete(self):
         self.fleet.engines[0].event_seconds = 0.1
         self.send("/stream/x")
@@ -168,7 +188,7 @@
         self.wait_for_permit()
         answer = self.end_grace_period()
         self.assertEqual((503, True), (answer.status, answer.complete))
-        self.assertEqual("shutting_down", self.lines[-1].reason)
+        self.assert_logged("once", "shutting_down", may_repeat=False)
         self.limiter.grant_all()
         self.fleet.turn_for(0.3)
         self.assertEqual([], self.fleet.tools[0].runs)
