A front VM handles signals before it imports anything

Seen: SIGHUP within the first 44 ms after exec ended a VM's process by the signal (4 of 4 at each 2 ms step up to 42 ms), so that a VM whose settings changed while it started did not come up; with half a core beside other starts the window is many times as long. SIGTERM there was counted as a crash. With PYTHONSAFEPATH set the process ended with 1 before its first line.

Cause: `python3 -m` imports site with its .pth files, runpy, two packages and front_daemon's first imports before the handlers are installed, and finds the package by the working folder alone.

Ruled out: handlers that are replaced later lose no signal (each is recorded and replayed); a mask that survives exec is not ours to set.

Now the deploy file runs start.py by its path with -S. It installs the handlers with built-in modules only, then runs site and sets the path, then imports the daemon, which takes the recorded signals over. `-m` goes on working.

--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -1,5 +1,6 @@
 """Daemon of a front VM, as the users' platform starts it."""
 
+from collections.abc import Iterable
 from collections.abc import Mapping
 import logging
 import os
@@ -10,7 +11,8 @@
 from postspring.daemon import reduced_imports
 
 # The imports below take much of the start; until handlers are installed, a
-# signal would end the process by its default action.
+# signal would end the process by its default action.  ``start`` installs its
+# own even before this module is imported.
 EARLY_SIGNALS = early_signals.EarlySignals()
 if __name__ == "__main__":
     EARLY_SIGNALS.install()
@@ -95,8 +97,17 @@
     EARLY_SIGNALS.replay(signal.SIGHUP, on_hangup)
 
 
-def main() -> None:
-    """Run with ``--name=value`` flags; print errors and exit with 1."""
+def main(recorded: Iterable[int] = ()) -> None:
+    """Run with ``--name=value`` flags; print errors and exit with 1.
+
+    Parameters
+    ----------
+    recorded : iterable of int
+        Signals that arrived before; their handlers are replaced.
+    """
+    EARLY_SIGNALS.install()
+    for number in recorded:
+        EARLY_SIGNALS.record(number)
     flags = {}
     for argument in sys.argv[1:]:
         name, _, value = argument.removeprefix("--").partition("=")
--- a/postspring/daemon/tests/test_front_signals.py
+++ b/postspring/daemon/tests/test_front_signals.py
@@ -20,11 +20,12 @@
 from postspring.platform import names
 from postspring.platform.tests import test_settings
 from postspring.testing import processes
+from postspring.testing.soak import stage
 
 NAME = "front"
 
 
-class FrontSignalsTest(unittest.TestCase):
+class DaemonTest(unittest.TestCase):
     """The daemon runs as a process of its own."""
 
     def setUp(self):
@@ -48,6 +49,11 @@
         module = "postspring.daemon.front_daemon"
         self.group.start(NAME, [module], variables)
 
+    def start_deployed(self, **variables):
+        """Start the daemon as the deploy file does."""
+        variables[names.SETTINGS_VARIABLE] = str(self.path)
+        self.group.start_python(NAME, stage.daemon_words(), variables)
+
     def start_blocked(self, *numbers):
         """Start the daemon, send signals, then let it read its settings."""
         os.mkfifo(self.path)
@@ -81,6 +87,10 @@
         with contextlib.closing(socket.create_connection(address)):
             return True
 
+
+class FrontSignalsTest(DaemonTest):
+    """Signals before the settings are read, and while it stops."""
+
     def test_a_reload_during_the_start_runs_after_it(self):
         self.start_blocked(signal.SIGHUP)
         processes.wait_until(
--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -65,7 +65,7 @@
             self._vm, True, limits=self._limits, seeds=[]
         )
         variables = {names.SETTINGS_VARIABLE: path}
-        self.start(self._vm.name, stage.daemon_words(), variables)
+        self.start_python(self._vm.name, stage.daemon_words(), variables)
         processes.wait_until("the VM", self._is_ready)
 
     def close(self) -> None:
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -108,9 +108,15 @@
         self, name: str, arguments: list[str], variables: dict[str, str]
     ) -> None:
         """Start ``python -m <arguments>`` under a name."""
+        self.start_python(name, ["-m", *arguments], variables)
+
+    def start_python(
+        self, name: str, arguments: list[str], variables: dict[str, str]
+    ) -> None:
+        """Start ``python <arguments>`` under a name."""
         with open(self.directory / f"{name}.log", "ab") as log:
             self.process_by_name[name] = subprocess.Popen(
-                [sys.executable, "-m", *arguments],
+                [sys.executable, *arguments],
                 stdout=log,
                 stderr=log,
                 env=os.environ | variables,
--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -132,7 +132,7 @@
             names.SETTINGS_VARIABLE: path,
             **policies.draw_policies(self.world.seed),
         }
-        self.start(daemon.vm.name, self._words, variables)
+        self.start_python(daemon.vm.name, self._words, variables)
         daemon.starts += 1
         daemon.start_at = daemon.stopped_at = 0.0
         daemon.stall_until = 0.0
@@ -295,9 +295,9 @@
 
 
 def daemon_words() -> list[str]:
-    """Return what follows ``python3 -m`` in the deploy file."""
+    """Return what follows ``python3`` in the deploy file."""
     deploy = tomllib.loads(pathlib.Path(DEPLOY_FILE).read_text())
     words = shlex.split(deploy["roles"]["entry"]["run"])
-    if words[:2] != ["python3", "-m"]:
-        raise ValueError(f"{DEPLOY_FILE}: not python3 -m: {words}")
-    return words[2:]
+    if words[0] != "python3":
+        raise ValueError(f"{DEPLOY_FILE}: not python3: {words}")
+    return words[1:]
