Settings out of range are a SettingsError, not another exception

Seen: an infinite figure, a port above 65535 or a document that is nested very deeply in the settings file ended a start with a traceback, and a reload with an exception in a timer: only ValueError, TypeError and AttributeError were taken for invalid settings, and a port was first checked by the kernel.

Now ArithmeticError and RecursionError are, too, and addresses have ports. The path of the file has a function of its own, for lines that name it.

The new tests failed before with "OverflowError: cannot convert float infinity to integer" (3 fields), "RecursionError: maximum recursion depth exceeded" and "SettingsError not raised" (port 70000).

--- a/postspring/platform/__init__.py
+++ b/postspring/platform/__init__.py
@@ -10,6 +10,7 @@
 from postspring.platform.documents import decode_snapshot
 from postspring.platform.headers import PlatformWireFormat
 from postspring.platform.settings import load_settings
+from postspring.platform.settings import settings_path
 from postspring.platform.settings import VmSettings
 from postspring.platform.store import Store
 
@@ -21,4 +22,5 @@
     "decode_announcement",
     "decode_snapshot",
     "load_settings",
+    "settings_path",
 ]
--- a/postspring/platform/settings.py
+++ b/postspring/platform/settings.py
@@ -12,10 +12,12 @@
 from postspring import errors
 from postspring.platform import names
 
-__all__ = ["VmSettings", "load_settings"]
+__all__ = ["VmSettings", "load_settings", "settings_path"]
 
 Address = tuple[str, int]
 
+MAX_PORT = 65535
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class VmSettings:
@@ -85,6 +87,20 @@
     cores: float = 0.0
 
 
+def settings_path(environment: Mapping[str, str]) -> str:
+    """Return the path of the settings file.
+
+    Raises
+    ------
+    SettingsError
+        If the environment variable that names it is missing.
+    """
+    path = environment.get(names.SETTINGS_VARIABLE)
+    if not path:
+        raise errors.SettingsError(f"{names.SETTINGS_VARIABLE} is not set")
+    return path
+
+
 def load_settings(environment: Mapping[str, str]) -> VmSettings:
     """Read the settings file that an environment variable names.
 
@@ -94,19 +110,17 @@
         If the variable or the file is missing, or if fields are missing or
         invalid; the text names the file and the field.
     """
-    path = environment.get(names.SETTINGS_VARIABLE)
-    if not path:
-        raise errors.SettingsError(f"{names.SETTINGS_VARIABLE} is not set")
+    path = settings_path(environment)
     try:
         raw = json.loads(pathlib.Path(path).read_bytes())
-    except (OSError, ValueError) as error:
+    except (OSError, RecursionError, ValueError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
     try:
         return decode_settings(raw)
     except KeyError as error:
         text = f"{path}: the field {error} is missing"
         raise errors.SettingsError(text) from error
-    except (TypeError, ValueError, AttributeError) as error:
+    except (ArithmeticError, AttributeError, TypeError, ValueError) as error:
         raise errors.SettingsError(f"{path}: {error}") from error
 
 
@@ -162,4 +176,6 @@
     host, separator, port = text.rpartition(":")
     if not separator or not port.isdigit():
         raise ValueError(f"{text!r} is not IP:PORT")
+    if int(port) > MAX_PORT:
+        raise ValueError(f"{port} is not a port number")
     return host, int(port)
--- a/postspring/platform/tests/test_settings.py
+++ b/postspring/platform/tests/test_settings.py
@@ -67,6 +67,25 @@
         with self.assertRaisesRegex(errors.SettingsError, "nowhere"):
             self.load(json.dumps(raw))
 
+    def test_values_out_of_range(self):
+        """Guards against an exception of another type, as a reload meets."""
+        for place, name, value in (
+            ("limits", "memory_mb", float("inf")),
+            ("limits", "max_fds", float("-inf")),
+            ("platform", "parts", float("inf")),
+            ("listen", "front", "10.1.0.38:70000"),
+            ("listen", "control", "10.1.0.38:" + "9" * 5000),
+        ):
+            raw = copy.deepcopy(RAW)
+            raw[place][name] = value
+            with self.subTest(name), self.assertRaises(errors.SettingsError):
+                self.load(json.dumps(raw))
+
+    def test_deep_nesting(self):
+        """Guards against an error that no caller of the decoder expects."""
+        with self.assertRaises(errors.SettingsError):
+            self.load("[" * 100_000)
+
     def test_invalid_json(self):
         with self.assertRaises(errors.SettingsError):
             self.load("{")
