A front VM waits for settings that are missing or half written

Seen: a process that started while its settings file was being written, or before it was there, ended with 1; on SIGHUP the same file is read again for a while. A supervisor that starts it again may meet the same.

Cause: the start read the file once.

Now it is read each 0.2 s for 30 s, with a line that has the path, the error and how long the wait goes on; then the process ends with 1 as before. SIGTERM and SIGINT end the wait with 0, SIGHUP starts it anew. The log is set up before that, without the VM's name. A variable that is not set is not waited for.

The new tests of the process failed before: "gave up waiting for waiting to start" (it had ended with 1). The others test the new class.

--- a/postspring/daemon/early_signals.py
+++ b/postspring/daemon/early_signals.py
@@ -41,8 +41,13 @@
         """Return whether one of these signals is recorded."""
         return not self._recorded.isdisjoint(numbers)
 
+    def take(self, number: int) -> bool:
+        """Return whether the signal was recorded, and clear it."""
+        was_recorded = number in self._recorded
+        self._recorded.discard(number)
+        return was_recorded
+
     def replay(self, number: int, function: Callable[[], None]) -> None:
         """Call ``function`` if the signal was recorded, and clear it."""
-        if number in self._recorded:
-            self._recorded.discard(number)
+        if self.take(number):
             function()
--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Iterable
 from collections.abc import Mapping
+import functools
 import logging
 import os
 import signal
@@ -20,6 +21,7 @@
 with reduced_imports.without_collector(), reduced_imports.placeholders():
     from postspring.daemon import allocator
     from postspring.daemon import process
+    from postspring.daemon import startup
     from postspring import errors
     from postspring.front import node as node_module
     from postspring.front import settings
@@ -39,14 +41,18 @@
 def run_front(flags: dict[str, str]) -> None:
     """Run a front VM until a signal stops it."""
     front_settings = settings.load_front_settings(flags, os.environ)
-    vm = platform.load_settings(os.environ)
-    logs.set_up_front_logs(
+    set_up_logs = functools.partial(
+        logs.set_up_front_logs,
         front_settings.log_level,
         front_settings.log_lines_per_second,
-        vm=vm.vm,
-        data_center=vm.data_center,
     )
-    if EARLY_SIGNALS.has(signal.SIGTERM, signal.SIGINT):
+    set_up_logs()
+    vm = startup.Startup(
+        os.environ,
+        EARLY_SIGNALS,
+        lambda vm: set_up_logs(vm=vm.vm, data_center=vm.data_center),
+    ).prepare()
+    if vm is None:
         LOG.info("stopped by a signal during the start")
         return
     allocator.fix_mapping_threshold()
