A front VM waits for listening addresses that are taken or not there

Seen: a process whose address was in use (callers', other VMs', a second process beside a first) or not yet assigned to the machine ended with 1 and a traceback. After a kill an address may be taken for a moment, and an outgoing connection may have its port; a supervisor's next start met the same.

Cause: the node opened its listeners while it was created, once.

Now they are opened before the node exists, all or none, each 0.2 s for 30 s, in the wait for the settings: a line has the address's name, the address and the error; SIGTERM ends the wait with 0; SIGHUP has the settings read again, which may have other addresses. All are bound before one listens, so that nobody connects to a process that will not serve, and no other VM is told of it. After the wait the process ends with 1, as before.

Ruled out: SO_REUSEADDR was set already.

--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -23,6 +23,7 @@
     from postspring.daemon import process
     from postspring.daemon import startup
     from postspring import errors
+    from postspring.front import addresses
     from postspring.front import node as node_module
     from postspring.front import settings
     from postspring import logs
@@ -47,18 +48,20 @@
         front_settings.log_lines_per_second,
     )
     set_up_logs()
-    vm = startup.Startup(
+    prepared = startup.Startup(
         os.environ,
         EARLY_SIGNALS,
         lambda vm: set_up_logs(vm=vm.vm, data_center=vm.data_center),
+        lambda vm: addresses.listen_addresses(vm, front_settings),
     ).prepare()
-    if vm is None:
+    if prepared is None:
         LOG.info("stopped by a signal during the start")
         return
+    vm = prepared.vm
     allocator.fix_mapping_threshold()
     process.raise_file_limit(vm.max_files)
     node = node_module.FrontNode(
-        vm, front_settings, on_stopped=process.end_process
+        vm, front_settings, process.end_process, prepared.listeners
     )
     process.Process(node, node.shutdown.begin, EARLY_SIGNALS)
     reload_on_hangup(node, os.environ)
--- a/postspring/errors.py
+++ b/postspring/errors.py
@@ -9,6 +9,7 @@
     "CommandError",
     "ConfigurationError",
     "IdentifierError",
+    "ListenError",
     "PeerError",
     "PlatformError",
     "PostspringError",
@@ -38,6 +39,10 @@
     """The settings of a process are invalid; the message says why."""
 
 
+class ListenError(PostspringError):
+    """An address can't be listened on; the message names it and why."""
+
+
 class ConfigurationError(PostspringError):
     """A configuration is invalid; the message says why."""
 
--- a/postspring/front/metrics_page.py
+++ b/postspring/front/metrics_page.py
@@ -1,5 +1,7 @@
 """The metrics page of a front VM."""
 
+import socket
+
 from circuits import BaseComponent
 
 from postspring import metrics as metrics_module
@@ -12,7 +14,7 @@
     parent: BaseComponent,
     timers: transport.Timers,
     metrics: metrics_module.Metrics,
-    bind: tuple[str, int],
+    bind: tuple[str, int] | socket.socket,
 ) -> None:
     """Serve the metrics at an address, under any path."""
 
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -8,6 +8,7 @@
 from circuits.core import pollers
 
 from postspring import forwarding
+from postspring.front import addresses
 from postspring.front import catch_up
 from postspring.front import completeness
 from postspring.front import configuration
@@ -51,6 +52,8 @@
         Settings that operators chose.
     on_stopped : callable
         Called when a graceful shutdown is complete.
+    listeners : dict of str to socket, optional
+        Open listeners by :func:`~.addresses.listen_addresses`' names.
     """
 
     channel = "front"
@@ -60,8 +63,10 @@
         vm: platform.VmSettings,
         settings: settings_module.FrontSettings,
         on_stopped: Callable[[], None],
+        listeners: transport.Listeners | None = None,
     ):
         super().__init__()
+        self._binds = listeners or addresses.listen_addresses(vm, settings)
         pollers.EPoll().register(self)
         self.vm = vm
         self.metrics = metrics_module.Metrics(bool(settings.metrics_port))
@@ -127,10 +132,8 @@
 
     def start(self) -> None:
         """Start to follow the log and to exchange state with other VMs."""
-        extra = {
-            "first_start": self.vm.first_start,
-            "incarnation": self.incarnation,
-        }
+        first_start = {"first_start": self.vm.first_start}
+        extra = first_start | {"incarnation": self.incarnation}
         LOG.info("started", extra=extra)
         self.cut_detection.start()
         self.members.start()
@@ -193,13 +196,13 @@
             reporter.report_unreadable,
             reporter.report_cut,
         )
-        self.callers.listen(self, self.vm.callers, "callers")
+        self.callers.listen(self, self._binds["callers"], "callers")
         self.readiness = transport.HttpServer(
             self.timers,
             lambda call: call.respond(200 if self.is_ready else 503, []),
             transport.ServerLimits.for_probes(),
         )
-        self.readiness.listen(self, self.vm.readiness, "readiness")
+        self.readiness.listen(self, self._binds["readiness"], "readiness")
         self.peers = transport.HttpServer(
             self.timers,
             lambda call: self._peer_service.handle(call),
@@ -207,7 +210,7 @@
                 self.vm.max_files, self.vm.memory_mb
             ),
         )
-        self.peers.listen(self, self.vm.peers, "peers")
+        self.peers.listen(self, self._binds["peers"], "peers")
 
     def _create_peering(self, cut_detection: str) -> None:
         """Create the parts that find other VMs and exchange state."""
@@ -326,8 +329,7 @@
             self.admission,
             self.permits,
         )
-        if settings.metrics_port:
-            bind = (self.vm.callers[0], settings.metrics_port)
+        if bind := self._binds.get("metrics"):
             metrics_page.serve_metrics(self, self.timers, self.metrics, bind)
         gauges.observe_vm(
             self.metrics,
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -16,6 +16,8 @@
 from postspring.transport.incoming import IncomingCall
 from postspring.transport.incoming import InterruptedResponse
 from postspring.transport.incoming import ServerLimits
+from postspring.transport.listeners import Listeners
+from postspring.transport.listeners import open_listeners
 from postspring.transport.sockets import ConnectionHandler
 from postspring.transport.sockets import SocketHub
 from postspring.transport.timers import TimerHandle
@@ -34,12 +36,14 @@
     "HttpServer",
     "IncomingCall",
     "InterruptedResponse",
+    "Listeners",
     "MemoryUse",
     "ResponseCollector",
     "ServerLimits",
     "SocketHub",
     "TimerHandle",
     "Timers",
+    "open_listeners",
     "parse_integer",
     "probe_address",
 ]
--- a/postspring/transport/http_server.py
+++ b/postspring/transport/http_server.py
@@ -86,9 +86,12 @@
         )
 
     def listen(
-        self, parent, bind: tuple[str, int], channel: str = "http-server"
+        self,
+        parent,
+        bind: tuple[str, int] | socket.socket,
+        channel: str = "http-server",
     ) -> None:
-        """Listen on an IP address and port, on the parent's event loop."""
+        """Listen on an address or an open listener, on the parent's loop."""
         self.hub = sockets.SocketHub(
             self.timers, bind, self.accept, channel=channel
         ).register(parent)
--- a/postspring/transport/sockets.py
+++ b/postspring/transport/sockets.py
@@ -51,8 +51,9 @@
 
     timers : Timers
         For connect timeouts and paced reading.
-    bind : tuple of (str, int), optional
-        Address to listen on; without it the hub only opens connections.
+    bind : tuple of (str, int) or socket, optional
+        Address to listen on, or a listener that is open already; without it
+        the hub only opens connections.
     on_accept : callable, optional
         Called with the socket of an accepted connection; returns the
         :class:`ConnectionHandler` for it, or None to close it.
@@ -69,7 +70,7 @@
     def __init__(
         self,
         timers: timers.Timers,
-        bind: tuple[str, int] | None = None,
+        bind: tuple[str, int] | socket.socket | None = None,
         on_accept: Callable | None = None,
         channel: str = "hub",
     ):
