The last line of a process says how it ended

Seen: "processes ended by themselves", without a log. An exception that ended a process left a traceback at most. One in the event loop itself even ended it with 0, which a supervisor takes for a stop: circuits prints the traceback and returns from run(). Nothing told what the process had found at its start.

Now both daemons run in run_to_end: their last line is "ended" with the exit code, the error and the most memory that was resident; a return is a failure. Signals are ignored from there on: SIGHUP while the interpreter ended changed the exit code. If the program can't be imported, the first module prints the line itself. A front VM's first line has the settings' path, the memory and files that are allowed, and the version of Python. The line "postspring: ..." of a front VM on standard error is now this line.

Measured: a loop whose tick raises ended with 0 before, ends with 1 now.

--- /dev/null
+++ b/postspring/daemon/ending.py
@@ -0,0 +1,56 @@
+"""How a daemon's process ends: its last line says why, whatever ended it."""
+
+from collections.abc import Callable
+import contextlib
+import logging
+import resource
+import signal
+from typing import NoReturn
+
+from postspring import errors
+
+__all__ = ["run_to_end"]
+
+LOG = logging.getLogger(__name__)
+
+KIB_PER_MIB = 1024
+
+
+def run_to_end(run: Callable[[], None]) -> NoReturn:
+    """Run a daemon until it raises SystemExit, then end the process.
+
+    An end by any other exception, or a return, which is how a failure of the
+    event loop appears, gives the exit code 1.
+    """
+    try:
+        run()
+    except SystemExit as stop:
+        code = stop.code if isinstance(stop.code, int) else bool(stop.code)
+        _report_end(int(code))
+    except errors.PostspringError as error:
+        code = _report_end(1, error)
+    except BaseException as error:
+        code = _report_end(1, error, has_traceback=True)
+    else:
+        code = _report_end(1, RuntimeError("the event loop ended"))
+    raise SystemExit(code)
+
+
+def _report_end(
+    code: int, error: BaseException | None = None, has_traceback: bool = False
+) -> int:
+    # Nothing may change the exit code from here on.
+    for number in (signal.SIGHUP, signal.SIGTERM, signal.SIGINT):
+        signal.signal(number, signal.SIG_IGN)
+    peak = resource.getrusage(resource.RUSAGE_SELF).ru_maxrss
+    extra = {"exit_code": code, "peak_memory_mb": peak // KIB_PER_MIB}
+    if error is not None:
+        extra |= {"error_type": type(error).__name__, "error": str(error)}
+    with contextlib.suppress(Exception):
+        LOG.log(
+            logging.CRITICAL if code else logging.INFO,
+            "ended",
+            exc_info=error if has_traceback else None,
+            extra=extra,
+        )
+    return code
--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -5,6 +5,7 @@
 import functools
 import logging
 import os
+import resource
 import signal
 import sys
 
@@ -20,6 +21,7 @@
 
 with reduced_imports.without_collector(), reduced_imports.placeholders():
     from postspring.daemon import allocator
+    from postspring.daemon import ending
     from postspring.daemon import process
     from postspring.daemon import startup
     from postspring import errors
@@ -47,16 +49,28 @@
         front_settings.log_level,
         front_settings.log_lines_per_second,
     )
+
+    def report_start(vm: platform.VmSettings) -> None:
+        set_up_logs(vm=vm.vm, data_center=vm.data_center)
+        extra = {
+            "settings": platform.settings_path(os.environ),
+            "memory_mb": vm.memory_mb,
+            "max_files": vm.max_files,
+            "file_limits": resource.getrlimit(resource.RLIMIT_NOFILE),
+            "python": sys.version.partition(" ")[0],
+        }
+        LOG.info("starting", extra=extra)
+
     set_up_logs()
     prepared = startup.Startup(
         os.environ,
         EARLY_SIGNALS,
-        lambda vm: set_up_logs(vm=vm.vm, data_center=vm.data_center),
+        report_start,
         lambda vm: addresses.listen_addresses(vm, front_settings),
     ).prepare()
     if prepared is None:
         LOG.info("stopped by a signal during the start")
-        return
+        process.end_process()
     vm = prepared.vm
     allocator.fix_mapping_threshold()
     process.raise_file_limit(vm.max_files)
@@ -107,7 +121,7 @@
 
 
 def main(recorded: Iterable[int] = ()) -> None:
-    """Run with ``--name=value`` flags; print errors and exit with 1.
+    """Run with ``--name=value`` flags until the process ends.
 
     Parameters
     ----------
@@ -117,15 +131,13 @@
     EARLY_SIGNALS.install()
     for number in recorded:
         EARLY_SIGNALS.record(number)
+    defaults = settings.FrontSettings()
+    logs.set_up_front_logs(defaults.log_level, defaults.log_lines_per_second)
     flags = {}
     for argument in sys.argv[1:]:
         name, _, value = argument.removeprefix("--").partition("=")
         flags[name.replace("-", "_")] = value
-    try:
-        run_front(flags)
-    except errors.PostspringError as error:
-        print(f"postspring: {error}", file=sys.stderr)
-        sys.exit(1)
+    ending.run_to_end(lambda: run_front(flags))
 
 
 if __name__ == "__main__":
--- a/postspring/daemon/main.py
+++ b/postspring/daemon/main.py
@@ -97,10 +97,12 @@
 
     def entry(self, **flags) -> None:
         """Run an entry VM, configured by flags and POSTSPRING_* variables."""
+        from postspring.daemon import ending
         from postspring.daemon import entry_daemon
 
         text_flags = {name: str(value) for name, value in flags.items()}
-        entry_daemon.run_entry(settings_module.load_settings(text_flags))
+        entry_settings = settings_module.load_settings(text_flags)
+        ending.run_to_end(lambda: entry_daemon.run_entry(entry_settings))
 
     def query(
         self,
--- a/postspring/daemon/start.py
+++ b/postspring/daemon/start.py
@@ -34,12 +34,30 @@
     sys.path[:] = [root, *others]
 
 
+def report_failure(error: BaseException) -> None:
+    """Print how the process ends, as logs can't be imported."""
+    import json
+
+    sys.excepthook(type(error), error, error.__traceback__)
+    line = {
+        "level": "CRITICAL",
+        "message": "ended",
+        "exit_code": 1,
+        "error_type": type(error).__name__,
+        "error": str(error),
+    }
+    print(json.dumps(line), flush=True)
+
+
 def main() -> None:
     """Run a front VM with ``--name=value`` flags."""
     recorded = record_signals()
     prepare_path()
-    from postspring.daemon import front_daemon
-
+    try:
+        from postspring.daemon import front_daemon
+    except BaseException as error:
+        report_failure(error)
+        sys.exit(1)
     front_daemon.main(recorded)
 
 
