A process without standard output and error starts

Seen: with standard output and error closed a front VM ended with 1, and there was nothing to be read.

Cause: its log sets standard output to non-blocking mode, which fails without one. Had that passed, a connection would have got the descriptor, and each line of the log would have been sent to its peer.

Now /dev/null is opened in place of each standard stream that is closed, before anything else is opened, in both daemons.

The new test failed before: "gave up waiting for the listener: ConnectionRefusedError".

--- a/postspring/daemon/ending.py
+++ b/postspring/daemon/ending.py
@@ -3,19 +3,35 @@
 from collections.abc import Callable
 import contextlib
 import logging
+import os
 import resource
 import signal
 from typing import NoReturn
 
 from postspring import errors
 
-__all__ = ["run_to_end"]
+__all__ = ["open_standard_streams", "run_to_end"]
 
 LOG = logging.getLogger(__name__)
 
+STANDARD_DESCRIPTORS = (0, 1, 2)
 KIB_PER_MIB = 1024
 
 
+def open_standard_streams() -> None:
+    """Open /dev/null in place of standard streams that are closed.
+
+    Otherwise a connection could get the descriptor of one of them, and what
+    is printed would be sent to its peer.
+    """
+    for descriptor in STANDARD_DESCRIPTORS:
+        try:
+            os.fstat(descriptor)
+        except OSError:
+            # takes the lowest free descriptor, which is this one
+            os.open(os.devnull, os.O_RDWR)
+
+
 def run_to_end(run: Callable[[], None]) -> NoReturn:
     """Run a daemon until it raises SystemExit, then end the process.
 
--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -131,6 +131,7 @@
     EARLY_SIGNALS.install()
     for number in recorded:
         EARLY_SIGNALS.record(number)
+    ending.open_standard_streams()
     defaults = settings.FrontSettings()
     logs.set_up_front_logs(defaults.log_level, defaults.log_lines_per_second)
     flags = {}
--- a/postspring/daemon/main.py
+++ b/postspring/daemon/main.py
@@ -100,6 +100,7 @@
         from postspring.daemon import ending
         from postspring.daemon import entry_daemon
 
+        ending.open_standard_streams()
         text_flags = {name: str(value) for name, value in flags.items()}
         entry_settings = settings_module.load_settings(text_flags)
         ending.run_to_end(lambda: entry_daemon.run_entry(entry_settings))
--- a/postspring/daemon/tests/test_ending.py
+++ b/postspring/daemon/tests/test_ending.py
@@ -1,7 +1,7 @@
 """How a daemon's process ends, and what its last line says.
 
-Ends by an exception left a traceback at most, and a failed event loop ended
-with 0.
+Ends by an exception left a traceback at most, a failed event loop ended with
+0, and a process without standard output and error could not start.
 """
 
 import json
@@ -12,7 +12,9 @@
 import unittest
 
 from postspring.daemon.tests import test_front_signals
+from postspring.platform import names
 from postspring.testing import processes
+from postspring.testing.soak import stage
 
 SECONDS = 60
 NAME = test_front_signals.NAME
@@ -126,6 +128,20 @@
         last = last_line(self.group.log(NAME))
         self.assertEqual(("ended", 0), (last["message"], last["exit_code"]))
 
+    def test_it_serves_without_standard_streams(self):
+        """Guards against a start that needs output, or prints to a peer."""
+        self.path.write_text(self.text)
+        process = subprocess.Popen(
+            [sys.executable, *stage.daemon_words()],
+            env=os.environ | {names.SETTINGS_VARIABLE: str(self.path)},
+            preexec_fn=lambda: os.closerange(0, 3),
+        )
+        self.group.process_by_name[NAME] = process
+        processes.wait_until("the listener", self.is_listening)
+        for descriptor in range(3):
+            path = os.readlink(f"/proc/{process.pid}/fd/{descriptor}")
+            self.assertEqual(os.devnull, path)
+
     def test_a_library_that_is_missing_is_told(self):
         """Guards against a start that ends before it can log."""
         folder = self.path.parent
