A node that fails to start ends its process; failures are in the log

Seen: an exception while a node's parts started was written to standard error as text, and the process went on: it listened, was never ready, and its supervisor saw a process that lives. Exceptions of other event handlers went the same way, each with a blocking write: a pipe that nobody reads would stop the loop.

Cause: circuits turns an exception in a handler into an event; the front daemon had no handler for it, so that circuits' own took it.

Now a failed start is logged with its traceback and ends the process with 1, in both daemons. In a front VM other failures are logged as one line a second at most, with the number of those between; the process goes on as before. The entry node has a handler of its own.

The new tests failed before: "no logs of level ERROR or higher triggered on postspring.daemon.process"; FailureLog is new.

--- a/postspring/daemon/front_daemon.py
+++ b/postspring/daemon/front_daemon.py
@@ -78,6 +78,7 @@
         vm, front_settings, process.end_process, prepared.listeners
     )
     process.Process(node, node.shutdown.begin, EARLY_SIGNALS)
+    process.FailureLog().register(node)
     reload_on_hangup(node, os.environ)
     node.run()
 
--- a/postspring/daemon/process.py
+++ b/postspring/daemon/process.py
@@ -4,13 +4,14 @@
 import logging
 import resource
 import signal
+import time
 
 from circuits import BaseComponent
 from circuits import handler
 
 from postspring.daemon import early_signals
 
-__all__ = ["Process", "end_process", "raise_file_limit"]
+__all__ = ["FailureLog", "Process", "end_process", "raise_file_limit"]
 
 LOG = logging.getLogger(__name__)
 
@@ -18,6 +19,11 @@
 # them, and other files.
 DEFAULT_FILE_LIMIT = 8200
 
+# Least time between lines about failed event handlers.
+FAILURE_SECONDS = 1.0
+# Enough for an event's name and channel, in characters.
+MAX_EVENT_LENGTH = 200
+
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 
 
@@ -50,7 +56,12 @@
 
     @handler("started", channel="*")
     def _on_started(self, *arguments):
-        self._node.start()
+        try:
+            self._node.start()
+        except Exception as error:
+            # circuits would go on without the parts that did not start
+            LOG.exception("the node did not start")
+            raise SystemExit(1) from error
         for number in STOP_SIGNALS:
             self._early.replay(number, self._shut_down)
 
@@ -60,6 +71,49 @@
             self._shut_down()
 
 
+class FailureLog(BaseComponent):
+    """Logs exceptions of event handlers.
+
+    Parameters
+    ==========
+
+    clock : callable
+        Returns the current time, in seconds.
+
+    Explanation
+    ===========
+
+    Without it circuits writes them to standard error, and a pipe that nobody
+    reads would block the loop.  A handler may fail in each iteration of the
+    loop, so that lines have at least ``FAILURE_SECONDS`` between them; the
+    next one has the number of failures that were not logged.
+    """
+
+    def __init__(self, clock: Callable[[], float] = time.monotonic):
+        super().__init__()
+        self._clock = clock
+        self._logged_at: float | None = None
+        self._unlogged = 0
+
+    @handler("exception", channel="*")
+    def _on_exception(self, error_type, value, traceback, **details):
+        now = self._clock()
+        logged_at = self._logged_at
+        if logged_at is not None and now - logged_at < FAILURE_SECONDS:
+            self._unlogged += 1
+            return
+        LOG.error(
+            "event handler raised an exception",
+            exc_info=value if isinstance(value, BaseException) else None,
+            extra={
+                "event": str(details.get("fevent"))[:MAX_EVENT_LENGTH],
+                "unlogged": self._unlogged,
+            },
+        )
+        self._logged_at = now
+        self._unlogged = 0
+
+
 def end_process() -> None:
     """Exit successfully; called once the node has stopped."""
     raise SystemExit(0)
--- a/postspring/daemon/tests/test_process.py
+++ b/postspring/daemon/tests/test_process.py
@@ -70,6 +70,37 @@
         self.assertEqual(0, stopped.exception.code)
 
 
+class FailureTest(unittest.TestCase):
+    """Event handlers that raise."""
+
+    def setUp(self):
+        self.node = Node()
+
+    def test_a_node_that_fails_to_start_ends_the_process(self):
+        """Guards against a process that lives and serves nobody."""
+        self.node.start = mock.Mock(side_effect=ValueError("no members"))
+        process.Process(self.node, self.node.shut_down)
+        with self.assertLogs("postspring.daemon.process", "ERROR") as lines:
+            self.node.run()
+        self.assertIn("no members", lines.output[0])
+        self.assertEqual(["stop 1"], self.node.calls)
+
+    def test_failures_are_logged_once_a_second(self):
+        """Guards against failures that nobody learns of, or too often."""
+        self.node.shut_down = mock.Mock(side_effect=ValueError("no peers"))
+        process.Process(self.node, lambda: self.node.shut_down())
+        self.now = 0.0
+        process.FailureLog(lambda: self.now).register(self.node)
+        self.node.run()
+        with self.assertLogs("postspring.daemon.process", "ERROR") as lines:
+            for self.now in (10.0, 10.5, 10.9, 11.5):
+                self.node.dispatch(events.signal(signal.SIGTERM, None))
+        self.assertEqual(2, len(lines.records))
+        self.assertIn("no peers", lines.output[0])
+        self.assertIn("signal", lines.records[0].event)
+        self.assertEqual([0, 2], [item.unlogged for item in lines.records])
+
+
 class EntryDaemonTest(unittest.TestCase):
     """The daemon of an entry VM."""
 
