--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -85,7 +85,7 @@
             self.start(service, [SOAK, "upstreams", world_path, service], {})
         path = self._write_settings(**settings)
         variables = {names.SETTINGS_VARIABLE: path}
-        self.start(self._vm.name, stage.daemon_words(), variables)
+        self.start_python(self._vm.name, stage.daemon_words(), variables)
         processes.wait_until("the VM", self._is_ready)
 
     def close(self) -> None:
--- a/postspring/transport/__init__.py
+++ b/postspring/transport/__init__.py
@@ -17,6 +17,8 @@
 from postspring.transport.incoming import IncomingCall
 from postspring.transport.incoming import InterruptedResponse
 from postspring.transport.incoming import ServerLimits
+from postspring.transport.listeners import Listeners
+from postspring.transport.listeners import open_listeners
 from postspring.transport.sockets import ConnectionHandler
 from postspring.transport.sockets import SocketHub
 from postspring.transport.timers import TimerHandle
@@ -35,6 +37,7 @@
     "HttpServer",
     "IncomingCall",
     "InterruptedResponse",
+    "Listeners",
     "MemoryUse",
     "ResponseCollector",
     "ServerLimits",
@@ -42,6 +45,7 @@
     "TimerHandle",
     "Timers",
     "content_length",
+    "open_listeners",
     "parse_integer",
     "probe_address",
 ]
