--- a/postspring/front/tests/test_missing_turns.py
+++ b/postspring/front/tests/test_missing_turns.py
@@ -13,6 +13,7 @@
 from postspring.front import node as node_module
 from postspring import histories
 from postspring.peering import isolation
+from postspring.peering import member_entries
 from postspring.peering import members
 from postspring.testing.fleet import case
 from postspring.testing.fleet import fleet as fleet_module
@@ -280,7 +281,7 @@
         self.assertEqual(["there-1"], others(self.here))
         successor = dataclasses.replace(old.own, incarnation="there-1/next")
         results = []
-        old._announce(members._encode(successor), results.append)
+        old._announce(member_entries.encode(successor), results.append)
         self.fleet.run_loop_until(lambda: results)
         old.leave()
         self.fleet.run_loop_until(lambda: old.has_left)
