Count the answers of open turns

A turn's answer is kept until its record is written. Eight turns whose streams sent short events without an end took a VM of 96 MiB to 77 MiB in 2.5 s: each event was an object of its own, some 40 bytes for two, and none of it was counted as memory for callers, so that a crowd of turns had no bound but that of a record for each.

The answer is one array, and counted like a request: new requests get 503, and unread responses are discarded, before the memory is used up.

The new daemon test of short events passes on the old code too; it guards the whole.

--- a/postspring/daemon/tests/test_endless_answers.py
+++ b/postspring/daemon/tests/test_endless_answers.py
@@ -186,6 +186,10 @@
         outcomes = self.play(misbehaving.Form.EVENTS, TURN_PATH, "POST")
         self.assertGreaterEqual(outcomes["broken"], CALLERS)
 
+    # Guards against the same for events that take more as objects.
+    def test_short_events_of_a_turn_without_an_end(self):
+        self.play(misbehaving.Form.SHORT_EVENTS, TURN_PATH, "POST")
+
     # Guards against an event loop that splits one stream only.
     def test_empty_events_without_an_end(self):
         self.play(misbehaving.Form.EMPTY_EVENTS, "/endless-plain-stream/x")
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -35,7 +35,8 @@
     def __init__(self, *arguments, **options):
         super().__init__(*arguments, **options)
         self._chain = histories.Chain(None)
-        self._output: list[bytes] = []
+        self._output = bytearray()
+        self._holding = self._context.answers.memory.hold()
         self._complete_now: Callable[[], None] | None = None
         self._turn_bytes = len(self._call.body)
 
@@ -134,13 +135,16 @@
     # -- callbacks of the delivery --------------------------------------------
 
     def _relay_events(self, events: list[bytes]) -> None:
-        data = [event_splitter.event_data(event) + b"\n" for event in events]
-        self._turn_bytes += sum(map(len, data))
+        data = b"".join(
+            event_splitter.event_data(event) + b"\n" for event in events
+        )
+        self._turn_bytes += len(data)
         if self._turn_bytes > self._journal.sizes.turn:
             self.delivery.cancel()
             self.stream_broken("too_large")
             return
         self._output += data
+        self._holding.set(len(self._output))
         super()._relay_events(events)
 
     def stream_ended(self) -> None:
@@ -155,7 +159,7 @@
             self._chain.head,
             self._tokens,
             self._call.body,
-            b"".join(self._output),
+            bytes(self._output),
             self.delivery.upstream.incarnation,
             self._turn_completed,
             max(MIN_COMPLETION_SECONDS, left),
--- a/postspring/front/tests/test_long_answers.py
+++ b/postspring/front/tests/test_long_answers.py
@@ -3,12 +3,16 @@
 A VM read them until its memory was used up, for as long as they went on.
 """
 
+from unittest import mock
+
 from postspring.testing.fleet import case
 from postspring.testing.fleet import engine_service
 
 # Of the memory for callers, one answer may take a quarter.
 CALLER_BYTES = 800_000
 MAX_BYTES = 200_000
+# More than a call without an answer is counted with.
+EVENT_BYTES = 60_000
 
 
 class LongAnswerCase(case.FleetCase):
@@ -97,3 +101,28 @@
         answer = self.fleet.take_turn("a", route="resumed-stream")
         self.assertTrue(answer.complete)
         self.assertEqual(2, len(self.engine.runs))
+
+
+class OpenTurnTest(LongAnswerCase):
+    """A turn whose events are kept until its record is written."""
+
+    # Guards against turns whose answers take memory that is not counted.
+    def test_answer_of_a_turn_is_counted_while_it_is_open(self):
+        (engine,) = self.fleet.engines
+        engine.faults.stop_between = 1
+        event = b"id: 1\ndata: " + b"x" * EVENT_BYTES + b"\n\n"
+        memory = self.node.callers.caller_memory
+        caller = self.fleet.caller()
+        fields = {"program_id": "p1", "token_usage": "100,16"}
+        with mock.patch.object(
+            engine, "_event", autospec=True, return_value=event
+        ):
+            caller.send(
+                "POST",
+                "/stream/x",
+                self.fleet.headers("a", fields | {"token_budget": "1000"}),
+                b"x",
+            )
+            self.fleet.run_loop_until(lambda: memory.held > EVENT_BYTES)
+        caller.close()
+        self.fleet.run_loop_until(lambda: memory.held < EVENT_BYTES)
--- a/postspring/testing/misbehaving/endless_upstream.py
+++ b/postspring/testing/misbehaving/endless_upstream.py
@@ -20,7 +20,6 @@
 HUGE_LENGTH = 10**12
 BLOCK = b"x" * 65536
 CHUNK = b"10000\r\n" + BLOCK + b"\r\n"
-EVENT = b"id: %d\ndata: " + b"y" * 4096 + b"\n\n"
 EVENTS_AT_ONCE = 16
 EMPTY_EVENTS = b"\n\n" * 32768
 CHUNKED = "Transfer-Encoding: chunked"
@@ -35,6 +34,7 @@
     FAILED = ("failed", 500, CHUNKED)
     EVENT = ("event", 200, "Content-Type: text/event-stream")
     EVENTS = ("events", 200, "Content-Type: text/event-stream")
+    SHORT_EVENTS = ("short events", 200, "Content-Type: text/event-stream")
     EMPTY_EVENTS = ("empty events", 200, "Content-Type: text/event-stream")
 
     def __init__(self, label: str, status: int, field: str):
@@ -57,12 +57,19 @@
         """Return a part of the body."""
         if self.field == CHUNKED:
             return CHUNK
-        if self is Form.EVENTS:
-            first = number * EVENTS_AT_ONCE
-            return b"".join(EVENT % (first + i) for i in range(EVENTS_AT_ONCE))
+        event = EVENT_BY_FORM.get(self)
+        if event is not None:
+            first = number * EVENTS_AT_ONCE + 1
+            return b"".join(event % (first + i) for i in range(EVENTS_AT_ONCE))
         return EMPTY_EVENTS if self is Form.EMPTY_EVENTS else BLOCK
 
 
+EVENT_BY_FORM = {
+    Form.EVENTS: b"id: %d\ndata: " + b"y" * 4096 + b"\n\n",
+    Form.SHORT_EVENTS: b"id: %d\ndata: y\n\n",
+}
+
+
 class EndlessUpstream:
     """The only upstream of a service of its own.
 
