Tiny chunks of a response are read in short parts

A server that sent its response in chunks of one byte kept the event loop busy for all that 64 KiB held: 10,922 events of h11 in one turn, 117 ms as measured with h11 alone, and as much again in the next turn, so thirty of them left others a turn each 3.5 s (computed). Callers' chunks were bounded per turn already, servers' were not.

After a read with more than 500 events the exchange asks the hub for reads of 4 KiB as long as events have fewer than 64 bytes; the rest waits in the kernel, and order and ends of connections stay as they are. Streams as the upstreams send them have longer events, so nothing changes for them.

Before, with the hub ignoring it: test_reads_get_short: 10922 not less than or equal to 1000 After: at most 683 chunks a turn behind the first; a body of long chunks behind tiny ones is read at full size again.

--- a/postspring/transport/connection_handler.py
+++ b/postspring/transport/connection_handler.py
@@ -11,7 +11,16 @@
 
 
 class ConnectionHandler:
-    """Receives the events of one TCP connection; subclasses override them."""
+    """Receives the events of one TCP connection; subclasses override them.
+
+    Attributes
+    ==========
+
+    read_bytes : int
+        Most bytes to read at once; 0 for as many as the hub reads otherwise.
+    """
+
+    read_bytes = 0
 
     def received(self, data: bytes) -> None:
         """Handle bytes that the peer sent."""
--- a/postspring/transport/connection_hub.py
+++ b/postspring/transport/connection_hub.py
@@ -94,7 +94,7 @@
         if conn_handler is None:
             return False
         try:
-            data = sock.recv(self._bufsize)
+            data = sock.recv(conn_handler.read_bytes or self._bufsize)
         except BlockingIOError:
             return False
         except OSError as error:
--- a/postspring/transport/exchange.py
+++ b/postspring/transport/exchange.py
@@ -23,6 +23,12 @@
 # A cancelled request without a byte of a response makes its address suspect
 # only after this long, in seconds: the time a connection is given to open.
 SILENT_SECONDS = 0.4
+# Each chunk is an event, which takes some 10 us.  After a read with so many
+# events, reads are short while events have fewer bytes than this, so that a
+# response in tiny chunks does not keep the event loop busy.
+MANY_EVENTS = 500
+EVENT_BYTES = 64
+SHORT_READ_BYTES = 4096
 
 _TEXT_BY_END = {
     connection_end.ConnectionEnd.EOF: "connection closed",
@@ -233,7 +239,10 @@
             if self._skipping_response:
                 self._limits.add_skipped_bytes(len(data))
             self._http.receive_data(data)
-            self._parse_events()
+            events = self._parse_events()
+            are_short = events * EVENT_BYTES > len(data)
+            are_many = events > MANY_EVENTS or self.read_bytes
+            self.read_bytes = SHORT_READ_BYTES if are_short and are_many else 0
         except (
             h11.RemoteProtocolError,
             response_limits.ResponseLimitError,
@@ -241,11 +250,14 @@
             # No more is read: the bytes may come without an end.
             self._fail(f"bad answer: {error}")
 
-    def _parse_events(self) -> None:
+    def _parse_events(self) -> int:
+        """Pass on what has been received; return the number of events."""
+        count = 0
         while not self.done:
             event = self._http.next_event()
             if event in (h11.NEED_DATA, h11.PAUSED):
-                return
+                break
+            count += 1
             if isinstance(event, h11.Response):
                 self._handle_head(event)
             elif isinstance(event, h11.InformationalResponse):
@@ -260,7 +272,8 @@
                 else:
                     self._complete()
             elif isinstance(event, h11.ConnectionClosed):
-                return
+                break
+        return count
 
     def _handle_head(self, event: h11.Response) -> None:
         self._limits.check_fields(event.headers.raw_items())
--- a/postspring/transport/tests/test_endless_responses.py
+++ b/postspring/transport/tests/test_endless_responses.py
@@ -1,5 +1,6 @@
 """Responses without an end: what is read of them, and how they fail."""
 
+import itertools
 import threading
 
 from postspring.transport import response_limits
@@ -183,3 +184,42 @@
         body = b"x" * 5_000_000
         self.serve(HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body)
         self.assertEqual(body, self.send_and_wait().body)
+
+
+class TinyChunksTest(EndlessCase):
+    """Bodies in chunks of one byte."""
+
+    # Guards against an event loop that is busy with one response: each read
+    # gave eleven thousand chunks.
+    def test_reads_get_short(self):
+        chunks = b"1\r\nx\r\n" * 50_000
+        self.serve(CHUNKED + b"\r\n" + chunks + b"0\r\n\r\n")
+        listener = self.send()
+        received = [0]
+
+        def is_settled():
+            received.append(len(listener.body))
+            return listener.settled
+
+        self.run_loop_until(is_settled)
+        self.assertEqual(50_000, len(listener.body))
+        counts = sorted(
+            after - before for before, after in itertools.pairwise(received)
+        )
+        # The first read is as long as any.
+        self.assertLessEqual(counts[-2], 1000)
+
+    def test_long_chunks_are_read_at_once(self):
+        body = b"10000\r\n%065536d\r\n" % 0 * 100
+        self.serve(CHUNKED + b"\r\n" + b"1\r\nx\r\n" * 2000 + body)
+        listener = self.send()
+        self.run_loop_until(lambda: len(listener.body) > 2000)
+        lengths = set()
+
+        def is_settled():
+            lengths.add(len(listener.body))
+            return listener.settled
+
+        self.run_loop_until(is_settled)
+        # Short reads would be 1,600.
+        self.assertLess(len(lengths), 800)
