Entry daemon: a bad response of the log ends its call

A response of the log that could not be decoded ended neither with a page nor with an error: `end` raised out of the exchange, the hub logged it, and the caller of the append or read waited for ever. A stream's follower never read again, so the entry daemon kept its old view until it was restarted. Some errors of the decoder (CBORDecodeError, OverflowError, RecursionError) were not among those it expected either.

The response is decoded first; any error of that goes to `on_error` as a PlatformError, like a refusal, and followers try again after their backoff. Exceptions of the caller's own callback are no longer taken for it.

--- a/postspring/sharedlog/log_client.py
+++ b/postspring/sharedlog/log_client.py
@@ -23,6 +23,15 @@
 
 MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 TIMEOUT_SECONDS = 2.0
+# Errors that decoding a malformed response can raise.
+_INVALID_RESPONSE_ERRORS = (
+    cbor2.CBORDecodeError,
+    LookupError,
+    OverflowError,
+    RecursionError,
+    TypeError,
+    ValueError,
+)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -46,10 +55,13 @@
 
 
 class _LogResponse(transport.HttpListener):
-    """Collects a response of the log and passes its body to a callback."""
+    """Collects a response of the log, decodes it and passes it on."""
 
-    def __init__(self, on_body: Callable, on_error: Callable):
-        self._on_body = on_body
+    def __init__(
+        self, decode: Callable, on_done: Callable, on_error: Callable
+    ):
+        self._decode = decode
+        self._on_done = on_done
         self._on_error = on_error
         self._status = 0
         self._body = bytearray()
@@ -63,17 +75,18 @@
         self._body += chunk
 
     def end(self):
-        """Pass the body on, or an error if the status is not 200."""
+        """Pass the decoded body on, or an error if there is none."""
         if self._status != 200:
             text = f"log answered {self._status}: {bytes(self._body[:200])!r}"
             self._on_error(errors.PlatformError(text))
             return
         try:
-            self._on_body(bytes(self._body))
-        except (ValueError, KeyError, TypeError) as error:
-            raise errors.PlatformError(
-                f"invalid response of the log: {error}"
-            ) from error
+            result = self._decode(bytes(self._body))
+        except _INVALID_RESPONSE_ERRORS as error:
+            text = f"invalid response of the log: {error}"
+            self._on_error(errors.PlatformError(text))
+            return
+        self._on_done(result)
 
     def failed(self, error):
         """Pass a transport error on as a ``PlatformError``."""
@@ -113,8 +126,8 @@
     ) -> None:
         """Append a batch; after an error it may or may not be in the log."""
 
-        def handle_body(body: bytes) -> None:
-            on_offset(int(json.loads(body)["offset"]))
+        def decode(body: bytes) -> int:
+            return int(json.loads(body)["offset"])
 
         request = transport.HttpRequest(
             address=self._address,
@@ -126,7 +139,7 @@
             timeout=self._timeout,
             max_response_bytes=MAX_RESPONSE_BYTES,
         )
-        self._http.send(request, _LogResponse(handle_body, on_error))
+        self._http.send(request, _LogResponse(decode, on_offset, on_error))
 
     def read(
         self,
@@ -139,13 +152,13 @@
     ) -> transport.Exchange:
         """Read from ``offset`` on; the log waits up to ``wait`` seconds."""
 
-        def handle_body(body: bytes) -> None:
+        def decode(body: bytes) -> LogPage:
             page = cbor2.loads(body)
             records = tuple(
                 (int(record_offset), bytes(data))
                 for record_offset, data in page["records"]
             )
-            on_page(LogPage(int(page["first"]), int(page["next"]), records))
+            return LogPage(int(page["first"]), int(page["next"]), records)
 
         request = transport.HttpRequest(
             address=self._address,
@@ -157,4 +170,6 @@
             timeout=wait + self._timeout,
             max_response_bytes=MAX_RESPONSE_BYTES,
         )
-        return self._http.send(request, _LogResponse(handle_body, on_error))
+        return self._http.send(
+            request, _LogResponse(decode, on_page, on_error)
+        )
