Configuration: values that can't be used are invalid

Seen: one VM as a process, with a configuration per odd value. With a timeout that is not a number each call raised "ValueError: cannot convert float NaN to integer" in the handler, and again in the timer that should have ended the call; with a service that is a list or an object, "TypeError: unhashable type: 'list'". Two requests of two failed for as long as such a configuration was in force, as with a negative timeout, a host or prefix of another type or with lone surrogates. The process lived, and the next valid configuration brought the answers back.

Cause: fields were converted with str(), float() and int() and not checked. JSON as Python reads it has NaN and Infinity.

Numbers have to be finite, not negative and bounded now, and texts have to be text. Otherwise the configuration is invalid as a whole, and the older one stays in force, as for any other invalid one. Zero and missing fields keep their defaults.

--- a/postspring/platform/documents.py
+++ b/postspring/platform/documents.py
@@ -37,6 +37,9 @@
 _MAX_KEY_LENGTH = 4096
 _MAX_REQUESTS = 1e9
 _MAX_PRIORITY = 1_000_000
+_MAX_WEIGHT = 1e9
+# In the field's unit, milliseconds or seconds.
+_MAX_DURATION = 1e11
 # Characters of an error's text that are kept, as it is logged in one line.
 _MAX_ERROR_LENGTH = 300
 
@@ -52,7 +55,7 @@
     try:
         raw = json.loads(data)
         return routing.Snapshot(
-            version=int(raw["version"]),
+            version=int(_bounded(raw["version"], "version")),
             routes=tuple(_route(item) for item in raw["routes"]),
             service_by_name={
                 item["name"]: _service(item) for item in raw["services"]
@@ -72,23 +75,50 @@
         raise errors.ConfigurationError(text[:_MAX_ERROR_LENGTH]) from error
 
 
+def _bounded(
+    value: Any, name: str, minimum: float = 0, maximum: float = 2**63 - 1
+) -> Any:
+    """Return a number; raise ValueError unless it is within bounds.
+
+    No comparison holds for a value that is not a number.
+    """
+    if not minimum <= float(value) <= maximum:
+        raise ValueError(f"{name} is out of bounds")
+    return value
+
+
+def _number(raw: dict, name: str, default: float = 0) -> float:
+    """Return a field's number, or ``default`` if it is missing or zero."""
+    number = float(raw.get(name) or default)
+    return _bounded(number, name, maximum=_MAX_DURATION)
+
+
+def _text(raw: dict, name: str) -> str:
+    """Return a field's text; raise an error if it isn't valid Unicode."""
+    text = raw[name]
+    if not isinstance(text, str):
+        raise TypeError(f"{name} is not text")
+    text.encode()
+    return text
+
+
 def _route(raw: dict) -> routing.Route:
-    timeout_ms = float(raw.get("timeout_ms") or _DEFAULT_TIMEOUT_MS)
+    timeout_ms = _number(raw, "timeout_ms", _DEFAULT_TIMEOUT_MS)
     return routing.Route(
-        name=str(raw["name"]),
-        host=str(raw["host"]),
-        prefix=str(raw["path_prefix"]),
+        name=_text(raw, "name"),
+        host=_text(raw, "host"),
+        prefix=_text(raw, "path_prefix"),
         kind=_CALL_KIND_BY_NAME.get(raw["kind"], routing.CallKind.ONCE),
         shares=_shares(raw),
         timeout=timeout_ms / 1000,
         # responses within this time receive full credit
-        objective=float(raw.get("target_latency_ms") or timeout_ms) / 1000,
+        objective=_number(raw, "target_latency_ms", timeout_ms) / 1000,
         max_attempts=max(1, int(raw.get("max_attempts") or 1)),
         priority=int(raw.get("priority") or 0),
         keeps_history=bool(raw.get("server_history")),
-        retention=float(raw.get("retention_s") or 0),
+        retention=_number(raw, "retention_s"),
         sticky=bool(raw.get("sticky")),
-        pause_objective=float(raw.get("gap_aim_ms") or 0) / 1000,
+        pause_objective=_number(raw, "gap_aim_ms") / 1000,
         may_resume=bool(raw.get("resumable")),
         is_public=bool(raw.get("public")),
     )
@@ -98,10 +128,13 @@
     split = raw.get("traffic_split")
     if split:
         return tuple(
-            routing.ServiceShare(item["service"], float(item["weight"]))
+            routing.ServiceShare(
+                _text(item, "service"),
+                _bounded(float(item["weight"]), "weight", maximum=_MAX_WEIGHT),
+            )
             for item in split
         )
-    return (routing.ServiceShare(raw["service"]),)
+    return (routing.ServiceShare(_text(raw, "service")),)
 
 
 def _service(raw: dict) -> routing.RoutedService:
@@ -114,7 +147,7 @@
             tokens_per_event=max(1, int(engine.get("tokens_per_event") or 1)),
         )
     return routing.RoutedService(
-        name=str(raw["name"]),
+        name=_text(raw, "name"),
         max_connections=int(raw.get("max_connections") or 0),
         engine=traits,
     )
@@ -145,17 +178,15 @@
 
 def _limits(raw: dict) -> routing.CallerLimits:
     default = routing.CallerLimits()
-    header_ms = raw.get("header_timeout_ms")
-    idle_ms = raw.get("idle_timeout_ms")
+    header_ms = _number(raw, "header_timeout_ms")
+    idle_ms = _number(raw, "idle_timeout_ms")
+    header_bytes = raw.get("max_header_bytes") or default.header_bytes
+    body_bytes = raw.get("max_body_bytes") or default.body_bytes
     return routing.CallerLimits(
-        header_bytes=int(raw.get("max_header_bytes") or default.header_bytes),
-        body_bytes=int(raw.get("max_body_bytes") or default.body_bytes),
-        header_seconds=(
-            float(header_ms) / 1000 if header_ms else default.header_seconds
-        ),
-        idle_seconds=(
-            float(idle_ms) / 1000 if idle_ms else default.idle_seconds
-        ),
+        header_bytes=int(_bounded(header_bytes, "max_header_bytes")),
+        body_bytes=int(_bounded(body_bytes, "max_body_bytes")),
+        header_seconds=header_ms / 1000 or default.header_seconds,
+        idle_seconds=idle_ms / 1000 or default.idle_seconds,
     )
 
 
--- a/postspring/platform/tests/test_documents.py
+++ b/postspring/platform/tests/test_documents.py
@@ -1,6 +1,7 @@
 """Decoding of the configuration and of upstreams' entries."""
 
 import json
+import math
 import unittest
 
 from postspring import errors
@@ -56,6 +57,54 @@
         with self.assertRaises(errors.ConfigurationError):
             platform.decode_snapshot(b"\xff")
 
+    def test_route_with_a_value_that_can_not_be_used(self):
+        """Guards against calls that fail or hang under a configuration.
+
+        A timeout that is not a number can be neither sent nor waited for.
+        """
+        durations = (math.inf, math.nan, -5, 1e300, 10**400, "x", "nan", [1])
+        for name in ("timeout_ms", "target_latency_ms", "retention_s"):
+            for value in durations:
+                self.assert_route_rejected(name, value)
+        self.assert_route_rejected("gap_aim_ms", math.nan)
+        for name in ("name", "host", "path_prefix", "service"):
+            for value in (None, 5, [], {}, "\ud800"):
+                self.assert_route_rejected(name, value)
+        for weight in (math.nan, math.inf, -1, 1e308, "x"):
+            split = [{"service": "a", "weight": weight}]
+            self.assert_route_rejected("traffic_split", split)
+
+    def assert_route_rejected(self, name, value):
+        """Check that a configuration with such a route is rejected."""
+        raw = fleet.default_configuration()
+        raw["routes"][0][name] = value
+        with self.subTest(f"{name}={ascii(value)[:20]}"):
+            with self.assertRaises(errors.ConfigurationError):
+                self.decode(raw)
+
+    def test_limits_and_version_out_of_bounds(self):
+        for value in (math.inf, math.nan, -5, 1e300, 10**400, "x"):
+            for name in (
+                "max_header_bytes",
+                "max_body_bytes",
+                "header_timeout_ms",
+                "idle_timeout_ms",
+            ):
+                raw = fleet.default_configuration()
+                raw["limits"][name] = value
+                with self.subTest(f"{name}={str(value)[:20]}"):
+                    with self.assertRaises(errors.ConfigurationError):
+                        self.decode(raw)
+            raw = fleet.default_configuration() | {"version": value}
+            with self.assertRaises(errors.ConfigurationError):
+                self.decode(raw)
+
+    def test_missing_and_empty_limits_have_defaults(self):
+        default = routing.CallerLimits()
+        for limits in (None, {}, {"idle_timeout_ms": 0, "max_body_bytes": 0}):
+            raw = fleet.default_configuration() | {"limits": limits}
+            self.assertEqual(default, self.decode(raw).limits)
+
     def test_too_deeply_nested_configuration(self):
         deeply_nested = b'{"version":' + b"[" * 100_000 + b"]" * 100_000 + b"}"
         with self.assertRaises(errors.ConfigurationError):
