Messages of peers: durations and counts are checked

Seen: by calls of the decoder, not in a run of processes. A message of another VM with NaN as a duration, or with a negative duration or count, was accepted. NaN compares as neither earlier nor later, so a timer that is set from it leaves the heap of timers out of order; a negative age of a confirmation makes a configuration look confirmed in the future, and a negative count of calls makes an upstream look emptier than it is.

Cause: the fields had types, and no bounds.

Durations and counts that are never negative are declared so; such a message is malformed, like one with a field of the wrong type. Fields that may be negative (tokens left, -1 for no confirmation) stay as they are.

--- a/postspring/peering/messages.py
+++ b/postspring/peering/messages.py
@@ -1,5 +1,6 @@
 """Messages between entry VMs, encoded as CBOR arrays."""
 
+from typing import Annotated
 from typing import Any
 
 import cbor2
@@ -43,6 +44,11 @@
 # Path prefix of calls to the platform's store that a VM relays.
 STORE_PREFIX = "/peer/store"
 
+# A duration that is not a number fits in no order of timers; neither bound
+# holds for it.
+_Seconds = Annotated[float, msgspec.Meta(ge=0)]
+_Count = Annotated[int, msgspec.Meta(ge=0)]
+
 
 class StoreReplicasRequest(msgspec.Struct, frozen=True, array_like=True):
     """Request to store replicas of records until the log has them.
@@ -198,7 +204,7 @@
     """
 
     entries: list[tuple[str, bytes]]
-    next: int
+    next: _Count
 
 
 class LoadsReport(msgspec.Struct, frozen=True, array_like=True):
@@ -222,8 +228,8 @@
 
     source: str
     is_data_center: bool
-    calls: list[tuple[str, int]]
-    observations: list[tuple[str, float, int]] = msgspec.field(
+    calls: list[tuple[str, _Count]]
+    observations: list[tuple[str, _Seconds, _Count]] = msgspec.field(
         default_factory=list
     )
 
@@ -246,10 +252,10 @@
         Upper bound of the seconds between that confirmation and the response.
     """
 
-    calls: list[tuple[str, int]]
-    suspects: list[tuple[str, float]] = msgspec.field(default_factory=list)
+    calls: list[tuple[str, _Count]]
+    suspects: list[tuple[str, _Seconds]] = msgspec.field(default_factory=list)
     configuration_end: int = -1
-    confirmed_age: float = 0.0
+    confirmed_age: _Seconds = 0.0
 
 
 class CrashesReport(msgspec.Struct, frozen=True, array_like=True):
@@ -290,7 +296,7 @@
     workspace: str
     use: quotas.PermitUse
     ignore_readiness: bool = False
-    ages: list[float] = msgspec.field(default_factory=list)
+    ages: list[_Seconds] = msgspec.field(default_factory=list)
     is_return: bool = False
 
 
@@ -307,7 +313,7 @@
     """
 
     state: quotas.PermitState
-    wait: float
+    wait: _Seconds
 
 
 def request_to(
--- a/postspring/peering/tests/test_messages.py
+++ b/postspring/peering/tests/test_messages.py
@@ -44,6 +44,26 @@
                 with self.assertRaises(errors.PeerError):
                     messages.decode(cls, cbor2.dumps(values))
 
+    def test_number_that_is_no_duration_or_count(self):
+        """Guards against timers out of order, and calls below zero."""
+        huge = cbor2.CBORTag(4, [10**8, 3])
+        for value in (float("nan"), -1, -0.5):
+            wrong = (
+                (messages.LoadsResponse, [[], [], 0, value]),
+                (messages.LoadsResponse, [[], [["u", value]]]),
+                (messages.LoadsReport, ["vm", False, [["u", value]]]),
+                (messages.LoadsReport, ["vm", False, [], [["u", value, 0]]]),
+                (messages.LoadsReport, ["vm", False, [], [["u", 0, value]]]),
+                (messages.PermitResponse, ["granted", value]),
+                (messages.PermitRequest, ["w", "plain_call", False, [value]]),
+                (messages.ViewResponse, [[], value]),
+                (messages.ViewResponse, [[], huge]),
+            )
+            for cls, values in wrong:
+                with self.subTest(f"{cls.__name__} {value}"):
+                    with self.assertRaises(errors.PeerError):
+                        messages.decode(cls, cbor2.dumps(values))
+
     @hypothesis.given(strategies.binary(max_size=100))
     def test_any_record(self, data):
         try:
