Tests: odd entries in the log, against the daemon's process

One VM reads entries that are nested 40,000 deep, have numbers of 40,000 digits, ports out of range, names as hosts, lone surrogates, no JSON or CBOR, under keys with control characters; each alone, all in one page, and again after the VM was killed and started anew. It has to answer an ordinary request each time, and to log no exception.

--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -1,11 +1,15 @@
 """One entry VM as the deploy file's process, with a store and upstreams."""
 
+import contextlib
+import http.client
 import os
 import pathlib
 import tempfile
 import uuid
 
+from postspring import keyedlog
 from postspring.platform import names
+from postspring.platform import store
 from postspring.testing.fleet import fleet
 from postspring.testing import probes
 from postspring.testing import processes
@@ -61,12 +65,23 @@
         processes.wait_until("the store", self._configure)
         for service in (fleet.TURNS_SERVICE, fleet.PLAIN_SERVICE):
             self.start(service, [SOAK, "upstreams", world_path, service], {})
-        path = self._world.write_settings(
-            self._vm, True, limits=self._limits, seeds=[]
-        )
-        variables = {names.SETTINGS_VARIABLE: path}
-        self.start(self._vm.name, stage.daemon_words(), variables)
-        processes.wait_until("the VM", self._is_ready)
+        self._start_vm()
+
+    def restart(self) -> None:
+        """Kill the VM's process, start another, and wait until it is ready."""
+        self.kill(self._vm.name)
+        self._start_vm()
+
+    def append(self, topic: str, records: list[tuple[str, bytes]]) -> None:
+        """Append keyed records to the log in one call."""
+        entries = [keyedlog.LogEntry(*record) for record in records]
+        connection = http.client.HTTPConnection(*self._world.store, timeout=10)
+        with contextlib.closing(connection):
+            path = f"{names.LOG_APPEND_PATH}?topic={topic}&part=0"
+            connection.request("POST", path, store.pack_records(entries))
+            status = connection.getresponse().status
+        if status != 200:
+            raise RuntimeError(f"status {status}")
 
     def close(self) -> None:
         """End all processes and remove their files."""
@@ -109,6 +124,14 @@
     def _process(self):
         return self.process_by_name[self._vm.name]
 
+    def _start_vm(self) -> None:
+        path = self._world.write_settings(
+            self._vm, True, limits=self._limits, seeds=[]
+        )
+        variables = {names.SETTINGS_VARIABLE: path}
+        self.start(self._vm.name, stage.daemon_words(), variables)
+        processes.wait_until("the VM", self._is_ready)
+
     def _configure(self) -> bool:
         host, port = self._world.control
         document = fleet.default_configuration()
