--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -1,12 +1,16 @@
 """One entry VM as the deploy file's process, with a store and upstreams."""
 
 from collections.abc import Iterable
+import contextlib
+import http.client
 import os
 import pathlib
 import tempfile
 import uuid
 
+from postspring import keyedlog
 from postspring.platform import names
+from postspring.platform import store
 from postspring.testing.fleet import fleet
 from postspring.testing import probes
 from postspring.testing import processes
@@ -53,6 +57,8 @@
         self.document = fleet.default_configuration()
         self.document["limits"]["max_body_bytes"] = body_bytes
         self._limits = {"memory_mb": memory_mb, "max_fds": max_files}
+        # Arguments of open().
+        self._settings: dict = {}
         network, self._claim = world_module.claim_network()
         self._world = world_module.build_world(
             SHAPE, SEED, str(self.directory), network
@@ -83,10 +89,24 @@
         processes.wait_until("the store", self._configure)
         for service in (fleet.TURNS_SERVICE, fleet.PLAIN_SERVICE):
             self.start(service, [SOAK, "upstreams", world_path, service], {})
-        path = self._write_settings(**settings)
-        variables = {names.SETTINGS_VARIABLE: path}
-        self.start_python(self._vm.name, stage.daemon_words(), variables)
-        processes.wait_until("the VM", self._is_ready)
+        self._settings = settings
+        self._start_vm()
+
+    def restart(self) -> None:
+        """Kill the VM's process, start another, and wait until it is ready."""
+        self.kill(self._vm.name)
+        self._start_vm()
+
+    def append(self, topic: str, records: list[tuple[str, bytes]]) -> None:
+        """Append keyed records to the log in one call."""
+        entries = [keyedlog.LogEntry(*record) for record in records]
+        connection = http.client.HTTPConnection(*self._world.store, timeout=10)
+        with contextlib.closing(connection):
+            path = f"{names.LOG_APPEND_PATH}?topic={topic}&part=0"
+            connection.request("POST", path, store.pack_records(entries))
+            status = connection.getresponse().status
+        if status != 200:
+            raise RuntimeError(f"status {status}")
 
     def close(self) -> None:
         """End all processes and remove their files."""
@@ -129,6 +149,12 @@
     def _process(self):
         return self.process_by_name[self._vm.name]
 
+    def _start_vm(self) -> None:
+        path = self._write_settings(**self._settings)
+        variables = {names.SETTINGS_VARIABLE: path}
+        self.start_python(self._vm.name, stage.daemon_words(), variables)
+        processes.wait_until("the VM", self._is_ready)
+
     def put(self, topic: str, key: str, value: dict) -> None:
         """Write a record into the store."""
         host, port = self._world.control
