Test a relayed turn whose stream has an event without an end

The VM that runs the turn breaks it off, and the one that relays it passes the break on; neither holds anything after that, and only the upstream counts as failed, not the relaying VM.

--- a/postspring/front/tests/test_long_answers.py
+++ b/postspring/front/tests/test_long_answers.py
@@ -5,6 +5,7 @@
 
 from unittest import mock
 
+from postspring import histories
 from postspring.testing.fleet import case
 from postspring.testing.fleet import engine_service
 
@@ -126,3 +127,37 @@
             self.fleet.run_loop_until(lambda: memory.held > EVENT_BYTES)
         caller.close()
         self.fleet.run_loop_until(lambda: memory.held < EVENT_BYTES)
+
+
+class RelayedTurnTest(case.FleetCase):
+    """A turn that another VM runs, as it holds the history."""
+
+    vms = 2
+
+    def setUp(self):
+        super().setUp()
+        for node in self.fleet.nodes:
+            self.fleet.run_loop_until(lambda node=node: node.members.others)
+            node.callers.limits.caller_bytes = CALLER_BYTES
+        claim = histories.Claim("author", 16, 1000)
+        turn = histories.CompletedTurn(
+            "p1", "a", claim, None, 4, b"<a>", b"w\n"
+        )
+        record = histories.encode_record(turn)
+        self.fleet.nodes[0].journal.store_replica(record)
+        self.fleet.store.refuse = 503
+
+    # Guards against a stream that ends as if it were complete.
+    def test_long_event_breaks_the_answer_off(self):
+        (engine,) = self.fleet.engines
+        engine.faults.long_event = 1
+        answer = self.fleet.take_turn("b", vm=1, previous_turn="a")
+        self.assertEqual(200, answer.status)
+        self.assertFalse(answer.complete)
+        held = [node.answers.held for node in self.fleet.nodes]
+        self.assertEqual([0, 0], held)
+        upstreams = [
+            node.directory.by_id[engine.id] for node in self.fleet.nodes
+        ]
+        failures = [upstream.failures for upstream in upstreams]
+        self.assertEqual([1, 0], failures)
