A host that is no address fails a request as not sent

An address whose host has a NUL, an empty label or a lone surrogate, as a setting that is read again may have, made the opening of a connection raise TypeError or ValueError where requests are sent, in place of a failure for their sender.

Cause: only OSError and OverflowError counted as an invalid address.

Before: test_host_that_is_no_address_is_reported "TypeError: host name must not contain null character". After: test_failures and test_http_client pass.

--- a/postspring/transport/connecting_hub.py
+++ b/postspring/transport/connecting_hub.py
@@ -14,6 +14,9 @@
 
 __all__ = ["ConnectingHub"]
 
+# No descriptor is free, or an address can't be reached or is invalid.
+_CONNECT_ERRORS = (OSError, OverflowError, TypeError, ValueError)
+
 
 class ConnectingHub(connection_hub.ConnectionHub):
     """A hub that opens connections.
@@ -58,8 +61,7 @@
         """
         try:
             sock = self._start_connect(address)
-        except (OSError, OverflowError) as error:
-            # No descriptor is free, or the address is invalid.
+        except _CONNECT_ERRORS as error:
             reason = connection_attempts.error_name(error)
             failure = connection_attempts.connect_error(address, reason)
             self._timers.call_later(0, on_error, failure)
@@ -110,7 +112,7 @@
             code = sock.connect_ex(address)
             if code not in (0, errno.EINPROGRESS):
                 raise OSError(code, os.strerror(code))
-        except (OSError, OverflowError):
+        except _CONNECT_ERRORS:
             self._send_windows.remove(sock)
             sock.close()
             raise
--- a/postspring/transport/tests/test_failures.py
+++ b/postspring/transport/tests/test_failures.py
@@ -134,6 +134,15 @@
             self.run_loop_until(lambda: logs.records)
         self.assertEqual({}, self.hub._connecting)
 
+    # Guards against a setting's host that raises where calls are sent.
+    def test_host_that_is_no_address_is_reported(self):
+        for host in ("10.0.0.1\0", "a..b", "\ud800"):
+            failed = []
+            self.hub.open((host, 80), 5.0, raise_error, failed.append)
+            self.run_loop_until(lambda failed=failed: failed)
+            self.assertFalse(failed[0].sent)
+        self.assertEqual({}, self.hub._connecting)
+
     def test_on_accept_that_raises_closes_connection(self):
         hub = transport.SocketHub(
             self.timers, ("127.0.0.1", 0), raise_error, channel="failing"
