--- a/postspring/entry/tests/test_api.py
+++ b/postspring/entry/tests/test_api.py
@@ -6,6 +6,7 @@
 import unittest
 
 from postspring import client
+from postspring.testing import probes
 from postspring.testing import processes
 
 
@@ -148,9 +149,9 @@
         self.deployment.faults("service-1", lose_answers=1)
         path = "/v1/services/agent-models/catalogue"
         address = self.deployment.address_by_upstream["service-1"]
-        before = processes.fetch(address, "GET", "/served")["served"]
+        before = probes.fetch(address, "GET", "/served")["served"]
         status, body, _ = self.request("POST", path, {"photo": 1})
-        after = processes.fetch(address, "GET", "/served")["served"]
+        after = probes.fetch(address, "GET", "/served")["served"]
         self.assertEqual((502, "unknown"), (status, body["ran"]))
         self.assertEqual(1, after - before)
 
--- a/postspring/entry/tests/test_commands.py
+++ b/postspring/entry/tests/test_commands.py
@@ -7,6 +7,7 @@
 
 from postspring import client
 from postspring import errors
+from postspring.testing import probes
 from postspring.testing import processes
 
 KEY = "operators-only"
@@ -106,7 +107,7 @@
         self.assertIn('"fencing": 1,', first)
         self.assertIn('"fencing": 2,', second)
         address = self.deployment.address_by_upstream["engine-1"]
-        orders = processes.fetch(address, "GET", "/orders")
+        orders = probes.fetch(address, "GET", "/orders")
         self.assertEqual([1, 2], [order["fencing"] for order in orders])
 
     def test_errors(self):
--- a/postspring/entry/tests/test_shutdown.py
+++ b/postspring/entry/tests/test_shutdown.py
@@ -4,6 +4,7 @@
 import unittest
 
 from postspring import client
+from postspring.testing import probes
 from postspring.testing import processes
 
 TOKEN_SECONDS = 0.2
@@ -73,7 +74,7 @@
 
         def refused():
             try:
-                processes.fetch(address, "GET", "/healthz")
+                probes.fetch(address, "GET", "/healthz")
             except ConnectionRefusedError:
                 return True
             return False
--- a/postspring/front/node.py
+++ b/postspring/front/node.py
@@ -323,7 +323,6 @@
             self.callers.caller_memory,
             lambda: self.shutdown.sends_work,
         )
-        self.answers = context.answers
         self.forwarder = forwarding.Forwarder(
             context,
             self.journal,
@@ -346,7 +345,7 @@
             self.journal,
             self.timers,
             self.quarantine,
-            self.answers,
+            context.answers,
             self.peers,
             self.vm.memory_mb,
         )
--- a/postspring/front/tests/test_long_answers.py
+++ b/postspring/front/tests/test_long_answers.py
@@ -16,6 +16,11 @@
 EVENT_BYTES = 60_000
 
 
+def held_bytes(node):
+    """Return the bytes of answers that a VM is collecting."""
+    return node.forwarder._context.answers.held
+
+
 class LongAnswerCase(case.FleetCase):
     """A VM with memory for answers shorter than the long ones."""
 
@@ -28,7 +33,7 @@
     @property
     def held(self):
         """Bytes of answers that the VM is collecting."""
-        return self.node.answers.held
+        return held_bytes(self.node)
 
     def failures(self, upstream):
         """Return how many calls failed at an upstream in a row."""
@@ -154,7 +159,7 @@
         answer = self.fleet.take_turn("b", vm=1, previous_turn="a")
         self.assertEqual(200, answer.status)
         self.assertFalse(answer.complete)
-        held = [node.answers.held for node in self.fleet.nodes]
+        held = [held_bytes(node) for node in self.fleet.nodes]
         self.assertEqual([0, 0], held)
         upstreams = [
             node.directory.by_id[engine.id] for node in self.fleet.nodes
--- a/postspring/measuring/failover.py
+++ b/postspring/measuring/failover.py
@@ -6,6 +6,7 @@
 
 from postspring import client
 from postspring.measuring import statistics
+from postspring.testing import probes
 from postspring.testing import processes
 
 __all__ = ["measure_configuration", "measure_failover", "measure_log"]
@@ -82,7 +83,7 @@
 
 
 def _appends(deployment: processes.Deployment) -> int:
-    answer = processes.fetch(deployment.platform, "GET", "/statistics")
+    answer = probes.fetch(deployment.platform, "GET", "/statistics")
     return answer["appends"]
 
 
--- a/postspring/testing/misbehaving/single_vm.py
+++ b/postspring/testing/misbehaving/single_vm.py
@@ -159,7 +159,7 @@
         """Write a record into the store."""
         host, port = self._world.control
         record = {"topic": topic, "key": key, "value": value}
-        processes.fetch(f"{host}:{port}", "POST", "/put", record)
+        probes.fetch(f"{host}:{port}", "POST", "/put", record)
 
     def _configure(self) -> bool:
         self.put(names.OPERATOR_TOPIC, names.CONFIGURATION_KEY, self.document)
--- a/postspring/testing/probes.py
+++ b/postspring/testing/probes.py
@@ -1,11 +1,25 @@
 """What tests see of a process from outside: its answers and what it uses."""
 
 import http.client
+import json
 import os
 import pathlib
 import subprocess
+from typing import Any
 
-__all__ = ["peak_bytes", "processor_seconds", "status_of"]
+__all__ = ["fetch", "peak_bytes", "processor_seconds", "status_of"]
+
+
+def fetch(address: str, method: str, path: str, body: Any = None) -> Any:
+    """Return the JSON answer of a stand-in."""
+    host, _, port = address.rpartition(":")
+    connection = http.client.HTTPConnection(host, int(port), timeout=10)
+    data = None if body is None else json.dumps(body)
+    try:
+        connection.request(method, path, data)
+        return json.loads(connection.getresponse().read())
+    finally:
+        connection.close()
 
 
 def status_of(
--- a/postspring/testing/processes.py
+++ b/postspring/testing/processes.py
@@ -22,6 +22,7 @@
 from postspring import client
 from postspring import errors
 from postspring.testing import documents
+from postspring.testing import probes
 
 __all__ = ["Deployment", "ProcessGroup", "free_port", "wait_until"]
 
@@ -75,18 +76,6 @@
     raise TimeoutError(f"gave up waiting for {what}: {last!r}")
 
 
-def fetch(address: str, method: str, path: str, body: Any = None) -> Any:
-    """Return the JSON answer of a stand-in."""
-    host, _, port = address.rpartition(":")
-    connection = http.client.HTTPConnection(host, int(port), timeout=10)
-    data = None if body is None else json.dumps(body)
-    try:
-        connection.request(method, path, data)
-        return json.loads(connection.getresponse().read())
-    finally:
-        connection.close()
-
-
 class ProcessGroup:
     """Processes that end together, by their ids.
 
@@ -239,11 +228,11 @@
             ),
             "state": state,
         }
-        fetch(self.platform, "PUT", f"/vms/{name}", entry)
+        probes.fetch(self.platform, "PUT", f"/vms/{name}", entry)
 
     def unlist_vm(self, name: str) -> None:
         """Take a VM off the platform's list."""
-        fetch(self.platform, "DELETE", f"/vms/{name}")
+        probes.fetch(self.platform, "DELETE", f"/vms/{name}")
 
     def publish(self, document: dict, **options: Any) -> int:
         """Publish a configuration document."""
@@ -274,7 +263,7 @@
 
     def status(self, name: str) -> dict[str, Any]:
         """Return an entry VM's own state."""
-        return fetch(self.vm_by_name[name].listen, "GET", "/v1/status")
+        return probes.fetch(self.vm_by_name[name].listen, "GET", "/v1/status")
 
     def ready(self, name: str) -> bool:
         """Return whether a VM has a configuration and its slots owners."""
@@ -301,12 +290,12 @@
             if name == "platform"
             else self.address_by_upstream[name]
         )
-        fetch(address, "POST", "/faults", faults)
+        probes.fetch(address, "POST", "/faults", faults)
 
     def cut(self, link: str, cut: bool = True) -> None:
         """Cut or mend a link: ``platform-VM`` or ``peers-VM``."""
         address = self._faults_by_link[link]
-        fetch(address, "POST", "/faults", {"cut": cut})
+        probes.fetch(address, "POST", "/faults", {"cut": cut})
 
     def mend_links(self) -> None:
         """Mend all links."""
@@ -318,7 +307,7 @@
         counts: dict[str, int] = {}
         for name, address in self.address_by_upstream.items():
             if name.startswith("tool"):
-                counts |= fetch(address, "GET", "/executions")
+                counts |= probes.fetch(address, "GET", "/executions")
         return counts
 
     def metric(self, vm: str, name: str) -> dict[str, float]:
--- a/postspring/testing/soak/stage.py
+++ b/postspring/testing/soak/stage.py
@@ -115,8 +115,7 @@
         processes.wait_until(
             "the store",
             lambda: (
-                processes.fetch(self._control, "POST", "/faults", {})
-                is not None
+                probes.fetch(self._control, "POST", "/faults", {}) is not None
             ),
         )
         self._configure()
@@ -202,7 +201,7 @@
         self._record(
             events_module.Event(now, step.action, "", now + step.seconds)
         )
-        processes.fetch(self._control, "POST", "/faults", step.faults)
+        probes.fetch(self._control, "POST", "/faults", step.faults)
         normal = {
             "slow": 1.0,
             "tail": False,
@@ -222,7 +221,7 @@
             "value": world_module.configuration(self._version, timeout_ms),
         }
         now = time.monotonic()
-        processes.fetch(self._control, "POST", "/put", record)
+        probes.fetch(self._control, "POST", "/put", record)
         action = plan_module.Action.CONFIGURE
         if self._version > 1:
             self._record(
@@ -233,7 +232,7 @@
         """Do what the platform does: end, start again, mend."""
         while self._undo and self._undo[0][0] <= now:
             normal = self._undo.pop(0)[1]
-            processes.fetch(self._control, "POST", "/faults", normal)
+            probes.fetch(self._control, "POST", "/faults", normal)
         for daemon in self._daemons:
             if daemon.thaw_at and daemon.thaw_at <= now:
                 daemon.thaw_at = 0.0
