Short answers don't wait for answers that stall

Callers saw: while ten answers of one upstream stalled after 2.5 MB each (VM of 96 MB), answers of 200 bytes that came in two reads took 1.97 s instead of 0.07 s, and would have been 504 with a shorter deadline.

Cause: above half of the callers' memory, every answer but the oldest was paused after its first read until the oldest ended or its deadline passed.

Fix: answers of at most 16 KiB so far are read on, as responses of the store are; a first read brings as much anyway, so the bound of memory is unchanged. Answers of 100 kB still wait (1.92 s).

The unit tests' sizes are 1024 times larger, so that their answers are not short; what they check is unchanged. The new test failed before: "Expected 'pause_reading' to not have been called. Called 1 times."

--- a/postspring/forwarding/collected_answer.py
+++ b/postspring/forwarding/collected_answer.py
@@ -20,6 +20,10 @@
 ONE_SHARE = 0.25
 # The memory for callers if it is not stated, in bytes.
 UNSTATED_BYTES = 256 * 1024 * 1024
+# Answers that have at most this many bytes so far are read on whatever others
+# hold: a first read may bring as much, and an answer that stalls would delay
+# all others until its caller's deadline.
+SHORT_BYTES = 16 * 1024
 # Shorter incomplete events are not counted: each open stream may have one.
 MIN_COUNTED_EVENT_BYTES = 64 * 1024
 # Answers to such requests, or with such a status, have no body, whatever
@@ -37,7 +41,8 @@
     Above the limit for all answers, or for what callers have the process
     hold, reading from the upstreams pauses, so that the rest of their answers
     waits there.  The answer that began first is read on until it ends or
-    exceeds the limit of one answer, so that one of them always ends.
+    exceeds the limit of one answer, so that one of them always ends.  Short
+    answers don't wait.
 
     Parameters
     ==========
@@ -170,7 +175,9 @@
     def _count(self, size: int, exchange: transport.Exchange) -> None:
         self._set_counted(size)
         self.size = size
-        if self._timer is None and self._answers.must_wait(self):
+        if size <= SHORT_BYTES or self._timer is not None:
+            return
+        if self._answers.must_wait(self):
             exchange.pause_reading()
             self._schedule(exchange)
 
--- a/postspring/forwarding/tests/test_collected_answer.py
+++ b/postspring/forwarding/tests/test_collected_answer.py
@@ -10,10 +10,13 @@
 from postspring import forwarding
 from postspring import transport
 
-MIB = 1024 * 1024
-LIMIT = 4800
+KIB = 1024
+MIB = 1024 * KIB
+LIMIT = 4800 * KIB
 # What is held for other callers.
-OTHERS = 4000
+OTHERS = 4000 * KIB
+PART = 600 * KIB
+SHORT_BYTES = 16 * KIB
 
 
 class CollectedAnswerTest(unittest.TestCase):
@@ -30,8 +33,8 @@
 
     def fill(self):
         """Receive more than there is memory for."""
-        self.first.add(b"x" * 600, self.first_exchange)
-        self.second.add(b"y" * 600, self.second_exchange)
+        self.first.add(b"x" * PART, self.first_exchange)
+        self.second.add(b"y" * PART, self.second_exchange)
 
     def run_timer(self):
         """Run what was last scheduled."""
@@ -45,16 +48,26 @@
         self.run_timer()
         self.second_exchange.resume_reading.assert_not_called()
 
+    # Guards against a stalled answer that delays all others.
+    def test_short_answer_does_not_wait(self):
+        self.others.set(LIMIT)
+        self.first.add(b"x" * PART, self.first_exchange)
+        for _ in range(2):
+            self.second.add(b"y" * (SHORT_BYTES // 2), self.second_exchange)
+        self.second_exchange.pause_reading.assert_not_called()
+        self.second.add(b"y", self.second_exchange)
+        self.second_exchange.pause_reading.assert_called_once()
+
     # Guards against answers that all wait for each other.
     def test_first_answer_is_read_on(self):
         self.fill()
-        self.first.add(b"x" * 600, self.first_exchange)
+        self.first.add(b"x" * PART, self.first_exchange)
         self.first_exchange.pause_reading.assert_not_called()
 
     # Guards against an answer that waits though there is memory.
     def test_waiting_answer_is_read_on_when_there_is_memory(self):
         self.fill()
-        self.assertEqual(b"x" * 600, self.first.take())
+        self.assertEqual(b"x" * PART, self.first.take())
         self.run_timer()
         self.second_exchange.resume_reading.assert_called_once()
 
