Count histories in the requests of open turns

Callers saw: a VM of 96 MB grew from 43 to 177 MB within half a second when twenty callers continued a history of 7.2 MB (40 turns of 180 KB) at an upstream that reads slowly; with its limit enforced, the process is killed.

Cause: the body of a turn's request contains its whole chain and is kept until the turn ends, but only the caller's own part of it was counted.

Fix: the chain counts as memory for callers. Without room, a turn is refused as not run (503, no_memory) before it is opened. Long bodies without a history were bounded already: 30 calls of 3.5 MB, peak 50 MB.

The tests failed before: "45057 not greater than 300000" and "503 != 200".

--- a/postspring/forwarding/refusals.py
+++ b/postspring/forwarding/refusals.py
@@ -48,6 +48,8 @@
     JOURNAL_UNAVAILABLE = ("journal_unavailable", 503, 1.2)
     # The previous turn was found, but no VM asked holds its whole chain.
     HISTORY_INCOMPLETE = ("history_incomplete", 503, 1.2)
+    # Histories of open turns take all the memory for callers.
+    NO_MEMORY = ("no_memory", 503, 0.5)
     TURN_UNCERTAIN = ("turn_uncertain", 503, 1.2)
     BUDGET_RESERVED = ("budget_reserved", 503, 0.2)
     BUDGET_SPENT = ("budget_spent", 402, None)
--- a/postspring/forwarding/turn_call.py
+++ b/postspring/forwarding/turn_call.py
@@ -10,6 +10,7 @@
 from postspring.forwarding import refusals
 from postspring.forwarding import turn_services
 from postspring import histories
+from postspring import transport
 from postspring import upstreams
 
 __all__ = ["TurnCall"]
@@ -36,7 +37,9 @@
         super().__init__(*arguments, **options)
         self._chain = histories.Chain(None)
         self._output = bytearray()
-        self._holding = self._context.answers.memory.hold()
+        memory = self._context.answers.memory
+        self._holding = memory.hold()
+        self._chain_holding = memory.hold()
         self._complete_now: Callable[[], None] | None = None
         self._turn_bytes = len(self._call.body)
 
@@ -65,6 +68,20 @@
         if chain is None:
             self._query_peers(self._check_turn_absent, ports.Question.TURN)
             return
+        self._continue(chain)
+
+    def _continue(self, chain: histories.Chain) -> None:
+        """Open the turn if there is memory for its request's body.
+
+        The body contains the whole chain, and is kept until the turn ends,
+        as it may be sent again.
+        """
+        self._chain_holding.set(sum(map(len, chain.parts)))
+        memory = self._context.answers.memory
+        if chain.parts and memory.is_above(transport.MemoryUse.COMPLETE):
+            self._chain_holding.set(0)
+            self._close(refusals.Refusal.NO_MEMORY)
+            return
         self._chain = chain
         self._open()
 
@@ -113,8 +130,7 @@
         if chain is None:
             self._close(refusals.Refusal.NO_SUCH_TURN)
             return
-        self._chain = chain
-        self._open()
+        self._continue(chain)
 
     def _refuse_unavailable(self, finding: ports.Finding) -> None:
         self._close(refusals.Refusal.JOURNAL_UNAVAILABLE)
--- a/postspring/front/tests/test_long_answers.py
+++ b/postspring/front/tests/test_long_answers.py
@@ -134,6 +134,47 @@
         self.fleet.run_loop_until(lambda: memory.held < EVENT_BYTES)
 
 
+class LongHistoryTest(LongAnswerCase):
+    """Turns whose requests contain a long history."""
+
+    # Guards against requests of open turns whose histories aren't counted.
+    def test_history_is_counted_while_a_turn_is_open(self):
+        (engine,) = self.fleet.engines
+        input_bytes = b"x" * (CALLER_BYTES // 8)
+        previous = {}
+        for request in "abc":
+            answer = self.fleet.take_turn(request, 0, input_bytes, **previous)
+            self.assertTrue(answer.complete)
+            previous = {"previous_turn": request}
+        engine.faults.stop_between = 1
+        memory = self.node.callers.caller_memory
+        fields = {"program_id": "p1", "token_usage": "100,16"}
+        fields |= previous | {"token_budget": "1000"}
+        caller = self.fleet.caller()
+        caller.send("POST", "/stream/x", self.fleet.headers("d", fields), b"x")
+        runs = len(engine.runs)
+        self.fleet.run_loop_until(lambda: len(engine.runs) > runs)
+        self.assertGreater(memory.held, 3 * len(input_bytes))
+        caller.close()
+        self.fleet.run_loop_until(lambda: memory.held < len(input_bytes))
+
+    # Guards against a turn that is run without memory for its request.
+    def test_turn_is_refused_as_not_run_without_memory(self):
+        (engine,) = self.fleet.engines
+        input_bytes = b"x" * (CALLER_BYTES // 8)
+        self.assertTrue(self.fleet.take_turn("a", 0, input_bytes).complete)
+        memory = self.node.callers.caller_memory
+        others = memory.hold()
+        others.set(CALLER_BYTES - len(input_bytes))
+        runs = len(engine.runs)
+        answer = self.fleet.take_turn("b", previous_turn="a")
+        self.assertEqual(503, answer.status)
+        self.assertEqual(runs, len(engine.runs))
+        others.set(0)
+        answer = self.fleet.take_turn("c", previous_turn="a")
+        self.assertTrue(answer.complete)
+
+
 class RelayedTurnTest(case.FleetCase):
     """A turn that another VM runs, as it holds the history."""
 
