A chunked answer with a stated length is passed on

What callers saw: 502 for an answer in chunks whose head also states a length above the limit of one answer, though the chunks were whole (found by review, run for GET and POST).

Cause: the stated length was judged with the head; in HTTP the transfer coding overrides it, and h11 reads the chunks.

content_length() is 0 with a transfer coding now, for the store's responses too. The new example of its docstring gave 12 before.

--- a/postspring/transport/http_messages.py
+++ b/postspring/transport/http_messages.py
@@ -169,15 +169,23 @@
 def content_length(fields: Iterable[tuple[bytes, bytes]]) -> int:
     """Return the length that header fields state, or 0.
 
+    A transfer coding overrides a stated length (RFC 9112, section 6.3).
+
     Examples
     --------
     >>> content_length([(b"content-length", b"12")]), content_length([])
     (12, 0)
+    >>> chunked = (b"transfer-encoding", b"chunked")
+    >>> content_length([(b"content-length", b"12"), chunked])
+    0
     """
+    length = 0
     for name, value in fields:
+        if name.lower() == b"transfer-encoding":
+            return 0
         if name.lower() == b"content-length":
-            return parse_integer(value.decode("latin-1")) or 0
-    return 0
+            length = parse_integer(value.decode("latin-1")) or 0
+    return length
 
 
 def _encode(text: str | bytes) -> bytes:
